--- /dev/null
+++ b/libraries/proxy/control.cpp
@@ -0,0 +1,462 @@
+#include <libraries/base/overloaded.h>
+#include <libraries/base/verify.h>
+#include <libraries/proxy/control.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+control control::create(options options, consensus::recovered_state const& recovered,
+                        base::monotonic_time now) {
+  return control(std::move(options), recovered, now);
+}
+
+control::control(options options, consensus::recovered_state const& recovered,
+                 base::monotonic_time now)
+    : m_options(std::move(options)),
+      m_replica(consensus::replica::create(m_options.replica, recovered, now)),
+      m_registry(m_options.registry), m_subscriber({.self = m_options.replica.self.instance,
+                                                    .seeds = m_options.replica.peers,
+                                                    .seed = m_options.replica.seed}),
+      m_judge(m_options.judge) {
+  restore(recovered.snapshot);
+}
+
+void control::receive(base::instance_id const& from, message const& message,
+                      base::monotonic_time now, control_effects& out) {
+  m_heard[from] = now;
+  std::visit([&](auto const& one) { handle(from, one, now, out); }, message);
+  settle(now, out);
+}
+
+void control::receive(call_number number, call_request const& request, base::monotonic_time now,
+                      control_effects& out) {
+  auto const answer = [&](call_reply reply) { out.answers.push_back({number, std::move(reply)}); };
+  if (m_replica.role() != consensus::role::leader) {
+    call_reply reply{.kind = reply_kind::not_leader};
+    auto const& leader = m_replica.leader();
+    if (leader && leader->instance != m_replica.self().instance) {
+      reply.leader = leader->instance;
+    }
+    answer(std::move(reply));
+    return;
+  }
+  if (!leads(now)) {
+    answer({.kind = reply_kind::unavailable});
+    return;
+  }
+  std::visit(base::overloaded{
+                 [&](replace_document const& one) { take(number, one, now, out); },
+                 [&](start_rollout const& one) { take(number, one, now, out); },
+                 [&](read_document const& one) { answer(reply_to(one)); },
+                 [&](read_rollout const& one) { answer(reply_to(one, now)); },
+                 [&](announce_endpoint const& one) { answer(reply_to(one, now, out)); },
+                 [&](withdraw_endpoint const& one) { answer(reply_to(one, now, out)); },
+             },
+             request);
+  settle(now, out);
+}
+
+void control::tick(base::monotonic_time now, control_effects& out) {
+  bool const is_new_group = m_options.is_founder && m_replica.last_index() == 0 &&
+                            !m_replica.leader() && m_replica.current_configuration().voters.empty();
+  if (is_new_group) {
+    auto wanted = m_options.replica.peers;
+    wanted.push_back(m_replica.self().instance);
+    // It fails only where a log is there already, and then there is nothing to found.
+    static_cast<void>(m_replica.initialise(std::move(wanted), now, out.log));
+  }
+  m_replica.tick(now, out.log);
+  settle(now, out);
+  if (m_replica.role() == consensus::role::leader) {
+    manage_voters(now, out);
+    conduct_rollouts(now, out);
+    drop_silent_listeners(now, out);
+    if (now >= m_leader_since + m_options.settling) {
+      m_registry.tick(now);
+    }
+  } else if (auto const upstream = m_subscriber.tick(now)) {
+    if (*upstream != m_replica.self().instance) {
+      out.messages.push_back({*upstream, subscription{.known = m_subscriber.known()}});
+    }
+  }
+  expire_calls(now, out);
+  settle(now, out);
+}
+
+void control::complete_write(consensus::write_id id, base::monotonic_time now,
+                             control_effects& out) {
+  m_replica.complete_write(id, now, out.log);
+  settle(now, out);
+}
+
+void control::resign(base::monotonic_time now, control_effects& out) {
+  m_replica.resign(now, out.log);
+  settle(now, out);
+}
+
+// Messages.
+
+void control::handle(base::instance_id const& from, consensus::message const& message,
+                     base::monotonic_time now, control_effects& out) {
+  if (std::holds_alternative<consensus::join_request>(message)) {
+    m_applicants[from] = now;
+  }
+  m_replica.receive(from, message, now, out.log);
+}
+
+void control::handle(base::instance_id const& from, subscription const& subscription,
+                     base::monotonic_time now, control_effects& out) {
+  if (!leads(now)) {
+    std::optional<base::instance_id> leader;
+    if (auto const& known = m_replica.leader();
+        known && known->instance != m_replica.self().instance) {
+      leader = known->instance;
+    }
+    out.messages.push_back({from, referral{leader}});
+    return;
+  }
+  auto const [entry, is_new] = m_listeners.try_emplace(from);
+  auto& listener = entry->second;
+  if (is_new) {
+    out.notes.push_back({control_event::instance_joined, from.value, {}, m_listeners.size()});
+  }
+  listener.known = subscription.known;
+  listener.is_entry = subscription.is_entry;
+  listener.heard_at = now;
+  listener.loads = subscription.loads;
+  m_judge.report(from, subscription.tallies);
+  push_to(from, listener, true, now, out);
+}
+
+void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
+                     control_effects& /*out*/) {
+  if (m_replica.role() == consensus::role::leader) {
+    return;
+  }
+  m_subscriber.note_update(update, from, now);
+  for (auto const& record : update.endpoints) {
+    m_registry.adopt(record, now);
+  }
+  static_cast<void>(m_subscriber.advance(update));
+}
+
+void control::handle(base::instance_id const& from, referral const& referral,
+                     base::monotonic_time now, control_effects& /*out*/) {
+  m_subscriber.follow(referral, from, now);
+}
+
+// Calls of operators and endpoints.
+
+call_reply control::reply_to(read_document const& /*request*/) const {
+  if (m_state.revision() == 0) {
+    return {.kind = reply_kind::not_found};
+  }
+  return {.kind = reply_kind::found, .source = m_state.source()};
+}
+
+call_reply control::reply_to(read_rollout const& request, base::monotonic_time now) const {
+  auto const* rollout = m_state.find_rollout(request.service);
+  if (rollout == nullptr) {
+    return {.kind = reply_kind::not_found};
+  }
+  auto reported = *rollout;
+  reported.state = m_judge.reported_state(*rollout, now);
+  return {.kind = reply_kind::found, .rollout = std::move(reported)};
+}
+
+call_reply control::reply_to(announce_endpoint const& request, base::monotonic_time now,
+                             control_effects& out) {
+  auto const outcome = m_registry.hear(request.word, now);
+  if (outcome == word_outcome::changed) {
+    note_endpoint(request.word.id, out);
+  }
+  auto const kind = outcome == word_outcome::refused ? reply_kind::unavailable : reply_kind::done;
+  return {.kind = kind, .leader = m_replica.self().instance};
+}
+
+call_reply control::reply_to(withdraw_endpoint const& request, base::monotonic_time now,
+                             control_effects& out) {
+  if (m_registry.withdraw(request.endpoint, now) == word_outcome::changed) {
+    note_endpoint(request.endpoint, out);
+  }
+  return {.kind = reply_kind::done};
+}
+
+void control::take(call_number number, replace_document const& request, base::monotonic_time now,
+                   control_effects& out) {
+  if (request.document.revision <= m_state.revision()) {
+    // It was in force before, or a later one overtook it; both leave nothing to do.
+    out.answers.push_back({number, {.kind = reply_kind::done}});
+    return;
+  }
+  propose(number, request, now, out);
+}
+
+void control::take(call_number number, start_rollout const& request, base::monotonic_time now,
+                   control_effects& out) {
+  auto const* known = m_state.find_rollout(request.service);
+  if (known != nullptr && known->state == rollout_state::running &&
+      known->target != request.target) {
+    out.answers.push_back({number, {.kind = reply_kind::conflict}});
+    return;
+  }
+  bool const is_resent = known != nullptr && known->target == request.target &&
+                         (known->state == rollout_state::running ||
+                          m_judge.ended_within(*known, m_options.resend_window, now));
+  if (is_resent) {
+    out.answers.push_back({number, {.kind = reply_kind::done}});
+    return;
+  }
+  propose(number, request, now, out);
+}
+
+void control::propose(call_number number, command const& command, base::monotonic_time now,
+                      control_effects& out) {
+  auto const index = m_replica.propose(encode(command), now, out.log);
+  if (!index) {
+    out.answers.push_back({number, {.kind = reply_kind::unavailable}});
+    return;
+  }
+  m_waiting[*index] = {
+      .number = number, .term = m_replica.term(), .due = now + m_options.call_patience};
+}
+
+void control::expire_calls(base::monotonic_time now, control_effects& out) {
+  std::erase_if(m_waiting, [&](auto const& item) {
+    auto const& waiting = item.second;
+    bool const is_over = now >= waiting.due || waiting.term != m_replica.term();
+    if (is_over) {
+      out.answers.push_back({waiting.number, {.kind = reply_kind::unavailable}});
+    }
+    return is_over;
+  });
+}
+
+// The replicated log.
+
+bool control::leads(base::monotonic_time now) const {
+  return m_replica.role() == consensus::role::leader && m_replica.holds_lease(now);
+}
+
+void control::settle(base::monotonic_time now, control_effects& out) {
+  note_role(now, out);
+  if (out.log.restored) {
+    restore(*out.log.restored);
+    out.log.restored.reset();
+  }
+  auto const committed = std::exchange(out.log.committed, {});
+  for (auto const& entry : committed) {
+    apply(entry, now, out);
+  }
+  if (m_bytes_applied >= m_options.bytes_per_snapshot) {
+    m_replica.compact(m_applied, m_state.snapshot(), out.log);
+    m_bytes_applied = 0;
+  }
+  for (auto const& rollout : m_state.rollouts()) {
+    m_judge.note(rollout, now);
+  }
+  note_voters(out);
+  push_changes(now, out);
+}
+
+void control::note_role(base::monotonic_time now, control_effects& out) {
+  bool const is_leader = m_replica.role() == consensus::role::leader;
+  if (is_leader == m_was_leader) {
+    return;
+  }
+  m_was_leader = is_leader;
+  if (is_leader) {
+    m_leader_since = now;
+    m_registry.forgive_silence(now);
+  } else {
+    m_listeners.clear();
+  }
+  auto const event = is_leader ? control_event::leadership_won : control_event::leadership_lost;
+  out.notes.push_back({event, m_replica.self().instance.value, {}, m_replica.term()});
+}
+
+void control::note_voters(control_effects& out) {
+  auto const& voters = m_replica.current_configuration().voters;
+  if (voters == m_noted_voters) {
+    return;
+  }
+  m_noted_voters = voters;
+  std::string names;
+  for (auto const& voter : voters) {
+    names += (names.empty() ? "" : ",") + voter.instance.value;
+  }
+  out.notes.push_back({control_event::voters_changed, names, {}, voters.size()});
+}
+
+void control::apply(consensus::log_entry const& entry, base::monotonic_time now,
+                    control_effects& out) {
+  CATKINLANDING_VERIFY(entry.index == m_applied + 1);
+  m_applied = entry.index;
+  m_bytes_applied += entry.command.size();
+  auto const waiting = m_waiting.extract(entry.index);
+  if (entry.kind != consensus::entry_kind::command) {
+    return;
+  }
+  auto const decoded = decode_command(entry.command);
+  CATKINLANDING_VERIFY(decoded.has_value());
+  auto const revision = m_state.revision();
+  bool const is_changed = m_state.apply(*decoded);
+  CATKINLANDING_VERIFY(m_state.revision() >= revision);
+  for (auto const& rollout : m_state.rollouts()) {
+    m_judge.note(rollout, now);
+  }
+  if (m_state.revision() > revision) {
+    out.notes.push_back({control_event::document_applied, {}, {}, m_state.revision()});
+  } else if (is_changed) {
+    for (auto const& rollout : m_state.rollouts()) {
+      out.notes.push_back({control_event::rollout_changed, rollout.service.value,
+                           name_of(rollout.state), rollout.number});
+    }
+  }
+  if (!waiting.empty() && waiting.mapped().term == entry.term) {
+    out.answers.push_back({waiting.mapped().number, {.kind = reply_kind::done}});
+  }
+}
+
+void control::restore(consensus::snapshot const& snapshot) {
+  if (snapshot.index == 0) {
+    return;
+  }
+  auto state = replicated_state::from_snapshot(snapshot.state);
+  CATKINLANDING_VERIFY(state.has_value());
+  m_state = std::move(*state);
+  m_applied = snapshot.index;
+  m_bytes_applied = 0;
+}
+
+void control::manage_voters(base::monotonic_time now, control_effects& out) {
+  auto const& configuration = m_replica.current_configuration();
+  constexpr std::chrono::seconds application_memory{2};
+  std::erase_if(m_applicants, [&](auto const& item) {
+    return now >= item.second + application_memory || configuration.is_wanted(item.first);
+  });
+  if (m_applicants.empty()) {
+    return;
+  }
+  auto wanted = configuration.wanted;
+  auto const silent = std::ranges::find_if(wanted, [&](base::instance_id const& id) {
+    if (id == m_replica.self().instance) {
+      return false;
+    }
+    auto const heard = m_heard.find(id);
+    auto const heard_at = heard == m_heard.end() ? m_leader_since : heard->second;
+    return now >= std::max(heard_at, m_leader_since) + m_options.voter_patience;
+  });
+  if (silent != wanted.end()) {
+    *silent = m_applicants.begin()->first;
+  } else if (wanted.size() < m_options.most_voters) {
+    wanted.push_back(m_applicants.begin()->first);
+  } else {
+    return;
+  }
+  // A change of the group may be under way; the next tick tries again.
+  static_cast<void>(m_replica.propose_wanted(std::move(wanted), now, out.log));
+}
+
+// Rollouts and listeners.
+
+void control::conduct_rollouts(base::monotonic_time now, control_effects& out) {
+  if (!leads(now)) {
+    return;
+  }
+  for (auto const& rollout : m_state.rollouts()) {
+    if (auto const verdict = m_judge.verdict(rollout, now)) {
+      end_rollout const ended{
+          .service = rollout.service, .number = rollout.number, .state = *verdict};
+      // Where the log takes no more, the next tick tries again; a second entry changes nothing.
+      static_cast<void>(m_replica.propose(encode(command{ended}), now, out.log));
+    }
+  }
+}
+
+void control::drop_silent_listeners(base::monotonic_time now, control_effects& out) {
+  std::erase_if(m_listeners, [&](auto const& item) {
+    bool const is_silent = now >= item.second.heard_at + m_options.subscriber_memory;
+    if (is_silent) {
+      out.notes.push_back({control_event::instance_lost, item.first.value, {}, m_listeners.size()});
+    }
+    return is_silent;
+  });
+}
+
+void control::push_changes(base::monotonic_time now, control_effects& out) {
+  known_state const current{.document_revision = m_state.revision(),
+                            .registry_term = m_replica.term(),
+                            .registry_revision = m_registry.revision(),
+                            .rollouts_revision = m_state.rollouts_revision()};
+  if (!leads(now) || current == m_pushed) {
+    return;
+  }
+  m_pushed = current;
+  for (auto& [id, listener] : m_listeners) {
+    push_to(id, listener, false, now, out);
+  }
+}
+
+void control::push_to(base::instance_id const& to, listener& listener, bool with_loads,
+                      base::monotonic_time now, control_effects& out) {
+  update sent{.state = {.document_revision = m_state.revision(),
+                        .registry_term = m_replica.term(),
+                        .registry_revision = m_registry.revision(),
+                        .rollouts_revision = m_state.rollouts_revision()}};
+  auto const& known = listener.known;
+  bool const was_just_sent = listener.document_sent == m_state.revision() &&
+                             now < listener.document_sent_at + m_options.push_interval;
+  if (known.document_revision >= m_state.revision()) {
+    // Nothing to send.
+  } else if (was_just_sent) {
+    sent.state.document_revision = known.document_revision;
+  } else {
+    sent.document = m_state.document();
+    listener.document_sent = m_state.revision();
+    listener.document_sent_at = now;
+  }
+  sent.registry_base = known.registry_term == m_replica.term() ? known.registry_revision : 0;
+  sent.endpoints = m_registry.changes_since(sent.registry_base);
+  if (known.rollouts_revision != m_state.rollouts_revision()) {
+    sent.rollouts = m_state.rollouts();
+  }
+  sent.is_settled = now >= m_leader_since + m_options.settling;
+  sent.entries = static_cast<std::uint32_t>(
+      std::ranges::count_if(m_listeners, [](auto const& item) { return item.second.is_entry; }));
+  if (with_loads && listener.is_entry) {
+    sent.loads = loads_without(to);
+  }
+  for (auto const& voter : m_replica.current_configuration().voters) {
+    sent.control_instances.push_back(voter.instance);
+  }
+  out.messages.push_back({to, std::move(sent)});
+}
+
+std::vector<endpoint_load> control::loads_without(base::instance_id const& instance) const {
+  std::map<base::endpoint_id, std::uint32_t> sums;
+  for (auto const& [id, listener] : m_listeners) {
+    if (id != instance) {
+      for (auto const& load : listener.loads) {
+        sums[load.endpoint] += load.outstanding;
+      }
+    }
+  }
+  std::vector<endpoint_load> loads;
+  loads.reserve(sums.size());
+  for (auto const& [endpoint, outstanding] : sums) {
+    loads.push_back({endpoint, outstanding});
+  }
+  return loads;
+}
+
+void control::note_endpoint(base::endpoint_id const& id, control_effects& out) const {
+  auto const* record = m_registry.find(id);
+  if (record != nullptr) {
+    out.notes.push_back({control_event::endpoint_changed, id.value, name_of(record->state),
+                         record->word.number.incarnation});
+  }
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/endpoint_choice.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <libraries/proxy/endpoint_table.h>
+#include <libraries/proxy/request.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// What decides among the endpoints that may take a request.
+struct choice_terms {
+  base::availability_zone_id own_zone;
+  /// Requests that share this go to the same endpoints, so that these keep the prompt; empty where
+  /// nothing is shared.
+  std::string affinity;
+  /// Requests that an endpoint of the service runs at once; 0 where it is not known.
+  std::uint32_t slots = 0;
+  /// Spreads requests without affinity among equals.
+  std::uint64_t salt = 0;
+};
+
+/// The part of the prompt by which requests are kept together: the longest shared one but the
+/// request's own.
+[[nodiscard]] std::string affinity_of(std::vector<prompt_part> const& prompt);
+
+/// The best of the endpoints; nullptr where there is none. Endpoints of the own zone go first as
+/// long as they have room; among them those that keep the prompt, as long as they are not loaded
+/// much beyond the others (rendezvous hashing with bounded loads); else the least loaded.
+[[nodiscard]] known_endpoint const*
+choose_endpoint(std::vector<known_endpoint const*> const& candidates, choice_terms const& terms,
+                base::monotonic_time now);
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/endpoint_registry.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <libraries/proxy/endpoint.h>
+
+#include <map>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// What became of an endpoint's word.
+enum class word_outcome : std::uint8_t {
+  /// Nothing but its time is new.
+  refreshed,
+  /// Instances must be told.
+  changed,
+  /// A later word, or one of a later start, is known.
+  stale,
+  /// No more endpoints can be held.
+  refused,
+};
+
+[[nodiscard]] constexpr char const* name_of(word_outcome outcome) {
+  switch (outcome) {
+  case word_outcome::refreshed:
+    return "refreshed";
+  case word_outcome::changed:
+    return "changed";
+  case word_outcome::stale:
+    return "stale";
+  case word_outcome::refused:
+    return "refused";
+  }
+  return "unknown";
+}
+
+/// Every endpoint that a control instance was told of. The latest word of the latest start holds;
+/// words may come late, twice and out of order. Changes are numbered, so that each instance can be
+/// sent what it lacks.
+class endpoint_registry {
+public:
+  struct options {
+    /// Without a word for so long an endpoint counts as silent.
+    base::duration silence = std::chrono::seconds(8);
+    /// Ended endpoints are remembered for so long, against late words of theirs.
+    base::duration memory = std::chrono::seconds(120);
+    /// Words of made-up endpoints must not fill the memory.
+    std::size_t most_endpoints = 50'000;
+  };
+
+  explicit endpoint_registry(options options) : m_options(options) {}
+
+  word_outcome hear(endpoint_word const& word, base::monotonic_time now);
+  /// The endpoint ends. A later start under the same id is another endpoint.
+  word_outcome withdraw(base::endpoint_id const& id, base::monotonic_time now);
+  /// Takes over what the registry of another control instance holds.
+  void adopt(endpoint_record const& record, base::monotonic_time now);
+  /// Marks the silent ones. Returns whether there was a change.
+  bool tick(base::monotonic_time now);
+  /// All endpoints count as heard now: this instance did not listen before.
+  void forgive_silence(base::monotonic_time now);
+
+  [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+  /// Records that changed after the revision.
+  [[nodiscard]] std::vector<endpoint_record> changes_since(std::uint64_t revision) const;
+  [[nodiscard]] endpoint_record const* find(base::endpoint_id const& id) const;
+  [[nodiscard]] std::size_t size() const { return m_endpoints.size(); }
+
+private:
+  struct entry {
+    endpoint_record record;
+    base::monotonic_time heard_at{};
+  };
+
+  void change(entry& entry, endpoint_state state);
+  /// Another endpoint that has the address of this word and has not ended.
+  [[nodiscard]] entry* rival_of(endpoint_word const& word);
+  /// Whether a later start of another endpoint has the address of this word.
+  [[nodiscard]] bool is_address_taken(endpoint_word const& word);
+  /// Ends earlier starts at the address of this word.
+  void end_predecessors(endpoint_word const& word);
+
+  options m_options;
+  std::uint64_t m_revision = 0;
+  std::map<base::endpoint_id, entry> m_endpoints;
+  /// The endpoint that is known to have each address now.
+  std::map<base::address, base::endpoint_id> m_addresses;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/endpoint_table.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <libraries/proxy/message.h>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// An endpoint as one entry instance sees it.
+struct known_endpoint {
+  endpoint_word word;
+  endpoint_state state = endpoint_state::ready;
+  /// The leader's term in which this was last told.
+  std::uint64_t confirmed_term = 0;
+  /// Requests in flight from this instance, and from the others as last reported.
+  std::uint32_t own_outstanding = 0;
+  std::uint32_t other_outstanding = 0;
+  /// Failures without a good answer in between.
+  std::uint32_t failures = 0;
+  /// Takes no work before, unless there is no other.
+  base::monotonic_time avoided_until{};
+
+  [[nodiscard]] std::uint32_t load() const { return own_outstanding + other_outstanding; }
+};
+
+/// The endpoints that an entry instance may send requests to.
+class endpoint_table {
+public:
+  struct options {
+    /// After the first failure an endpoint is avoided for so long, and twice as long with each
+    /// further one.
+    base::duration shortest_avoidance = std::chrono::milliseconds(250);
+    base::duration longest_avoidance = std::chrono::seconds(4);
+    /// The same for an endpoint that has no room now.
+    base::duration full_avoidance = std::chrono::milliseconds(100);
+  };
+
+  explicit endpoint_table(options options) : m_options(options) {}
+
+  void take(endpoint_record const& record, std::uint64_t term);
+  /// Forgets endpoints that the settled leader of this term did not tell of.
+  void keep_confirmed(std::uint64_t term);
+  void take_loads(std::vector<endpoint_load> const& loads);
+
+  /// Ready endpoints of the service, in the order of their ids.
+  [[nodiscard]] std::vector<known_endpoint const*> ready(base::service_id const& service) const;
+  [[nodiscard]] known_endpoint const* find(base::endpoint_id const& id) const;
+  [[nodiscard]] std::vector<endpoint_load> own_loads() const;
+  [[nodiscard]] std::size_t size() const { return m_endpoints.size(); }
+
+  void begin_attempt(base::endpoint_id const& id);
+  void end_attempt(base::endpoint_id const& id);
+  void note_success(base::endpoint_id const& id);
+  void note_failure(base::endpoint_id const& id, base::monotonic_time now);
+  void note_full(base::endpoint_id const& id, base::monotonic_time now);
+  /// Another endpoint answers at its address.
+  void note_replaced(base::endpoint_id const& id);
+
+private:
+  options m_options;
+  std::map<base::endpoint_id, known_endpoint> m_endpoints;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/event_stream.cpp
@@ -0,0 +1,62 @@
+#include <libraries/proxy/event_stream.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view id_field = "id:";
+
+std::string_view without_return(std::string_view line) {
+  return line.ends_with('\r') ? line.substr(0, line.size() - 1) : line;
+}
+
+/// Where the last whole event ends, behind its empty line; 0 where there is none.
+std::size_t end_of_last_event(std::string const& text) {
+  constexpr std::string_view returned_end = "\r\n\r\n";
+  auto const plain = text.rfind(event_end);
+  auto const returned = text.rfind(returned_end);
+  auto const plain_end = plain == std::string::npos ? 0 : plain + event_end.size();
+  auto const other_end = returned == std::string::npos ? 0 : returned + returned_end.size();
+  return std::max(plain_end, other_end);
+}
+
+} // namespace
+
+std::string event_stream::take(std::string_view bytes) {
+  m_partial.append(bytes);
+  auto const end = end_of_last_event(m_partial);
+  if (end == 0) {
+    return {};
+  }
+  auto whole = m_partial.substr(0, end);
+  m_partial.erase(0, end);
+  note_ids(whole);
+  return whole;
+}
+
+void event_stream::note_ids(std::string_view whole) {
+  bool is_in_event = false;
+  while (!whole.empty()) {
+    auto const end = whole.find('\n');
+    auto const line = without_return(whole.substr(0, end));
+    whole.remove_prefix(end == std::string_view::npos ? whole.size() : end + 1);
+    if (line.empty()) {
+      m_events += is_in_event ? 1 : 0;
+      is_in_event = false;
+      continue;
+    }
+    is_in_event = true;
+    if (line.starts_with(id_field)) {
+      auto value = line.substr(id_field.size());
+      if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+      }
+      m_last_id = std::string(value);
+    }
+  }
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/message.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <libraries/consensus/message.h>
+#include <libraries/proxy/document.h>
+#include <libraries/proxy/endpoint.h>
+#include <libraries/proxy/rollout.h>
+
+#include <tl/expected.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// How much of the state an instance holds.
+struct known_state {
+  std::uint64_t document_revision = 0;
+  /// The term in which the registry's revision was counted.
+  std::uint64_t registry_term = 0;
+  std::uint64_t registry_revision = 0;
+  std::uint64_t rollouts_revision = 0;
+
+  bool operator==(known_state const&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(document_revision, registry_term, registry_revision, rollouts_revision);
+  }
+};
+
+/// An endpoint's requests in flight from one instance.
+struct endpoint_load {
+  base::endpoint_id endpoint;
+  std::uint32_t outstanding = 0;
+
+  bool operator==(endpoint_load const&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, outstanding);
+  }
+};
+
+/// An instance asks the leader for what it lacks, and reports what it saw. Sent again and again,
+/// so that a lost answer is asked for once more.
+struct subscription {
+  known_state known;
+  /// Whether the sender takes callers' requests.
+  bool is_entry = false;
+  std::vector<version_tally> tallies;
+  std::vector<endpoint_load> loads;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(known, is_entry, tallies, loads);
+  }
+};
+
+/// What an instance lacks. Only a leader with a lease sends it.
+struct update {
+  /// What the receiver holds afterwards.
+  known_state state;
+  std::optional<proxy::document> document;
+  /// What changed in the registry after this revision; a receiver that holds less asks again.
+  std::uint64_t registry_base = 0;
+  std::vector<endpoint_record> endpoints;
+  /// The leader has led for long enough to have heard from every live endpoint.
+  bool is_settled = false;
+  std::optional<std::vector<rollout>> rollouts;
+  /// Entry instances that share what is budgeted for all.
+  std::uint32_t entries = 1;
+  /// Requests in flight at each endpoint from all other instances.
+  std::vector<endpoint_load> loads;
+  /// Control instances, to turn to when the leader is lost.
+  std::vector<base::instance_id> control_instances;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(state, document, registry_base, endpoints, is_settled, rollouts, entries, loads,
+            control_instances);
+  }
+};
+
+/// The receiver of a subscription does not lead.
+struct referral {
+  std::optional<base::instance_id> leader;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(leader);
+  }
+};
+
+using message = std::variant<consensus::message, subscription, update, referral>;
+
+/// A message as it travels.
+struct envelope {
+  /// Grows when the messages change in a way that older instances can't read.
+  static constexpr std::uint32_t current_format = 0x43505801;
+
+  std::uint32_t format = current_format;
+  base::instance_id from;
+  proxy::message message;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(format, from, message);
+  }
+};
+
+enum class envelope_error : std::uint8_t { malformed, unknown_format };
+
+[[nodiscard]] std::string encode(envelope const& envelope);
+[[nodiscard]] tl::expected<envelope, envelope_error> decode(std::string_view bytes);
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/replicated_state.cpp
@@ -0,0 +1,87 @@
+#include <libraries/base/codec.h>
+#include <libraries/proxy/replicated_state.h>
+
+namespace catkinlanding::proxy {
+
+std::string encode(command const& command) {
+  return base::encode(command);
+}
+
+tl::expected<command, state_error> decode_command(std::string_view bytes) {
+  auto decoded = base::decode<command>(bytes);
+  if (!decoded) {
+    return tl::unexpected(state_error::malformed);
+  }
+  return std::move(*decoded);
+}
+
+bool replicated_state::apply(command const& command) {
+  return std::visit([this](auto const& one) { return apply_one(one); }, command);
+}
+
+bool replicated_state::apply_one(replace_document const& command) {
+  if (command.document.revision <= m_document.revision) {
+    return false;
+  }
+  m_document = command.document;
+  m_source = command.source;
+  return true;
+}
+
+bool replicated_state::apply_one(start_rollout const& command) {
+  auto const known = m_rollouts.find(command.service);
+  bool const is_resent = known != m_rollouts.end() && known->second.target == command.target &&
+                         known->second.state == rollout_state::running;
+  if (is_resent) {
+    return false;
+  }
+  auto const number = known == m_rollouts.end() ? 1 : known->second.number + 1;
+  m_rollouts[command.service] = {.service = command.service,
+                                 .target = command.target,
+                                 .duration = command.duration,
+                                 .state = rollout_state::running,
+                                 .number = number};
+  ++m_rollouts_revision;
+  return true;
+}
+
+bool replicated_state::apply_one(end_rollout const& command) {
+  auto const known = m_rollouts.find(command.service);
+  bool const is_running = known != m_rollouts.end() && known->second.number == command.number &&
+                          known->second.state == rollout_state::running;
+  if (!is_running) {
+    return false;
+  }
+  known->second.state = command.state;
+  ++m_rollouts_revision;
+  return true;
+}
+
+rollout const* replicated_state::find_rollout(base::service_id const& service) const {
+  auto const found = m_rollouts.find(service);
+  return found == m_rollouts.end() ? nullptr : &found->second;
+}
+
+std::vector<rollout> replicated_state::rollouts() const {
+  std::vector<rollout> all;
+  all.reserve(m_rollouts.size());
+  for (auto const& [service, rollout] : m_rollouts) {
+    all.push_back(rollout);
+  }
+  return all;
+}
+
+std::string replicated_state::snapshot() const {
+  return base::encode(*this);
+}
+
+tl::expected<replicated_state, state_error>
+replicated_state::from_snapshot(std::string_view bytes) {
+  auto decoded = base::decode<replicated_state>(bytes);
+  if (!decoded) {
+    return tl::unexpected(state_error::malformed);
+  }
+  return std::move(*decoded);
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/replicated_state.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <libraries/proxy/document.h>
+#include <libraries/proxy/rollout.h>
+
+#include <tl/expected.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// The highest revision wins, whatever the order in which documents arrive.
+struct replace_document {
+  proxy::document document;
+  /// The operator's own words, given back when the document is read.
+  std::string source;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(document, source);
+  }
+};
+
+struct start_rollout {
+  base::service_id service;
+  base::version_id target;
+  base::duration duration{};
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(service, target, duration);
+  }
+};
+
+/// The leader's verdict on the rollout with this number.
+struct end_rollout {
+  base::service_id service;
+  std::uint64_t number = 0;
+  rollout_state state = rollout_state::rolled_back;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(service, number, state);
+  }
+};
+
+using command = std::variant<replace_document, start_rollout, end_rollout>;
+
+[[nodiscard]] std::string encode(command const& command);
+
+enum class state_error : std::uint8_t { malformed };
+
+[[nodiscard]] tl::expected<command, state_error> decode_command(std::string_view bytes);
+
+/// What the replicated log makes: the newest document and the rollouts.
+class replicated_state {
+public:
+  /// Returns whether the command changed anything.
+  bool apply(command const& command);
+
+  [[nodiscard]] std::uint64_t revision() const { return m_document.revision; }
+  [[nodiscard]] proxy::document const& document() const { return m_document; }
+  [[nodiscard]] std::string const& source() const { return m_source; }
+  [[nodiscard]] rollout const* find_rollout(base::service_id const& service) const;
+  [[nodiscard]] std::vector<rollout> rollouts() const;
+  /// Grows with each change of a rollout.
+  [[nodiscard]] std::uint64_t rollouts_revision() const { return m_rollouts_revision; }
+
+  [[nodiscard]] std::string snapshot() const;
+  [[nodiscard]] static tl::expected<replicated_state, state_error>
+  from_snapshot(std::string_view bytes);
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(m_document, m_source, m_rollouts, m_rollouts_revision);
+  }
+
+private:
+  bool apply_one(replace_document const& command);
+  bool apply_one(start_rollout const& command);
+  bool apply_one(end_rollout const& command);
+
+  proxy::document m_document;
+  std::string m_source;
+  std::map<base::service_id, rollout> m_rollouts;
+  std::uint64_t m_rollouts_revision = 0;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/retry_allowance.cpp
@@ -0,0 +1,49 @@
+#include <libraries/proxy/retry_allowance.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+/// Instances do not see each other's attempts, and an instance may be missing from the count.
+constexpr double safety = 0.6;
+
+} // namespace
+
+void retry_allowance::note_request(base::monotonic_time now) {
+  ++current(now).requests;
+}
+
+bool retry_allowance::try_spend(base::monotonic_time now) {
+  auto& now_step = current(now);
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
+  for (auto const& one : m_steps) {
+    bool const is_recent = one.number + static_cast<std::int64_t>(steps) >= now_step.number;
+    if (one.number >= 0 && is_recent) {
+      requests += one.requests;
+      retries += one.retries;
+    }
+  }
+  auto const instances = std::max<std::uint32_t>(m_instances, 1);
+  double const allowed =
+      safety * (m_options.ratio * requests + static_cast<double>(m_options.slack) / instances);
+  if (retries + 1 > allowed) {
+    return false;
+  }
+  ++now_step.retries;
+  return true;
+}
+
+retry_allowance::step& retry_allowance::current(base::monotonic_time now) {
+  auto const length = m_options.window / static_cast<std::int64_t>(steps);
+  auto const number = now.time_since_epoch() / length;
+  auto& found = m_steps[static_cast<std::size_t>(number) % m_steps.size()];
+  if (found.number != number) {
+    found = {.number = number};
+  }
+  return found;
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/rollout_judge.cpp
@@ -0,0 +1,102 @@
+#include <libraries/proxy/rollout_judge.h>
+#include <libraries/rollouts/judgement.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+constexpr std::int64_t permille = 1000;
+
+double mean_of(version_tally const& tally) {
+  auto const good = tally.answers - std::min(tally.answers, tally.bad);
+  return good == 0 ? 0.0 : static_cast<double>(tally.milliseconds) / static_cast<double>(good);
+}
+
+void add(version_tally& sum, version_tally const& one) {
+  sum.answers += one.answers;
+  sum.bad += one.bad;
+  sum.milliseconds += one.milliseconds;
+}
+
+rollouts::tally as_tally(version_tally const& tally) {
+  rollouts::tally converted;
+  converted.answers = tally.answers;
+  converted.bad = tally.bad;
+  return converted;
+}
+
+} // namespace
+
+void rollout_judge::note(rollout const& rollout, base::monotonic_time now) {
+  auto& known = m_times[rollout.service];
+  if (known.number != rollout.number) {
+    known = {
+        .number = rollout.number, .started_at = now, .changed_at = now, .state = rollout.state};
+  }
+  if (known.state != rollout.state) {
+    known.state = rollout.state;
+    known.changed_at = now;
+  }
+}
+
+void rollout_judge::report(base::instance_id const& from,
+                           std::vector<version_tally> const& tallies) {
+  m_tallies[from] = tallies;
+}
+
+std::optional<rollout_state> rollout_judge::verdict(rollout const& rollout,
+                                                    base::monotonic_time now) const {
+  auto const known = m_times.find(rollout.service);
+  if (rollout.state != rollout_state::running || known == m_times.end()) {
+    return std::nullopt;
+  }
+  if (is_worse(rollout)) {
+    return rollout_state::rolled_back;
+  }
+  auto const due =
+      known->second.started_at + rollout.duration * m_options.verdict_permille / permille;
+  return now >= due ? std::optional(rollout_state::succeeded) : std::nullopt;
+}
+
+rollout_state rollout_judge::reported_state(rollout const& rollout,
+                                            base::monotonic_time now) const {
+  auto const known = m_times.find(rollout.service);
+  if (rollout.state != rollout_state::succeeded || known == m_times.end()) {
+    return rollout.state;
+  }
+  auto const pause =
+      rollout.duration * (m_options.report_permille - m_options.verdict_permille) / permille;
+  return now >= known->second.changed_at + pause ? rollout.state : rollout_state::running;
+}
+
+bool rollout_judge::ended_within(rollout const& rollout, base::duration window,
+                                 base::monotonic_time now) const {
+  auto const known = m_times.find(rollout.service);
+  return rollout.state != rollout_state::running && known != m_times.end() &&
+         now < known->second.changed_at + window;
+}
+
+bool rollout_judge::is_worse(rollout const& rollout) const {
+  version_tally fresh;
+  version_tally old;
+  for (auto const& [instance, tallies] : m_tallies) {
+    for (auto const& tally : tallies) {
+      if (tally.service == rollout.service && tally.rollout == rollout.number) {
+        add(tally.version == rollout.target ? fresh : old, tally);
+      }
+    }
+  }
+  catalogue::rollout_bounds bounds;
+  bounds.least_bad_answers = static_cast<decltype(bounds.least_bad_answers)>(m_options.least_bad);
+  bounds.abort_excess_permille = m_options.excess_permille;
+  if (rollouts::is_worse(as_tally(fresh), as_tally(old), bounds)) {
+    return true;
+  }
+  bool const is_timed =
+      fresh.answers >= m_options.least_timed && old.answers >= m_options.least_timed;
+  return is_timed && mean_of(fresh) > m_options.slowest_ratio * mean_of(old);
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/rollout_judge.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <libraries/proxy/rollout.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// Decides on rollouts from what all entry instances report. Kept by the leader.
+class rollout_judge {
+public:
+  struct options {
+    /// The verdict on a sound version falls at this part of its duration, in thousandths.
+    std::int64_t verdict_permille = 700;
+    /// An operator is told of it at this part: until then answers under way at the old version's
+    /// endpoints may end.
+    std::int64_t report_permille = 900;
+    /// Bad answers of the target before it can be judged worse.
+    std::uint64_t least_bad = 5;
+    /// How far the target's share of bad answers must surely exceed the old version's, in
+    /// thousandths.
+    std::uint32_t excess_permille = 80;
+    /// Answers of each side before their times are compared.
+    std::uint64_t least_timed = 12;
+    /// How many times slower than the old version the target may be.
+    double slowest_ratio = 3.0;
+  };
+
+  explicit rollout_judge(options options) : m_options(options) {}
+
+  /// The rollout runs since now, as far as this instance knows.
+  void note(rollout const& rollout, base::monotonic_time now);
+  void report(base::instance_id const& from, std::vector<version_tally> const& tallies);
+  void forget(base::instance_id const& instance) { m_tallies.erase(instance); }
+
+  /// The verdict, once there is one.
+  [[nodiscard]] std::optional<rollout_state> verdict(rollout const& rollout,
+                                                     base::monotonic_time now) const;
+  /// The state of a rollout as operators should see it.
+  [[nodiscard]] rollout_state reported_state(rollout const& rollout,
+                                             base::monotonic_time now) const;
+  /// Whether the rollout ended less than this long ago.
+  [[nodiscard]] bool ended_within(rollout const& rollout, base::duration window,
+                                  base::monotonic_time now) const;
+
+private:
+  struct times {
+    std::uint64_t number = 0;
+    base::monotonic_time started_at{};
+    base::monotonic_time changed_at{};
+    rollout_state state = rollout_state::running;
+  };
+
+  [[nodiscard]] bool is_worse(rollout const& rollout) const;
+
+  options m_options;
+  std::map<base::service_id, times> m_times;
+  std::map<base::instance_id, std::vector<version_tally>> m_tallies;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/route_table.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <libraries/proxy/document.h>
+
+#include <map>
+#include <string_view>
+#include <unordered_map>
+
+namespace catkinlanding::proxy {
+
+/// A document with the indices that requests are looked up in.
+class route_table {
+public:
+  route_table() = default;
+  explicit route_table(proxy::document document);
+  route_table(route_table const&) = delete;
+  route_table& operator=(route_table const&) = delete;
+  route_table(route_table&&) noexcept = default;
+  route_table& operator=(route_table&&) noexcept = default;
+  ~route_table() = default;
+
+  /// The route of this host with the longest prefix of the path; nullptr where there is none.
+  [[nodiscard]] route const* find(std::string_view host, std::string_view path) const;
+  /// The customer that holds the key; nullptr where nobody does.
+  [[nodiscard]] customer const* holder_of(std::string const& key) const;
+  [[nodiscard]] service const* find(base::service_id const& id) const;
+
+  [[nodiscard]] proxy::document const& document() const { return m_document; }
+  [[nodiscard]] std::uint64_t revision() const { return m_document.revision; }
+  /// Whether requests need a key at all.
+  [[nodiscard]] bool has_customers() const { return !m_document.customers.empty(); }
+
+private:
+  /// Prefixes of one host, each with its place among the routes.
+  using prefix_index = std::map<std::string, std::size_t, std::less<>>;
+
+  proxy::document m_document;
+  std::map<std::string, prefix_index, std::less<>> m_hosts;
+  std::unordered_map<std::string, std::size_t> m_keys;
+  std::unordered_map<base::service_id, std::size_t> m_services;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/router.cpp
@@ -0,0 +1,343 @@
+#include <libraries/base/hash.h>
+#include <libraries/base/overloaded.h>
+#include <libraries/base/verify.h>
+#include <libraries/proxy/router.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+/// How full an endpoint may be for its larger models, in thousandths of its slots.
+constexpr std::uint32_t largest_model_permille = 600;
+constexpr std::uint32_t middle_model_permille = 850;
+constexpr std::uint32_t permille = 1000;
+
+bool may_have_run_after(attempt_failure failure) {
+  switch (failure) {
+  case attempt_failure::unreachable:
+  case attempt_failure::not_executed:
+  case attempt_failure::wrong_endpoint:
+    return false;
+  case attempt_failure::failed_answer:
+  case attempt_failure::broken:
+  case attempt_failure::malformed:
+  case attempt_failure::expired:
+    return true;
+  }
+  return true;
+}
+
+} // namespace
+
+router::router(options options)
+    : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
+      m_endpoints(m_options.endpoints), m_versions(m_options.versions) {}
+
+decision router::begin(request_number number, request_facts facts, base::monotonic_time now) {
+  if (m_routes->revision() == 0) {
+    return refuse(refusal_kind::no_document);
+  }
+  auto const* route = m_routes->find(facts.host, facts.path);
+  if (route == nullptr) {
+    return refuse(refusal_kind::unknown_route);
+  }
+  active_request request;
+  request.priority = route->priority;
+  if (m_routes->has_customers() && !route->is_public) {
+    auto const* customer = facts.key ? m_routes->holder_of(*facts.key) : nullptr;
+    if (customer == nullptr) {
+      return refuse(refusal_kind::unknown_key);
+    }
+    request.customer = customer->id;
+    request.priority = customer->priority.value_or(route->priority);
+  }
+  auto const patience =
+      std::min(facts.patience.value_or(m_options.longest_patience), route->timeout);
+  request.routes = m_routes;
+  request.route = route;
+  request.service = service_for(*route, facts);
+  request.began_at = now;
+  request.deadline = now + patience;
+  request.facts = std::move(facts);
+  retries_of(request.service).note_request(now);
+  auto& active = m_requests[number] = std::move(request);
+  return attempt_next(active, now);
+}
+
+void router::note_answer(request_number number, base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found == m_requests.end() || found->second.has_answer) {
+    return;
+  }
+  auto& request = found->second;
+  request.has_answer = true;
+  m_endpoints.note_success(request.endpoint);
+  m_versions.note(request.service, request.facts.session, request.version, now);
+  tally(request, false, now);
+}
+
+decision router::fail(request_number number, attempt_failure failure, bool was_delivered,
+                      base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  CATKINLANDING_VERIFY(found != m_requests.end());
+  auto& request = found->second;
+  finish_attempt(request);
+  note_failure(request, failure, now);
+  request.may_have_run |= may_have_run_after(failure);
+  auto const& route = *request.route;
+  if (failure == attempt_failure::expired ||
+      now + m_options.least_attempt_time > request.deadline) {
+    return give_up(request, now);
+  }
+  bool const may_repeat = !request.may_have_run || route.is_repeatable();
+  bool const may_continue = !was_delivered || route.kind == route_kind::resumable_stream;
+  // An endpoint that was not reached was not sent the request.
+  if (failure == attempt_failure::unreachable) {
+    request.tried.pop_back();
+  }
+  bool const has_attempts = request.tried.size() < route.most_attempts;
+  bool const is_free = failure == attempt_failure::unreachable && request.tried.empty();
+  if (may_repeat && may_continue && has_attempts &&
+      (is_free || retries_of(request.service).try_spend(now))) {
+    auto next = attempt_next(request, now);
+    if (std::holds_alternative<attempt>(next)) {
+      return next;
+    }
+  }
+  if (failure == attempt_failure::failed_answer && !was_delivered) {
+    return deliver_failure{};
+  }
+  return give_up(request, now);
+}
+
+void router::end(request_number number, request_end end, base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found == m_requests.end()) {
+    return;
+  }
+  auto& request = found->second;
+  if (end != request_end::refused) {
+    m_versions.note(request.service, request.facts.session, request.version, now);
+  }
+  finish_attempt(request);
+  m_requests.erase(found);
+}
+
+std::vector<outgoing> router::tick(base::monotonic_time now) {
+  auto const upstream = m_subscriber.tick(now);
+  if (!upstream) {
+    return {};
+  }
+  subscription asked{.known = m_subscriber.known(),
+                     .is_entry = true,
+                     .tallies = m_tallies,
+                     .loads = m_endpoints.own_loads()};
+  return {{*upstream, std::move(asked)}};
+}
+
+bool router::receive(base::instance_id const& from, message const& message,
+                     base::monotonic_time now) {
+  return std::visit(base::overloaded{
+                        [&](update const& one) {
+                          m_subscriber.note_update(one, from, now);
+                          return take(one, now);
+                        },
+                        [&](referral const& one) {
+                          m_subscriber.follow(one, from, now);
+                          return false;
+                        },
+                        [](auto const&) { return false; },
+                    },
+                    message);
+}
+
+bool router::take(update const& update, base::monotonic_time now) {
+  bool is_changed = false;
+  if (update.document && update.document->revision > m_routes->revision()) {
+    m_routes = std::make_shared<route_table const>(*update.document);
+    is_changed = true;
+  }
+  for (auto const& record : update.endpoints) {
+    m_endpoints.take(record, update.state.registry_term);
+    is_changed = true;
+  }
+  if (update.rollouts) {
+    m_versions.take(*update.rollouts, now);
+    std::erase_if(m_tallies, [&](version_tally const& tally) {
+      auto const* running = m_versions.running(tally.service);
+      return running == nullptr || running->number != tally.rollout;
+    });
+  }
+  if (!update.loads.empty()) {
+    m_endpoints.take_loads(update.loads);
+  }
+  m_entries = std::max<std::uint32_t>(update.entries, 1);
+  for (auto& [service, retries] : m_retries) {
+    retries.set_instances(m_entries);
+  }
+  bool const is_whole = m_subscriber.advance(update);
+  if (is_whole && update.is_settled) {
+    m_endpoints.keep_confirmed(update.state.registry_term);
+  }
+  return is_changed;
+}
+
+decision router::attempt_next(active_request& request, base::monotonic_time now) {
+  auto endpoints = m_endpoints.ready(request.service);
+  std::erase_if(endpoints, [&](known_endpoint const* one) {
+    return std::ranges::find(request.tried, one->word.id) != request.tried.end();
+  });
+  endpoints = m_versions.admit(std::move(endpoints), request.service, request.facts, now);
+  auto const* service = request.routes->find(request.service);
+  choice_terms const terms{.own_zone = m_options.zone,
+                           .affinity = affinity_of(request.facts.prompt),
+                           .slots = service == nullptr ? 0 : service->slots,
+                           .salt = m_random()};
+  auto const* chosen = choose_endpoint(endpoints, terms, now);
+  if (chosen == nullptr) {
+    return refuse(request.tried.empty() ? refusal_kind::no_endpoint : refusal_kind::not_run);
+  }
+  request.endpoint = chosen->word.id;
+  request.version = chosen->word.version;
+  if (!request.model) {
+    request.model = model_for(request, *chosen);
+  }
+  request.tried.push_back(chosen->word.id);
+  request.attempt_at = now;
+  request.is_attempting = true;
+  request.has_answer = false;
+  attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
+               .endpoint = chosen->word.id,
+               .address = chosen->word.address,
+               .version = chosen->word.version,
+               .model = request.model,
+               .customer = request.customer,
+               .priority = request.priority,
+               .deadline = request.deadline,
+               .is_stream = request.route->is_stream(),
+               .is_resumable = request.route->kind == route_kind::resumable_stream,
+               .route = request.route->name,
+               .document_revision = request.routes->revision(),
+               .load = chosen->load()};
+  m_endpoints.begin_attempt(request.endpoint);
+  return made;
+}
+
+base::service_id const& router::service_for(route const& route, request_facts const& facts) const {
+  std::uint64_t total = 0;
+  for (auto const& share : route.shares) {
+    total += share.weight;
+  }
+  CATKINLANDING_VERIFY(total > 0);
+  auto place = base::stable_hash(facts.id.value) % total;
+  for (auto const& share : route.shares) {
+    if (place < share.weight) {
+      return share.service;
+    }
+    place -= share.weight;
+  }
+  return route.shares.back().service;
+}
+
+std::optional<base::model_id> router::model_for(active_request const& request,
+                                                known_endpoint const& endpoint) const {
+  auto const& models = request.route->models;
+  if (models.empty() || request.facts.model) {
+    return std::nullopt;
+  }
+  auto const* service = request.routes->find(request.service);
+  auto const slots =
+      endpoint.word.slots != 0 ? endpoint.word.slots : (service == nullptr ? 0U : service->slots);
+  auto const load = slots == 0 ? 0 : endpoint.load() * permille / slots;
+  if (load < largest_model_permille) {
+    return models.back();
+  }
+  return load < middle_model_permille ? models[models.size() / 2] : models.front();
+}
+
+refusal router::refuse(refusal_kind kind) {
+  bool const may_return = kind == refusal_kind::no_document || kind == refusal_kind::no_endpoint ||
+                          kind == refusal_kind::not_run || kind == refusal_kind::expired_unsent;
+  if (!may_return) {
+    return {.kind = kind};
+  }
+  // Spread, so that callers who were refused together do not come back together.
+  std::uniform_int_distribution<base::duration::rep> spread(m_options.shortest_return.count(),
+                                                            m_options.longest_return.count());
+  return {.kind = kind, .retry_after = base::duration(spread(m_random))};
+}
+
+refusal router::give_up(active_request const& request, base::monotonic_time now) {
+  bool const is_over = now + m_options.least_attempt_time > request.deadline;
+  if (request.may_have_run) {
+    return refuse(is_over ? refusal_kind::expired : refusal_kind::outcome_unknown);
+  }
+  return refuse(is_over ? refusal_kind::expired_unsent : refusal_kind::not_run);
+}
+
+void router::note_failure(active_request& request, attempt_failure failure,
+                          base::monotonic_time now) {
+  switch (failure) {
+  case attempt_failure::not_executed:
+    m_endpoints.note_full(request.endpoint, now);
+    return;
+  case attempt_failure::wrong_endpoint:
+    m_endpoints.note_replaced(request.endpoint);
+    return;
+  case attempt_failure::unreachable:
+    m_endpoints.note_failure(request.endpoint, now);
+    return;
+  case attempt_failure::broken:
+  case attempt_failure::malformed:
+    m_endpoints.note_failure(request.endpoint, now);
+    tally(request, true, now);
+    return;
+  case attempt_failure::failed_answer:
+  case attempt_failure::expired:
+    tally(request, true, now);
+    return;
+  }
+}
+
+void router::finish_attempt(active_request& request) {
+  if (request.is_attempting) {
+    request.is_attempting = false;
+    m_endpoints.end_attempt(request.endpoint);
+  }
+}
+
+void router::tally(active_request const& request, bool is_bad, base::monotonic_time now) {
+  auto const* running = m_versions.running(request.service);
+  if (running == nullptr) {
+    return;
+  }
+  auto const is_same = [&](version_tally const& one) {
+    return one.service == request.service && one.version == request.version;
+  };
+  auto found = std::ranges::find_if(m_tallies, is_same);
+  if (found == m_tallies.end()) {
+    m_tallies.push_back(
+        {.service = request.service, .version = request.version, .rollout = running->number});
+    found = std::prev(m_tallies.end());
+  }
+  if (is_bad) {
+    ++found->bad;
+    found->answers += request.has_answer ? 0 : 1;
+    return;
+  }
+  ++found->answers;
+  auto const took = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.attempt_at);
+  found->milliseconds += static_cast<std::uint64_t>(std::max<std::int64_t>(took.count(), 0));
+}
+
+retry_allowance& router::retries_of(base::service_id const& service) {
+  auto const [entry, is_new] = m_retries.try_emplace(service, m_options.retries);
+  if (is_new) {
+    entry->second.set_instances(m_entries);
+  }
+  return entry->second;
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/router.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <libraries/base/random.h>
+#include <libraries/proxy/endpoint_choice.h>
+#include <libraries/proxy/request.h>
+#include <libraries/proxy/retry_allowance.h>
+#include <libraries/proxy/route_table.h>
+#include <libraries/proxy/subscriber.h>
+#include <libraries/proxy/version_policy.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// The entry role: decides for each request where it goes, whether it goes somewhere else after a
+/// failure, and what its caller is told. It touches no socket; the shell carries out the decisions
+/// and says how they ended.
+class router {
+public:
+  struct options {
+    base::availability_zone_id zone;
+    proxy::subscriber::options subscriber;
+    endpoint_table::options endpoints;
+    version_policy::options versions;
+    /// For each service by itself.
+    retry_allowance::options retries;
+    /// A request whose caller names no time is given up after this.
+    base::duration longest_patience = std::chrono::seconds(60);
+    /// What is left must allow for an answer, or no further attempt is made.
+    base::duration least_attempt_time = std::chrono::milliseconds(30);
+    /// When callers whose request was not run may come back.
+    base::duration shortest_return = std::chrono::milliseconds(250);
+    base::duration longest_return = std::chrono::milliseconds(750);
+    std::uint64_t seed = 0;
+  };
+
+  explicit router(options options);
+
+  // Requests.
+
+  [[nodiscard]] decision begin(request_number number, request_facts facts,
+                               base::monotonic_time now);
+  /// The latest attempt's endpoint began to answer well.
+  void note_answer(request_number number, base::monotonic_time now);
+  /// The latest attempt failed. `was_delivered` tells whether the caller has a part of the answer.
+  [[nodiscard]] decision fail(request_number number, attempt_failure failure, bool was_delivered,
+                              base::monotonic_time now);
+  void end(request_number number, request_end end, base::monotonic_time now);
+
+  // The control instances.
+
+  /// What to send now to keep up to date.
+  [[nodiscard]] std::vector<outgoing> tick(base::monotonic_time now);
+  /// Takes a message from another instance. Returns whether it changed what is routed.
+  bool receive(base::instance_id const& from, message const& message, base::monotonic_time now);
+
+  [[nodiscard]] caller_limits const& limits() const { return m_routes->document().limits; }
+  [[nodiscard]] std::uint64_t document_revision() const { return m_routes->revision(); }
+  [[nodiscard]] std::size_t endpoint_count() const { return m_endpoints.size(); }
+  [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
+  [[nodiscard]] bool is_connected(base::monotonic_time now) const {
+    return m_subscriber.is_connected(now);
+  }
+  /// Whether the platform's balancer should send requests here.
+  [[nodiscard]] bool is_ready() const { return m_routes->revision() != 0; }
+
+private:
+  struct active_request {
+    request_facts facts;
+    /// The routes under which it came; kept while they are replaced.
+    std::shared_ptr<route_table const> routes;
+    proxy::route const* route = nullptr;
+    base::service_id service;
+    std::optional<base::customer_id> customer;
+    std::uint32_t priority = 0;
+    base::monotonic_time began_at{};
+    base::monotonic_time deadline{};
+    std::vector<base::endpoint_id> tried;
+    base::endpoint_id endpoint;
+    base::version_id version;
+    /// Chosen with the first attempt: another one would not continue the same answer.
+    std::optional<base::model_id> model;
+    base::monotonic_time attempt_at{};
+    /// Set while an attempt is under way.
+    bool is_attempting = false;
+    bool has_answer = false;
+    /// An attempt may have run it.
+    bool may_have_run = false;
+  };
+
+  [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
+  [[nodiscard]] base::service_id const& service_for(route const& route,
+                                                    request_facts const& facts) const;
+  [[nodiscard]] std::optional<base::model_id> model_for(active_request const& request,
+                                                        known_endpoint const& endpoint) const;
+  [[nodiscard]] refusal refuse(refusal_kind kind);
+  /// The refusal that is true of what is known of the attempts so far.
+  [[nodiscard]] refusal give_up(active_request const& request, base::monotonic_time now);
+  void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
+  void finish_attempt(active_request& request);
+  void tally(active_request const& request, bool is_bad, base::monotonic_time now);
+  retry_allowance& retries_of(base::service_id const& service);
+  bool take(update const& update, base::monotonic_time now);
+
+  options m_options;
+  base::random_generator m_random;
+  subscriber m_subscriber;
+  std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
+  endpoint_table m_endpoints;
+  version_policy m_versions;
+  std::map<base::service_id, retry_allowance> m_retries;
+  std::uint32_t m_entries = 1;
+  std::unordered_map<request_number, active_request> m_requests;
+  std::vector<version_tally> m_tallies;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/settings.cpp
@@ -0,0 +1,143 @@
+#include <libraries/json/object_reader.h>
+#include <libraries/proxy/settings.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using json::object_reader;
+
+constexpr std::array<std::string_view, 6> log_levels{"trace",   "debug", "info",
+                                                     "warning", "error", "off"};
+
+std::optional<base::address> optional_address(object_reader& reader, char const* name) {
+  std::string text;
+  reader.optional(name, text);
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  auto address = parse_address(text);
+  if (!address) {
+    reader.fail(name, "must be an IP number, a colon and a port");
+  }
+  return address;
+}
+
+void read_milliseconds(object_reader& reader, char const* name, base::duration& value) {
+  double milliseconds = std::chrono::duration<double, std::milli>(value).count();
+  reader.optional(name, milliseconds);
+  if (!(milliseconds > 0.0)) {
+    reader.fail(name, "must be more than 0");
+    return;
+  }
+  value = std::chrono::duration_cast<base::duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+void read_share(object_reader& reader, char const* name, double& value) {
+  reader.optional(name, value);
+  if (!(value >= 0.0 && value <= 1.0)) {
+    reader.fail(name, "must be from 0 to 1");
+  }
+}
+
+void read_seeds(object_reader& reader, process_settings& value) {
+  std::vector<std::string> seeds;
+  reader.required("seeds", seeds);
+  for (auto const& seed : seeds) {
+    if (auto address = parse_address(seed)) {
+      value.seeds.push_back(*address);
+    } else {
+      reader.fail("seeds", "must hold IP numbers with ports");
+    }
+  }
+  if (seeds.empty()) {
+    reader.fail("seeds", "must not be empty");
+  }
+}
+
+void read_listeners(object_reader& reader, process_settings& value) {
+  if (auto peers = optional_address(reader, "peers")) {
+    value.peers = *peers;
+  } else {
+    reader.fail("peers", "is missing");
+  }
+  value.callers = optional_address(reader, "callers");
+  value.readiness = optional_address(reader, "readiness");
+  value.calls = optional_address(reader, "calls");
+  reader.optional("metrics_port", value.metrics_port);
+}
+
+void read_bounds(object_reader& reader, process_settings& value) {
+  read_milliseconds(reader, "stop_patience_ms", value.stop_patience);
+  reader.optional("retry_ratio", value.retry_ratio);
+  reader.optional("retry_slack", value.retry_slack);
+  read_milliseconds(reader, "retry_window_ms", value.retry_window);
+  read_share(reader, "trial_share", value.trial_share);
+  read_milliseconds(reader, "session_memory_ms", value.session_memory);
+  read_milliseconds(reader, "announcement_interval_ms", value.announcement_interval);
+}
+
+} // namespace
+
+base::instance_id instance_at(base::address const& address) {
+  return base::instance_id{text_of(address)};
+}
+
+base::instance_id process_settings::id() const {
+  return instance_at(peers);
+}
+
+std::string text_of(base::address const& address) {
+  return address.ip + ":" + std::to_string(address.port);
+}
+
+std::optional<base::address> parse_address(std::string_view text) {
+  auto const colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return std::nullopt;
+  }
+  auto const digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  auto const result = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  bool const is_whole = result.ec == std::errc{} && result.ptr == digits.data() + digits.size();
+  auto const ip = text.substr(0, colon);
+  bool const is_number = ip.find_first_not_of("0123456789.") == std::string_view::npos;
+  if (!is_whole || port == 0 || !is_number) {
+    return std::nullopt;
+  }
+  return base::address{.ip = std::string(ip), .port = port};
+}
+
+tl::expected<process_settings, std::vector<json::document_error>>
+parse_settings(std::string_view text) {
+  process_settings value;
+  auto errors = json::read_document(text, [&](object_reader& reader) {
+    reader.required("name", value.name);
+    reader.required("zone", value.zone.value);
+    reader.required_object("listeners",
+                           [&](object_reader& nested) { read_listeners(nested, value); });
+    read_seeds(reader, value);
+    reader.optional("first_start", value.is_first_start);
+    std::string folder;
+    reader.optional("data_folder", folder);
+    if (!folder.empty()) {
+      value.data_folder = folder;
+    }
+    reader.object("bounds", [&](object_reader& nested) { read_bounds(nested, value); });
+    reader.optional("log_level", value.log_level);
+    if (std::ranges::find(log_levels, value.log_level) == log_levels.end()) {
+      reader.fail("log_level", "must be trace, debug, info, warning, error or off");
+    }
+  });
+  if (!errors.empty()) {
+    return tl::unexpected(std::move(errors));
+  }
+  return value;
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/subscriber.cpp
@@ -0,0 +1,96 @@
+#include <libraries/base/random.h>
+#include <libraries/base/verify.h>
+#include <libraries/proxy/subscriber.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+subscriber::subscriber(options options)
+    : m_options(std::move(options)), m_candidates(m_options.seeds) {
+  CATKINLANDING_VERIFY(!m_candidates.empty());
+  // Instances that start together must not all ask the same one.
+  base::random_generator random(m_options.seed);
+  m_next = random() % m_candidates.size();
+  m_upstream = m_candidates[m_next];
+}
+
+std::optional<base::instance_id> subscriber::tick(base::monotonic_time now) {
+  bool const is_due = !m_was_asked || now >= m_asked_at + m_options.interval;
+  if (!is_due) {
+    return std::nullopt;
+  }
+  bool const is_silent = now >= std::max(m_heard_at, m_turned_at) + m_options.patience;
+  if (m_was_asked && is_silent) {
+    turn_to_next(now);
+  }
+  if (!m_was_asked) {
+    m_turned_at = now;
+  }
+  m_was_asked = true;
+  m_asked_at = now;
+  return m_upstream;
+}
+
+void subscriber::follow(referral const& referral, base::instance_id const& from,
+                        base::monotonic_time now) {
+  if (from != m_upstream) {
+    return;
+  }
+  if (m_leader == from) {
+    m_leader.reset();
+  }
+  bool const is_useful = referral.leader && *referral.leader != m_options.self;
+  if (!is_useful) {
+    turn_to_next(now);
+    return;
+  }
+  m_upstream = *referral.leader;
+  m_turned_at = now;
+  // The next tick asks at once, unless the last question is very recent.
+  m_asked_at = std::min(m_asked_at, now - m_options.interval + m_options.shortest_interval);
+}
+
+void subscriber::note_update(update const& update, base::instance_id const& from,
+                             base::monotonic_time now) {
+  m_upstream = from;
+  m_leader = from;
+  m_heard_at = now;
+  m_was_heard = true;
+  if (update.control_instances.empty()) {
+    return;
+  }
+  m_candidates = update.control_instances;
+  for (auto const& seed : m_options.seeds) {
+    if (std::ranges::find(m_candidates, seed) == m_candidates.end()) {
+      m_candidates.push_back(seed);
+    }
+  }
+}
+
+bool subscriber::advance(update const& update) {
+  m_known.document_revision = std::max(m_known.document_revision, update.state.document_revision);
+  m_known.rollouts_revision = std::max(m_known.rollouts_revision, update.state.rollouts_revision);
+  bool const is_same_term = m_known.registry_term == update.state.registry_term;
+  auto const held = is_same_term ? m_known.registry_revision : 0;
+  bool const is_whole = held >= update.registry_base;
+  if (!is_whole) {
+    return false;
+  }
+  m_known.registry_term = update.state.registry_term;
+  m_known.registry_revision = std::max(held, update.state.registry_revision);
+  return true;
+}
+
+bool subscriber::is_connected(base::monotonic_time now) const {
+  return m_was_heard && now < m_heard_at + 2 * m_options.patience;
+}
+
+void subscriber::turn_to_next(base::monotonic_time now) {
+  m_leader.reset();
+  m_next = (m_next + 1) % m_candidates.size();
+  m_upstream = m_candidates[m_next];
+  m_turned_at = now;
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/subscriber.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <libraries/proxy/message.h>
+
+#include <optional>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// A message and whom it is for.
+struct outgoing {
+  base::instance_id to;
+  proxy::message message;
+};
+
+/// Keeps one instance up to date with the leader of the control instances: finds the leader, asks
+/// it again and again, and turns to another instance when it falls silent.
+class subscriber {
+public:
+  struct options {
+    base::instance_id self;
+    /// Control instances of which one at least knows the leader.
+    std::vector<base::instance_id> seeds;
+    base::duration interval = std::chrono::milliseconds(400);
+    /// Without an answer for so long another control instance is asked.
+    base::duration patience = std::chrono::milliseconds(900);
+    /// Referrals are followed no faster than this, as two instances may point at each other.
+    base::duration shortest_interval = std::chrono::milliseconds(50);
+    std::uint64_t seed = 0;
+  };
+
+  explicit subscriber(options options);
+
+  /// Whom to ask now; nothing while the last question is recent.
+  [[nodiscard]] std::optional<base::instance_id> tick(base::monotonic_time now);
+  void follow(referral const& referral, base::instance_id const& from, base::monotonic_time now);
+  /// The instance that sent an update leads.
+  void note_update(update const& update, base::instance_id const& from, base::monotonic_time now);
+  /// Advances the known state by an update. Returns whether the registry's part of it holds.
+  [[nodiscard]] bool advance(update const& update);
+
+  [[nodiscard]] known_state const& known() const { return m_known; }
+  /// Whether the leader was heard from lately.
+  [[nodiscard]] bool is_connected(base::monotonic_time now) const;
+  [[nodiscard]] std::optional<base::instance_id> const& leader() const { return m_leader; }
+
+private:
+  void turn_to_next(base::monotonic_time now);
+
+  options m_options;
+  std::vector<base::instance_id> m_candidates;
+  std::size_t m_next = 0;
+  std::optional<base::instance_id> m_leader;
+  base::instance_id m_upstream;
+  base::monotonic_time m_asked_at{};
+  base::monotonic_time m_heard_at{};
+  base::monotonic_time m_turned_at{};
+  bool m_was_asked = false;
+  bool m_was_heard = false;
+  known_state m_known;
+};
+
+} // namespace catkinlanding::proxy
--- a/services/daemon/daemon.h
+++ b/services/daemon/daemon.h
@@ -6,9 +6,9 @@
 #include <services/daemon/data_folder.h>
 #include <services/daemon/endpoint_client.h>
 #include <services/daemon/listener.h>
+#include <services/daemon/message_transport.h>
 #include <services/daemon/metrics.h>
 #include <services/daemon/operator_server.h>
-#include <services/daemon/peer_transport.h>
 #include <services/daemon/rating_client.h>
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +33,8 @@
   int run();
 
 private:
+  using peer_transport = message_transport<instance::envelope, instance::decode>;
+
   explicit daemon(settings::daemon_settings settings);
 
   [[nodiscard]] tl::expected<void, data_folder_error> open_data_folder();
--- a/services/daemon/peer_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -1,8 +1,7 @@
 #include <services/daemon/coroutine.h>
 #include <services/daemon/counted.h>
-#include <services/daemon/peer_transport.h>
+#include <services/daemon/frame_transport.h>
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
@@ -43,10 +42,10 @@
 
 } // namespace
 
-peer_transport::peer_transport(asio::io_context& context, base::instance_id self, sockets sockets,
-                               std::map<base::instance_id, base::address> const& peers,
-                               handler on_message)
-    : m_context(context), m_self(std::move(self)), m_on_message(std::move(on_message)),
+frame_transport::frame_transport(asio::io_context& context, sockets sockets,
+                                 std::map<base::instance_id, base::address> const& peers,
+                                 handler on_frame)
+    : m_context(context), m_on_frame(std::move(on_frame)),
       m_datagrams(std::move(sockets.datagrams)), m_acceptor(std::move(sockets.acceptor)) {
   for (auto const& [id, address] : peers) {
     boost::system::error_code error;
@@ -61,22 +60,12 @@
   spawn(m_context, "peers", accept_connections());
 }
 
-void peer_transport::send(base::instance_id const& to, instance::message message) {
-  if (to == m_self) {
-    asio::post(m_context, [this, message = std::move(message)]() mutable {
-      m_on_message(m_self, std::move(message));
-    });
-    return;
-  }
+void frame_transport::send(base::instance_id const& to, std::string bytes) {
   auto const peer = m_peers.find(to);
   if (peer == m_peers.end()) {
     spdlog::warn("peers: no address is known for {}", to.value);
     return;
   }
-  instance::envelope envelope;
-  envelope.from = m_self;
-  envelope.message = std::move(message);
-  auto bytes = instance::encode(envelope);
   if (bytes.size() > largest_datagram) {
     send_over_connection(to, std::move(bytes));
     return;
@@ -87,7 +76,7 @@
                       udp::endpoint{peer->second.address(), peer->second.port()}, 0, ignored);
 }
 
-awaitable<void> peer_transport::receive_datagrams() {
+awaitable<void> frame_transport::receive_datagrams() {
   std::array<char, 64 * 1024> buffer{};
   udp::endpoint sender;
   while (m_datagrams.is_open()) {
@@ -101,7 +90,7 @@
   }
 }
 
-awaitable<void> peer_transport::accept_connections() {
+awaitable<void> frame_transport::accept_connections() {
   while (m_acceptor.is_open()) {
     auto [error, socket] = co_await m_acceptor.async_accept(m_context, completion);
     if (error) {
@@ -112,13 +101,13 @@
   }
 }
 
-awaitable<void> peer_transport::serve(tcp_stream stream) {
+awaitable<void> frame_transport::serve(tcp_stream stream) {
   counted const counted(m_inbound);
   while (co_await read_frame(stream)) {
   }
 }
 
-awaitable<bool> peer_transport::read_frame(tcp_stream& stream) {
+awaitable<bool> frame_transport::read_frame(tcp_stream& stream) {
   std::array<unsigned char, length_bytes> length{};
   stream.expires_never();
   auto const [length_error, length_size] =
@@ -146,7 +135,7 @@
   co_return deliver(bytes, nullptr);
 }
 
-void peer_transport::send_over_connection(base::instance_id const& to, std::string bytes) {
+void frame_transport::send_over_connection(base::instance_id const& to, std::string bytes) {
   auto& entry = m_connections[to];
   bool const is_new = entry == nullptr;
   if (is_new) {
@@ -164,8 +153,8 @@
   }
 }
 
-awaitable<void> peer_transport::write_frames(base::instance_id to,
-                                             std::shared_ptr<connection> connection) {
+awaitable<void> frame_transport::write_frames(base::instance_id to,
+                                              std::shared_ptr<connection> connection) {
   auto& stream = connection->stream;
   if (!stream.socket().is_open()) {
     stream.expires_after(connect_timeout);
@@ -196,7 +185,7 @@
   }
 }
 
-void peer_transport::learn(base::instance_id const& instance, base::address const& address) {
+void frame_transport::learn(base::instance_id const& instance, base::address const& address) {
   boost::system::error_code error;
   auto const ip = asio::ip::make_address(address.ip, error);
   if (error) {
@@ -211,21 +200,20 @@
   }
 }
 
-bool peer_transport::deliver(std::string_view bytes, udp::endpoint const* sender) {
-  auto envelope = instance::decode(bytes);
-  if (!envelope) {
+bool frame_transport::deliver(std::string_view bytes, udp::endpoint const* sender) {
+  bool const is_readable = m_on_frame(bytes, [&](base::instance_id const& from) {
+    if (sender != nullptr && m_peers.size() < most_peers) {
+      m_peers.try_emplace(from, sender->address(), sender->port());
+    }
+  });
+  if (!is_readable) {
     note_unreadable("a message can't be read", bytes.size());
-    return false;
-  }
-  if (sender != nullptr && m_peers.size() < most_peers) {
-    m_peers.try_emplace(envelope->from, sender->address(), sender->port());
   }
-  m_on_message(envelope->from, std::move(envelope->message));
-  return true;
+  return is_readable;
 }
 
-void peer_transport::forget(base::instance_id const& to,
-                            std::shared_ptr<connection> const& connection) {
+void frame_transport::forget(base::instance_id const& to,
+                             std::shared_ptr<connection> const& connection) {
   auto const it = m_connections.find(to);
   // The instance may have moved, and have a new connection by now.
   if (it != m_connections.end() && it->second == connection) {
@@ -233,7 +221,7 @@
   }
 }
 
-void peer_transport::note_unreadable(char const* what, std::size_t bytes) {
+void frame_transport::note_unreadable(char const* what, std::size_t bytes) {
   ++m_unreadable;
   auto const now = std::chrono::steady_clock::now();
   if (now < m_next_warning) {
--- a/services/daemon/peer_transport.h
+++ b/services/daemon/frame_transport.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <libraries/instance/message.h>
+#include <libraries/base/address.h>
+#include <libraries/base/identifier.h>
 #include <services/daemon/coroutine.h>
 
 #include <boost/asio/io_context.hpp>
@@ -13,14 +14,19 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace catkinlanding::daemon {
 
-/// Carries messages between instances: small ones as datagrams, larger ones over connections.
-/// Messages may be lost, doubled or reordered; the parts allow for that.
-class peer_transport {
+/// Carries frames of bytes between instances: small ones as datagrams, larger ones over
+/// connections. Frames may be lost, doubled or reordered; the parts allow for that.
+class frame_transport {
 public:
-  using handler = std::function<void(base::instance_id const& from, instance::message message)>;
+  /// Says from whom a frame is, before it is answered.
+  using sender_note = std::function<void(base::instance_id const& from)>;
+  /// Takes a frame apart and returns whether it could be read.
+  using handler = std::function<bool(std::string_view bytes, sender_note const& note_sender)>;
 
   /// Both are bound to the address that the others know.
   struct sockets {
@@ -28,10 +34,10 @@
     boost::asio::ip::tcp::acceptor acceptor;
   };
 
-  peer_transport(boost::asio::io_context& context, base::instance_id self, sockets sockets,
-                 std::map<base::instance_id, base::address> const& peers, handler on_message);
+  frame_transport(boost::asio::io_context& context, sockets sockets,
+                  std::map<base::instance_id, base::address> const& peers, handler on_frame);
 
-  void send(base::instance_id const& to, instance::message message);
+  void send(base::instance_id const& to, std::string bytes);
 
   /// From now on the instance is reached at this address.
   void learn(base::instance_id const& instance, base::address const& address);
@@ -59,9 +65,8 @@
   void note_unreadable(char const* what, std::size_t bytes);
 
   boost::asio::io_context& m_context;
-  base::instance_id m_self;
   std::map<base::instance_id, boost::asio::ip::tcp::endpoint> m_peers;
-  handler m_on_message;
+  handler m_on_frame;
   boost::asio::ip::udp::socket m_datagrams;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::map<base::instance_id, std::shared_ptr<connection>> m_connections;
--- /dev/null
+++ b/services/proxy/control_process.cpp
@@ -0,0 +1,223 @@
+#include <libraries/base/overloaded.h>
+#include <libraries/base/try.h>
+#include <services/proxy/clock.h>
+#include <services/proxy/control_process.h>
+
+#include <boost/asio/post.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+/// A reply that the control role does not give by then is given up.
+constexpr std::chrono::milliseconds reply_timeout{3000};
+constexpr std::chrono::milliseconds stop_check_interval{20};
+constexpr std::chrono::milliseconds stop_margin{500};
+/// Replies that are queued when the instance stops are given this long to be written.
+constexpr std::chrono::milliseconds flush_time{100};
+
+char const* name_of_call(call_request const& call) {
+  constexpr std::array<char const*, std::variant_size_v<call_request>> names{
+      "replace_document", "read_document",     "start_rollout",
+      "read_rollout",     "announce_endpoint", "withdraw_endpoint"};
+  return names.at(call.index());
+}
+
+char const* name_of_event(control_event event) {
+  constexpr std::array<char const*, 8> names{
+      "leadership_won",   "leadership_lost", "document_applied", "rollout_changed",
+      "endpoint_changed", "voters_changed",  "instance_joined",  "instance_lost"};
+  return names.at(static_cast<std::size_t>(event));
+}
+
+} // namespace
+
+control_process::control_process(process::options options, proxy::dialect const& dialect)
+    : m_process(std::move(options)), m_dialect(dialect) {}
+
+tl::expected<void, control_process::open_error> control_process::open() {
+  CATKINLANDING_TRY_VOID(open_listeners());
+  CATKINLANDING_TRY_VOID(open_data_folder());
+  return {};
+}
+
+tl::expected<void, daemon::data_folder_error> control_process::open_data_folder() {
+  auto const& settings = m_process.settings();
+  daemon::data_folder::callbacks callbacks{
+      .log_written =
+          [this](consensus::write_id id) {
+            boost::asio::post(m_process.io(), [this, id] {
+              control_effects effects;
+              m_control->complete_write(id, now(), effects);
+              carry_out(std::move(effects));
+            });
+          },
+      .ledger_written = [](std::uint64_t /*id*/) {},
+      .failed =
+          [](daemon::file_error error) {
+            // What the disk holds is not known any more, so this process must not go on.
+            spdlog::critical("disk write_failed error={}", static_cast<int>(error));
+            spdlog::shutdown();
+            std::abort();
+          },
+  };
+  m_data_folder = CATKINLANDING_TRY(daemon::data_folder::open(
+      settings.data_folder.value_or(""), random_number(), std::move(callbacks)));
+  control::options options;
+  options.replica.self = {.instance = settings.id(), .disk_id = m_data_folder->disk_id()};
+  options.replica.seed = random_number();
+  for (auto const& seed : settings.seeds) {
+    auto const peer = instance_at({.ip = seed.ip, .port = settings.peers.port});
+    if (peer != settings.id()) {
+      options.replica.peers.push_back(peer);
+    }
+  }
+  // The first seed is the same for all, so that one instance makes the first group.
+  options.is_founder = settings.is_first_start && settings.seeds.front().ip == settings.peers.ip;
+  auto const recovered = m_data_folder->take_recovered();
+  spdlog::info("process recovered entries={} snapshot={} term={} disk_id={:x} founder={}",
+               recovered.log.entries.size(), recovered.log.snapshot.index,
+               recovered.log.hard_state.term, m_data_folder->disk_id(), options.is_founder);
+  m_control = std::make_unique<control>(control::create(std::move(options), recovered.log, now()));
+  return {};
+}
+
+tl::expected<void, daemon::listener_error> control_process::open_listeners() {
+  CATKINLANDING_TRY_VOID(m_process.open({
+      .on_message =
+          [this](base::instance_id const& from, message message) {
+            control_effects effects;
+            m_control->receive(from, message, now(), effects);
+            carry_out(std::move(effects));
+          },
+      .on_tick =
+          [this] {
+            control_effects effects;
+            m_control->tick(now(), effects);
+            carry_out(std::move(effects));
+          },
+      .on_stop = [this] { on_stop(); },
+      .on_settings = [](process_settings const& /*settings*/) {},
+      .on_metrics =
+          [this](metrics& metrics) {
+            metrics.set("document_revision", static_cast<double>(m_control->state().revision()));
+            metrics.set("endpoints", static_cast<double>(m_control->registry().size()));
+            metrics.set("term", static_cast<double>(m_control->replica().term()));
+            bool const leads = m_control->replica().role() == consensus::role::leader;
+            metrics.set("is_leader", leads ? 1.0 : 0.0);
+          },
+  }));
+  if (auto const& calls = m_process.settings().calls) {
+    auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_process.io(), *calls));
+    m_calls = std::make_unique<call_server>(
+        m_process.io(), std::move(acceptor), call_server::options{},
+        [this](http_request request) { return answer(std::move(request)); });
+  }
+  return {};
+}
+
+daemon::awaitable<http_response> control_process::answer(http_request request) {
+  auto call = m_dialect.read_call(request);
+  if (!call) {
+    spdlog::warn("call refused target={} fault={} detail=\"{}\"", std::string(request.target()),
+                 static_cast<int>(call.error().fault), call.error().detail);
+    co_return m_dialect.write_refusal(call.error());
+  }
+  auto const reply = co_await wait_for_reply(*call);
+  log_call(*call, reply);
+  co_return m_dialect.write_reply(request, *call, reply, leader_address(reply));
+}
+
+daemon::awaitable<call_reply> control_process::wait_for_reply(call_request const& call) {
+  auto const number = ++m_last_call;
+  auto const waiting = std::make_shared<waiting_call>(m_process.io());
+  m_waiting[number] = waiting;
+  control_effects effects;
+  m_control->receive(number, call, now(), effects);
+  carry_out(std::move(effects));
+  if (!waiting->reply) {
+    waiting->wakeup.expires_after(reply_timeout);
+    co_await waiting->wakeup.async_wait(daemon::completion);
+  }
+  m_waiting.erase(number);
+  call_reply const unknown{.kind = reply_kind::unavailable};
+  co_return waiting->reply.value_or(unknown);
+}
+
+void control_process::on_stop() {
+  m_stop_at = now() + m_process.settings().stop_patience - stop_margin;
+  control_effects effects;
+  m_control->resign(now(), effects);
+  carry_out(std::move(effects));
+  finish_when_succeeded();
+}
+
+void control_process::finish_when_succeeded() {
+  bool const is_over = m_control->replica().is_succeeded() || now() >= m_stop_at;
+  if (is_over) {
+    m_calls->stop_accepting();
+    m_process.after(flush_time, [this] {
+      spdlog::info("process stopped is_succeeded={}", m_control->replica().is_succeeded());
+      m_process.stop();
+    });
+    return;
+  }
+  m_process.after(stop_check_interval, [this] { finish_when_succeeded(); });
+}
+
+void control_process::carry_out(control_effects effects) {
+  for (auto const& write : effects.log.writes) {
+    m_data_folder->write(write);
+  }
+  for (auto& outgoing : effects.log.messages) {
+    m_process.send(outgoing.to, std::move(outgoing.message));
+  }
+  for (auto& outgoing : effects.messages) {
+    m_process.send(outgoing.to, std::move(outgoing.message));
+  }
+  for (auto& answered : effects.answers) {
+    auto const found = m_waiting.find(answered.number);
+    if (found != m_waiting.end()) {
+      found->second->reply = std::move(answered.reply);
+      found->second->wakeup.cancel();
+    }
+  }
+  for (auto const& note : effects.notes) {
+    log(note);
+  }
+}
+
+void control_process::log(control_note const& note) const {
+  spdlog::info("control {} subject={} detail={} number={} term={}", name_of_event(note.event),
+               note.subject, note.detail, note.number, m_control->replica().term());
+}
+
+void control_process::log_call(call_request const& call, call_reply const& reply) const {
+  bool const is_announcement = std::holds_alternative<announce_endpoint>(call);
+  bool const is_routine = is_announcement && reply.kind == reply_kind::done;
+  if (is_routine) {
+    return;
+  }
+  std::uint64_t revision = 0;
+  if (auto const* put = std::get_if<replace_document>(&call)) {
+    revision = put->document.revision;
+  }
+  spdlog::info("call answered call={} reply={} revision={} held={} term={}", name_of_call(call),
+               name_of(reply.kind), revision, m_control->state().revision(),
+               m_control->replica().term());
+}
+
+std::string control_process::leader_address(call_reply const& reply) const {
+  auto const& calls = m_process.settings().calls;
+  if (!reply.leader || !calls) {
+    return {};
+  }
+  auto const peer = parse_address(reply.leader->value);
+  return peer ? text_of({.ip = peer->ip, .port = calls->port}) : std::string{};
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/entry_process.cpp
@@ -0,0 +1,149 @@
+#include <libraries/base/try.h>
+#include <services/proxy/clock.h>
+#include <services/proxy/entry_process.h>
+
+#include <spdlog/spdlog.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+constexpr std::chrono::seconds sweep_interval{1};
+/// The balancer asks once a second and takes an instance out after two refusals.
+constexpr std::chrono::milliseconds stop_notice{2600};
+constexpr std::chrono::milliseconds stop_check_interval{50};
+/// Before the platform ends a process by force.
+constexpr std::chrono::milliseconds stop_margin{400};
+/// Part of a version's allowed exposure that is used: instances do not see each other's requests.
+constexpr double trial_safety = 0.55;
+constexpr double permille = 1000.0;
+
+std::vector<base::instance_id> seed_instances(process_settings const& settings) {
+  std::vector<base::instance_id> seeds;
+  for (auto const& seed : settings.seeds) {
+    // Instances have the same ports on all machines.
+    seeds.push_back(instance_at({.ip = seed.ip, .port = settings.peers.port}));
+  }
+  return seeds;
+}
+
+} // namespace
+
+entry_process::entry_process(process::options options, proxy::dialect const& dialect)
+    : m_process(std::move(options)), m_dialect(dialect),
+      m_router(router_options(m_process.settings())),
+      m_pool(upstream_pool::options{}), m_context{.io = m_process.io(),
+                                                  .router = m_router,
+                                                  .pool = m_pool,
+                                                  .dialect = m_dialect,
+                                                  .metrics = m_process.metrics()} {}
+
+router::options entry_process::router_options(process_settings const& settings) {
+  router::options options;
+  options.zone = settings.zone;
+  options.seed = random_number();
+  options.subscriber = {
+      .self = settings.id(), .seeds = seed_instances(settings), .seed = random_number()};
+  options.versions.trial_permille =
+      static_cast<std::uint32_t>(settings.trial_share * trial_safety * permille);
+  options.versions.session_memory = settings.session_memory;
+  options.retries = {.ratio = settings.retry_ratio,
+                     .slack = settings.retry_slack,
+                     .window = settings.retry_window};
+  return options;
+}
+
+tl::expected<void, daemon::listener_error> entry_process::open() {
+  auto& io = m_process.io();
+  auto const& settings = m_process.settings();
+  CATKINLANDING_TRY_VOID(m_process.open({
+      .on_message = [this](auto const& from, message message) { on_message(from, message); },
+      .on_tick = [this] { on_tick(); },
+      .on_stop = [this] { on_stop(); },
+      .on_settings = [](process_settings const& /*settings*/) {},
+      .on_metrics =
+          [this](metrics& metrics) {
+            metrics.set("active_requests", static_cast<double>(m_router.active_requests()));
+            metrics.set("connections", static_cast<double>(m_server->connection_count()));
+            metrics.set("endpoints", static_cast<double>(m_router.endpoint_count()));
+            metrics.set("document_revision", static_cast<double>(m_router.document_revision()));
+          },
+  }));
+  if (settings.readiness) {
+    auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(io, *settings.readiness));
+    m_readiness = std::make_unique<call_server>(
+        io, std::move(acceptor), call_server::options{},
+        [this](http_request request) -> daemon::awaitable<http_response> {
+          bool const is_ready = m_router.is_ready() && !m_context.is_stopping;
+          auto status = is_ready ? http::status::ok : http::status::service_unavailable;
+          if (!m_dialect.is_readiness_check(request.target())) {
+            status = http::status::not_found;
+          }
+          co_return http_response(status, 11);
+        });
+  }
+  if (settings.callers) {
+    auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(io, *settings.callers));
+    m_server =
+        std::make_unique<entry_server>(m_context, std::move(acceptor), entry_server::options{});
+  }
+  return {};
+}
+
+void entry_process::on_tick() {
+  auto const time = now();
+  for (auto& message : m_router.tick(time)) {
+    m_process.send(message.to, std::move(message.message));
+  }
+  bool const is_connected = m_router.is_connected(time);
+  if (is_connected != m_was_connected) {
+    m_was_connected = is_connected;
+    spdlog::info("control {} revision={}", is_connected ? "regained" : "lost",
+                 m_router.document_revision());
+  }
+  if (time >= m_swept_at + sweep_interval) {
+    m_swept_at = time;
+    m_pool.sweep(time);
+  }
+}
+
+void entry_process::on_message(base::instance_id const& from, message const& message) {
+  auto const revision = m_router.document_revision();
+  bool const is_changed = m_router.receive(from, message, now());
+  if (!is_changed) {
+    return;
+  }
+  if (m_router.document_revision() != revision) {
+    spdlog::info("control document revision={} before={} from={}", m_router.document_revision(),
+                 revision, from.value);
+  }
+  if (auto const* told = std::get_if<update>(&message)) {
+    for (auto const& record : told->endpoints) {
+      spdlog::info("control endpoint id={} state={} version={} incarnation={} sequence={}",
+                   record.word.id.value, name_of(record.state), record.word.version.value,
+                   record.word.number.incarnation, record.word.number.sequence);
+    }
+  }
+}
+
+void entry_process::on_stop() {
+  m_context.is_stopping = true;
+  m_stop_at = now() + m_process.settings().stop_patience - stop_margin;
+  m_process.after(stop_notice, [this] {
+    m_server->stop_accepting();
+    finish_when_idle();
+  });
+}
+
+void entry_process::finish_when_idle() {
+  m_server->close_idle();
+  bool const is_over = now() >= m_stop_at;
+  if (is_over || (m_server->is_idle() && m_server->connection_count() == 0)) {
+    spdlog::info("process stopped requests_cut={}", m_router.active_requests());
+    m_process.stop();
+    return;
+  }
+  m_process.after(stop_check_interval, [this] { finish_when_idle(); });
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/entry_server.cpp
@@ -0,0 +1,160 @@
+#include <services/daemon/counted.h>
+#include <services/proxy/clock.h>
+#include <services/proxy/entry_server.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <spdlog/spdlog.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+namespace asio = boost::asio;
+using daemon::awaitable;
+using daemon::completion;
+
+/// For a whole body, once its head has come.
+constexpr std::chrono::seconds body_timeout{15};
+constexpr std::chrono::seconds reject_timeout{1};
+
+/// A body whose length two parties could read in two ways would let one request hide in another.
+bool is_framing_sound(http_request_header const& header) {
+  auto const encodings = header.count(http::field::transfer_encoding);
+  if (encodings == 0) {
+    return header.count(http::field::content_length) <= 1;
+  }
+  return encodings == 1 && header.count(http::field::content_length) == 0 &&
+         header[http::field::transfer_encoding] == "chunked";
+}
+
+} // namespace
+
+entry_server::entry_server(entry_context& context, asio::ip::tcp::acceptor acceptor,
+                           options options)
+    : m_context(context), m_acceptor(std::move(acceptor)), m_options(options) {
+  daemon::spawn(m_context.io, "entry", accept());
+}
+
+void entry_server::stop_accepting() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+void entry_server::close_idle() {
+  for (auto const& connection : m_connections) {
+    boost::system::error_code error;
+    bool const is_empty =
+        connection->buffer.size() == 0 && connection->stream.socket().available(error) == 0;
+    if (connection->is_waiting && is_empty) {
+      connection->stream.cancel();
+    }
+  }
+}
+
+awaitable<void> entry_server::accept() {
+  while (m_acceptor.is_open()) {
+    auto [error, socket] = co_await m_acceptor.async_accept(m_context.io, completion);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      spdlog::warn("entry accept_failed error={}", error.message());
+      co_await daemon::pause_accepting(m_context.io);
+      continue;
+    }
+    if (m_connections.size() >= m_options.most_connections) {
+      spdlog::warn("entry connection_refused connections={}", m_connections.size());
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto made = std::make_shared<connection>(std::move(socket));
+    daemon::spawn(m_context.io, "entry", serve(std::move(made)));
+  }
+}
+
+awaitable<void> entry_server::serve(std::shared_ptr<connection> connection) {
+  m_connections.insert(connection);
+  bool is_open = true;
+  while (is_open) {
+    auto request = co_await read_request(*connection);
+    if (!request) {
+      break;
+    }
+    daemon::counted const busy(m_busy);
+    auto const size = request->body().size();
+    m_body_bytes += size;
+    auto const running =
+        std::make_shared<exchange>(m_context, connection->stream, std::move(*request));
+    is_open = co_await running->run();
+    m_body_bytes -= size;
+  }
+  m_connections.erase(connection);
+  boost::system::error_code ignored;
+  connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  connection->stream.close();
+}
+
+awaitable<std::optional<http_request>> entry_server::read_request(connection& connection) {
+  auto const& limits = m_context.router.limits();
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.largest_header_bytes);
+  parser.body_limit(limits.largest_body_bytes);
+  connection.stream.expires_after(limits.idle_timeout);
+  connection.is_waiting = true;
+  auto const [error, size] =
+      co_await http::async_read_header(connection.stream, connection.buffer, parser, completion);
+  connection.is_waiting = false;
+  if (error == http::error::header_limit) {
+    co_await reject(connection, http::status::request_header_fields_too_large, "header_too_large");
+    co_return std::nullopt;
+  }
+  if (error == http::error::body_limit) {
+    co_await reject(connection, http::status::payload_too_large, "body_too_large");
+    co_return std::nullopt;
+  }
+  bool const is_malformed = error && error.category() == http::make_error_code({}).category() &&
+                            error != http::error::end_of_stream &&
+                            error != http::error::partial_message;
+  if (is_malformed) {
+    co_await reject(connection, http::status::bad_request, "malformed");
+  }
+  if (error) {
+    co_return std::nullopt;
+  }
+  if (!is_framing_sound(parser.get().base())) {
+    co_await reject(connection, http::status::bad_request, "ambiguous_length");
+    co_return std::nullopt;
+  }
+  if (m_body_bytes > m_options.most_body_bytes) {
+    co_await reject(connection, http::status::service_unavailable, "bodies_exceed_memory");
+    co_return std::nullopt;
+  }
+  connection.stream.expires_after(body_timeout);
+  if (parser.get()[http::field::expect] == "100-continue") {
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(connection.stream, asio::buffer(go_on), completion);
+  }
+  auto const [body_error, body_size] =
+      co_await http::async_read(connection.stream, connection.buffer, parser, completion);
+  if (body_error == http::error::body_limit) {
+    co_await reject(connection, http::status::payload_too_large, "body_too_large");
+  }
+  if (body_error) {
+    co_return std::nullopt;
+  }
+  connection.stream.expires_never();
+  co_return parser.release();
+}
+
+awaitable<void> entry_server::reject(connection& connection, http::status status,
+                                     char const* reason) {
+  spdlog::warn("entry refused request=- reason={} status={}", reason, static_cast<int>(status));
+  connection.stream.expires_after(reject_timeout);
+  http_response const answer(status, 11);
+  auto const bytes = render_whole(answer.base(), {}, false);
+  co_await asio::async_write(connection.stream, asio::buffer(bytes), completion);
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/entry_server.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <services/proxy/exchange.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <set>
+
+namespace catkinlanding::proxy {
+
+/// Takes callers' connections, and runs one exchange after the other on each.
+class entry_server {
+public:
+  struct options {
+    std::size_t most_connections = 3000;
+    /// Bodies of requests that are held at once, in bytes.
+    std::size_t most_body_bytes = 64 * 1024 * 1024;
+  };
+
+  entry_server(entry_context& context, boost::asio::ip::tcp::acceptor acceptor, options options);
+
+  /// From now on answers end their connections, and nothing new is accepted after the callers that
+  /// wait already.
+  void stop_accepting();
+  /// Closes connections on which no request has begun.
+  void close_idle();
+  /// Whether no exchange is under way.
+  [[nodiscard]] bool is_idle() const { return m_busy == 0; }
+  [[nodiscard]] std::size_t connection_count() const { return m_connections.size(); }
+
+private:
+  struct connection {
+    explicit connection(daemon::tcp_socket socket) : stream(std::move(socket)) {}
+
+    daemon::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    bool is_waiting = false;
+  };
+
+  daemon::awaitable<void> accept();
+  daemon::awaitable<void> serve(std::shared_ptr<connection> connection);
+  /// Reads one request. Nothing where the connection ends or was refused.
+  daemon::awaitable<std::optional<http_request>> read_request(connection& connection);
+  daemon::awaitable<void> reject(connection& connection, http::status status, char const* reason);
+
+  entry_context& m_context;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  options m_options;
+  std::set<std::shared_ptr<connection>> m_connections;
+  std::size_t m_busy = 0;
+  std::size_t m_body_bytes = 0;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/exchange.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <libraries/proxy/event_stream.h>
+#include <libraries/proxy/router.h>
+#include <services/daemon/coroutine.h>
+#include <services/proxy/dialect.h>
+#include <services/proxy/metrics.h>
+#include <services/proxy/upstream_pool.h>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace catkinlanding::proxy {
+
+/// What the exchanges of one entry instance share.
+struct entry_context {
+  boost::asio::io_context& io;
+  proxy::router& router;
+  upstream_pool& pool;
+  proxy::dialect const& dialect;
+  proxy::metrics& metrics;
+  request_number last_request = 0;
+  /// Set while the instance stops: answers end their connections.
+  bool is_stopping = false;
+};
+
+/// One request of a caller, from its head to the end of its answer. It carries out what the router
+/// decides: sends the request to endpoints, passes the answer on, and stops work at the endpoint
+/// when the caller leaves or the time is over.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+  exchange(entry_context& context, daemon::tcp_stream& caller, http_request request);
+
+  /// Returns whether the caller's connection can take another request.
+  daemon::awaitable<bool> run();
+
+private:
+  using answer_parser = http::response_parser<http::buffer_body>;
+
+  /// A failure that an endpoint answered with, kept until no other attempt is made.
+  struct failure_answer {
+    http_response_header header;
+    std::string body;
+  };
+
+  enum class pass_result { whole, broken, caller_failed };
+
+  daemon::awaitable<bool> refuse(refusal refusal);
+  daemon::awaitable<bool> deliver_stored_failure();
+  /// Nothing where the answer was delivered whole, or its caller is gone.
+  daemon::awaitable<std::optional<attempt_failure>> perform(attempt attempt);
+  daemon::awaitable<bool> connect(attempt const& attempt);
+  /// Sends the request. Returns how it failed.
+  daemon::awaitable<std::optional<attempt_failure>> send(attempt const& attempt);
+  /// Reads heads until one answers this request. Returns how it failed.
+  daemon::awaitable<std::optional<attempt_failure>> read_head(attempt const& attempt);
+  daemon::awaitable<std::optional<attempt_failure>> pass_answer(attempt const& attempt);
+  daemon::awaitable<pass_result> pass_whole();
+  daemon::awaitable<pass_result> pass_stream();
+  /// Reads the rest of the body, up to a bound. Returns nothing where it is torn or too large.
+  daemon::awaitable<std::optional<std::string>> read_body(std::size_t most);
+  /// Reads some of the body. Returns nothing where the answer is torn.
+  daemon::awaitable<std::optional<std::string_view>> read_some();
+  daemon::awaitable<bool> write(std::string bytes);
+  daemon::awaitable<bool> write_body(std::string_view bytes);
+
+  [[nodiscard]] attempt_failure failure_after(attempt_failure failure) const;
+  void keep_upstream();
+  void watch_caller();
+  void watch_deadline(base::monotonic_time deadline);
+  void stop_upstream();
+  void finish(request_end end, std::string_view reason);
+  void log_attempt(attempt const& attempt) const;
+  void log_failure(attempt_failure failure) const;
+
+  entry_context& m_context;
+  daemon::tcp_stream& m_caller;
+  http_request m_request;
+  request_number m_number;
+  base::request_id m_id;
+  std::string m_route;
+  std::string m_customer;
+  base::monotonic_time m_began_at;
+  daemon::steady_timer m_deadline;
+  std::unique_ptr<upstream> m_upstream;
+  std::unique_ptr<answer_parser> m_parser;
+  std::array<char, 16 * 1024> m_piece{};
+  std::optional<failure_answer> m_failure;
+  event_stream m_events;
+  std::uint32_t m_attempts = 0;
+  bool m_keeps_caller = true;
+  bool m_head_sent = false;
+  bool m_is_expired = false;
+  bool m_caller_left = false;
+  bool m_is_done = false;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/log.cpp
@@ -0,0 +1,34 @@
+#include <services/proxy/log.h>
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+constexpr std::size_t most_queued_lines = 4096;
+
+} // namespace
+
+void start_log(std::string const& instance, std::string const& level) {
+  spdlog::init_thread_pool(most_queued_lines, 1);
+  auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  auto logger =
+      std::make_shared<spdlog::async_logger>("proxy", std::move(sink), spdlog::thread_pool(),
+                                             spdlog::async_overflow_policy::overrun_oldest);
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l instance=" + instance + " event=%v");
+  spdlog::set_default_logger(std::move(logger));
+  set_log_level(level);
+}
+
+void set_log_level(std::string const& level) {
+  spdlog::set_level(spdlog::level::from_str(level));
+}
+
+void stop_log() {
+  spdlog::shutdown();
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/metrics.cpp
@@ -0,0 +1,87 @@
+#include <services/proxy/metrics.h>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <set>
+#include <utility>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using prometheus::Histogram;
+
+/// Upper ends of the buckets, in seconds.
+Histogram::BucketBoundaries const boundaries{0.005, 0.02, 0.05, 0.1,  0.2,  0.42, 1.0,
+                                             2.0,   3.0,  5.0,  10.0, 25.0, 60.0};
+/// Beyond this many pairs of customer and route they share one series.
+constexpr std::size_t most_label_sets = 500;
+constexpr char const* other = "other";
+
+} // namespace
+
+class metrics::implementation {
+public:
+  prometheus::Labels labels(std::string const& customer, std::string const& route) {
+    std::pair const key{customer, route};
+    bool const is_known = m_label_sets.contains(key);
+    if (!is_known && m_label_sets.size() >= most_label_sets) {
+      return {{"customer", other}, {"class", other}};
+    }
+    m_label_sets.insert(key);
+    return {{"customer", customer}, {"class", route}};
+  }
+
+  prometheus::Registry registry;
+  prometheus::Family<Histogram>& total = prometheus::BuildHistogram()
+                                             .Name("catkinlanding_proxy_request_seconds")
+                                             .Help("Time from the request to the end of its answer")
+                                             .Register(registry);
+  prometheus::Family<prometheus::Counter>& ends = prometheus::BuildCounter()
+                                                      .Name("catkinlanding_proxy_requests_total")
+                                                      .Help("Requests by how they ended, and why")
+                                                      .Register(registry);
+  prometheus::Counter& connections = prometheus::BuildCounter()
+                                         .Name("catkinlanding_proxy_endpoint_connections_total")
+                                         .Help("Connections opened to endpoints")
+                                         .Register(registry)
+                                         .Add({});
+  prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
+                                                      .Name("catkinlanding_proxy_state")
+                                                      .Help("State of this process")
+                                                      .Register(registry);
+
+private:
+  std::set<std::pair<std::string, std::string>> m_label_sets;
+};
+
+metrics::metrics() : m_implementation(std::make_unique<implementation>()) {}
+metrics::~metrics() = default;
+
+void metrics::observe(std::string const& customer, std::string const& route, request_end end,
+                      std::string_view reason, base::duration took) {
+  auto labels = m_implementation->labels(customer, route);
+  m_implementation->total.Add(labels, boundaries)
+      .Observe(std::chrono::duration<double>(took).count());
+  labels["outcome"] = name_of(end);
+  labels["reason"] = std::string(reason);
+  m_implementation->ends.Add(labels).Increment();
+}
+
+void metrics::count_connection() {
+  m_implementation->connections.Increment();
+}
+
+void metrics::set(std::string const& name, double value) {
+  m_implementation->gauges.Add({{"name", name}}).Set(value);
+}
+
+std::string metrics::page() const {
+  return prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/services/proxy/process.cpp
@@ -0,0 +1,118 @@
+#include <libraries/base/try.h>
+#include <services/proxy/log.h>
+#include <services/proxy/process.h>
+
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace catkinlanding::proxy {
+
+process::process(options options) : m_options(std::move(options)) {}
+
+tl::expected<void, daemon::listener_error> process::open(handlers handlers) {
+  m_handlers = std::move(handlers);
+  auto const& settings = m_options.settings;
+  auto datagrams = CATKINLANDING_TRY(daemon::open_datagram_socket(m_io, settings.peers));
+  auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_io, settings.peers));
+  m_peers = std::make_unique<peer_transport>(
+      m_io, settings.id(), peer_transport::sockets{std::move(datagrams), std::move(acceptor)},
+      std::map<base::instance_id, base::address>{}, m_handlers.on_message);
+  if (settings.metrics_port != 0) {
+    base::address const address{.ip = settings.peers.ip, .port = settings.metrics_port};
+    auto metrics_acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_io, address));
+    m_metrics_server = std::make_unique<call_server>(
+        m_io, std::move(metrics_acceptor), call_server::options{},
+        [this](http_request /*request*/) -> daemon::awaitable<http_response> {
+          m_handlers.on_metrics(m_metrics);
+          http_response answer(http::status::ok, 11);
+          answer.set(http::field::content_type, "text/plain; version=0.0.4");
+          answer.body() = m_metrics.page();
+          co_return answer;
+        });
+  }
+  return {};
+}
+
+void process::run() {
+  m_signals.add(SIGTERM);
+  m_signals.add(SIGINT);
+  m_signals.add(SIGHUP);
+  await_signal();
+  schedule_tick();
+  m_io.run();
+}
+
+void process::stop() {
+  m_io.stop();
+}
+
+void process::send(base::instance_id const& to, message message) {
+  if (m_known_peers.insert(to).second) {
+    auto const address = parse_address(to.value);
+    if (!address) {
+      spdlog::warn("peers unknown_instance instance={}", to.value);
+      return;
+    }
+    m_peers->learn(to, *address);
+  }
+  m_peers->send(to, std::move(message));
+}
+
+void process::after(std::chrono::milliseconds delay, std::function<void()> callback) {
+  auto timer = std::make_shared<daemon::steady_timer>(m_io, delay);
+  timer->async_wait([timer, callback = std::move(callback)](boost::system::error_code error) {
+    if (!error) {
+      callback();
+    }
+  });
+}
+
+void process::await_signal() {
+  m_signals.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      reload();
+    } else if (!m_is_stopping) {
+      // A second signal asks for nothing new; it must not end the process before its requests.
+      m_is_stopping = true;
+      spdlog::info("process stopping signal={}", signal);
+      m_handlers.on_stop();
+    }
+    await_signal();
+  });
+}
+
+void process::schedule_tick() {
+  m_tick.expires_after(m_options.tick_interval);
+  m_tick.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      m_handlers.on_tick();
+      schedule_tick();
+    }
+  });
+}
+
+void process::reload() {
+  std::ifstream file(m_options.settings_path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto settings = parse_settings(text.str());
+  if (!settings) {
+    for (auto const& error : settings.error()) {
+      spdlog::error("process reload_failed fault=\"{}\"",
+                    json::describe(m_options.settings_path, error));
+    }
+    return;
+  }
+  spdlog::info("process reloaded seeds={} log_level={}", settings->seeds.size(),
+               settings->log_level);
+  set_log_level(settings->log_level);
+  m_handlers.on_settings(*settings);
+}
+
+} // namespace catkinlanding::proxy
