proxy: Keep a voter's disk where files move at a restart

Cause: the data folder refuses files whose inode or birth changed, as an older copy. Ruled out: a corrupt log, the log names the fault 'copied'.

What is given up there: an older copy of a folder that somebody puts back is not told.

Test: disk_identities.last_where_the_platform_moves_files.

--- a/libraries/proxy/endpoint_choice.cpp
+++ b/libraries/proxy/endpoint_choice.cpp
@@ -37,13 +37,12 @@
 /// Those of the own zone, unless none of them has room while others have.
 candidates nearest(candidates const& usable, choice_terms const& terms) {
   auto const is_near = [&](known_endpoint const& one) { return one.word.zone == terms.own_zone; };
-  auto const near_with_room =
+  auto near_with_room =
       only(usable, [&](known_endpoint const& one) { return is_near(one) && has_room(one, terms); });
   if (!near_with_room.empty()) {
     return near_with_room;
   }
-  auto const with_room =
-      only(usable, [&](known_endpoint const& one) { return has_room(one, terms); });
+  auto with_room = only(usable, [&](known_endpoint const& one) { return has_room(one, terms); });
   return with_room.empty() ? usable : with_room;
 }
 
--- a/libraries/proxy/settings.cpp
+++ b/libraries/proxy/settings.cpp
@@ -128,6 +128,7 @@
     if (!folder.empty()) {
       value.data_folder = folder;
     }
+    reader.optional("files_keep_place", value.files_keep_place);
     reader.object("bounds", [&](object_reader& nested) { read_bounds(nested, value); });
     reader.optional("log_level", value.log_level);
     if (std::ranges::find(log_levels, value.log_level) == log_levels.end()) {
--- a/libraries/proxy/settings.h
+++ b/libraries/proxy/settings.h
@@ -36,6 +36,9 @@
   bool is_first_start = false;
   /// Where a control instance keeps its files.
   std::optional<std::string> data_folder;
+  /// Whether files keep their place on the disk when a machine restarts. Where they do, a data
+  /// folder that has another place is refused as an older copy.
+  bool files_keep_place = true;
   /// A stop that takes longer is ended by the platform.
   base::duration stop_patience = std::chrono::seconds(8);
   /// The bounds on further attempts that hold for all instances together.
--- a/services/daemon/data_folder.cpp
+++ b/services/daemon/data_folder.cpp
@@ -55,10 +55,11 @@
 }
 
 tl::expected<std::uint64_t, data_folder_error> disk_id_in(std::filesystem::path const& path,
-                                                          std::uint64_t fresh) {
-  return disk_identity::load_or_create(path, fresh).map_error([&](disk_identity_error error) {
-    return data_folder_error{.kind = kind_of(error), .path = path};
-  });
+                                                          std::uint64_t fresh, moved_file moved) {
+  return disk_identity::load_or_create(path, fresh, moved)
+      .map_error([&](disk_identity_error error) {
+        return data_folder_error{.kind = kind_of(error), .path = path};
+      });
 }
 
 std::string compact_log(std::string const& content) {
@@ -94,13 +95,13 @@
 
 tl::expected<std::unique_ptr<data_folder>, data_folder_error>
 data_folder::open(std::filesystem::path const& path, std::uint64_t fresh_disk_id,
-                  callbacks callbacks) {
+                  callbacks callbacks, moved_file moved) {
   std::error_code failed;
   std::filesystem::create_directories(path, failed);
   if (failed || !std::filesystem::is_directory(path)) {
     return tl::unexpected(data_folder_error{.kind = error_kind::not_a_folder, .path = path});
   }
-  auto const disk_id = CATKINLANDING_TRY(disk_id_in(path / "disk_id", fresh_disk_id));
+  auto const disk_id = CATKINLANDING_TRY(disk_id_in(path / "disk_id", fresh_disk_id, moved));
   auto log = CATKINLANDING_TRY(open_journal(path / "log"));
   auto ledger = CATKINLANDING_TRY(open_journal(path / "ledger"));
   auto state = storage::recover_log(log.records);
--- a/services/daemon/data_folder.h
+++ b/services/daemon/data_folder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/instance/reducer.h>
+#include <services/daemon/disk_identity.h>
 #include <services/daemon/disk_writer.h>
 
 #include <filesystem>
@@ -36,7 +37,8 @@
   };
 
   [[nodiscard]] static tl::expected<std::unique_ptr<data_folder>, data_folder_error>
-  open(std::filesystem::path const& path, std::uint64_t fresh_disk_id, callbacks callbacks);
+  open(std::filesystem::path const& path, std::uint64_t fresh_disk_id, callbacks callbacks,
+       moved_file moved = moved_file::is_copy);
 
   /// What the files held at the start. Can be taken once.
   [[nodiscard]] instance::reducer::recovered take_recovered() { return std::move(m_recovered); }
--- a/services/daemon/disk_identity.cpp
+++ b/services/daemon/disk_identity.cpp
@@ -64,7 +64,8 @@
 } // namespace
 
 tl::expected<std::uint64_t, disk_identity_error>
-disk_identity::load_or_create(std::filesystem::path const& path, std::uint64_t fresh_id) {
+disk_identity::load_or_create(std::filesystem::path const& path, std::uint64_t fresh_id,
+                              moved_file moved) {
   auto file = journal_file::open(path);
   if (!file) {
     return tl::unexpected(disk_identity_error::unreadable);
@@ -85,7 +86,7 @@
   if (!id) {
     return tl::unexpected(disk_identity_error::corrupt);
   }
-  if (content["place"] != place_of(path)) {
+  if (moved == moved_file::is_copy && content["place"] != place_of(path)) {
     return tl::unexpected(disk_identity_error::copied);
   }
   return *id;
--- a/services/daemon/disk_identity.h
+++ b/services/daemon/disk_identity.h
@@ -16,6 +16,14 @@
   copied,
 };
 
+/// What to make of a file that is not where it was written.
+enum class moved_file : std::uint8_t {
+  /// It is a copy, and may be older than the state of the voter that it names.
+  is_copy,
+  /// The platform moves files when a machine restarts, and never puts older ones back.
+  is_same,
+};
+
 /// The random id of a data folder, under which its instance votes. The file also names the place
 /// that the file system gave it, its inode and the time of its birth. A copy that is put back gets
 /// another place, so it is told from the folder that went on voting after the copy was made.
@@ -23,7 +31,8 @@
 public:
   /// Reads the file, or writes it with `fresh_id` if there is none.
   [[nodiscard]] static tl::expected<std::uint64_t, disk_identity_error>
-  load_or_create(std::filesystem::path const& path, std::uint64_t fresh_id);
+  load_or_create(std::filesystem::path const& path, std::uint64_t fresh_id,
+                 moved_file moved = moved_file::is_copy);
 };
 
 } // namespace catkinlanding::daemon
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -65,8 +65,10 @@
             std::abort();
           },
   };
+  auto const moved =
+      settings.files_keep_place ? daemon::moved_file::is_copy : daemon::moved_file::is_same;
   m_data_folder = CATKINLANDING_TRY(daemon::data_folder::open(
-      settings.data_folder.value_or(""), random_number(), std::move(callbacks)));
+      settings.data_folder.value_or(""), random_number(), std::move(callbacks), moved));
   control::options options;
   options.replica.self = {.instance = settings.id(), .disk_id = m_data_folder->disk_id()};
   options.replica.seed = random_number();
@@ -89,7 +91,7 @@
 tl::expected<void, daemon::listener_error> control_process::open_listeners() {
   CATKINLANDING_TRY_VOID(m_process.open({
       .on_message =
-          [this](base::instance_id const& from, message message) {
+          [this](base::instance_id const& from, message const& message) {
             control_effects effects;
             m_control->receive(from, message, now(), effects);
             carry_out(std::move(effects));
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -57,7 +57,7 @@
   auto& io = m_process.io();
   auto const& settings = m_process.settings();
   CATKINLANDING_TRY_VOID(m_process.open({
-      .on_message = [this](auto const& from, message message) { on_message(from, message); },
+      .on_message = [this](auto const& from, message const& message) { on_message(from, message); },
       .on_tick = [this] { on_tick(); },
       .on_stop = [this] { on_stop(); },
       .on_settings = [](process_settings const& /*settings*/) {},
--- a/tests/services/daemon/disk_identity_test.cpp
+++ b/tests/services/daemon/disk_identity_test.cpp
@@ -42,6 +42,14 @@
   EXPECT_EQ(loaded.error(), disk_identity_error::copied);
 }
 
+TEST_F(disk_identities, last_where_the_platform_moves_files) {
+  ASSERT_EQ(disk_identity::load_or_create(file(), 7), 7U);
+  std::filesystem::copy_file(file(), m_folder / "kept");
+  std::filesystem::remove(file());
+  std::filesystem::copy_file(m_folder / "kept", file());
+  EXPECT_EQ(disk_identity::load_or_create(file(), 8, moved_file::is_same), 7U);
+}
+
 TEST_F(disk_identities, refuse_what_is_no_identity) {
   std::ofstream(file()) << "{\"id\": 7";
   auto const loaded = disk_identity::load_or_create(file(), 8);
