proxy: Put rollouts into phases, pass joins on, wait for a full disk

The log now takes a rollout through prepared, on trial and its verdict; the trial begins in its second half, for all entries at once, and the session's name alone draws it. The writer takes the torn record back and tries again until there is room.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -99,12 +99,24 @@
 
 void control::handle(base::instance_id const& from, consensus::message const& message,
                      base::monotonic_time now, control_effects& out) {
-  if (std::holds_alternative<consensus::join_request>(message)) {
-    m_applicants[from] = now;
+  if (auto const* join = std::get_if<consensus::join_request>(&message)) {
+    take(*join, from, now, out);
   }
   m_replica.receive(from, message, now, out.log);
 }
 
+void control::take(consensus::join_request const& request, base::instance_id const& from,
+                   base::monotonic_time now, control_effects& out) {
+  m_applicants[request.voter.instance] = now;
+  auto const& leader = m_replica.leader();
+  bool const is_led_elsewhere = m_replica.role() != consensus::role::leader && leader &&
+                                leader->instance != m_replica.self().instance;
+  // Who joins knows some of the instances only, and the leader may be none of these.
+  if (is_led_elsewhere && leader->instance != from) {
+    out.messages.push_back({leader->instance, consensus::message{request}});
+  }
+}
+
 void control::handle(base::instance_id const& from, subscription const& subscription,
                      base::monotonic_time now, control_effects& out) {
   if (!leads(now)) {
@@ -196,14 +208,13 @@
 void control::take(call_number number, start_rollout const& request, base::monotonic_time now,
                    control_effects& out) {
   auto const* known = m_state.find_rollout(request.service);
-  if (known != nullptr && known->state == rollout_state::running &&
-      known->target != request.target) {
+  if (known != nullptr && known->is_running() && known->target != request.target) {
     out.answers.push_back({number, {.kind = reply_kind::conflict}});
     return;
   }
-  bool const is_resent = known != nullptr && known->target == request.target &&
-                         (known->state == rollout_state::running ||
-                          m_judge.ended_within(*known, m_options.resend_window, now));
+  bool const is_resent =
+      known != nullptr && known->target == request.target &&
+      (known->is_running() || m_judge.ended_within(*known, m_options.resend_window, now));
   if (is_resent) {
     out.answers.push_back({number, {.kind = reply_kind::done}});
     return;
@@ -366,11 +377,11 @@
     return;
   }
   for (auto const& rollout : m_state.rollouts()) {
-    if (auto const verdict = m_judge.verdict(rollout, now)) {
-      end_rollout const ended{
-          .service = rollout.service, .number = rollout.number, .state = *verdict};
+    if (auto const next = m_judge.next_state(rollout, now)) {
+      advance_rollout const advanced{
+          .service = rollout.service, .number = rollout.number, .state = *next};
       // Where the log takes no more, the next tick tries again; a second entry changes nothing.
-      static_cast<void>(m_replica.propose(encode(command{ended}), now, out.log));
+      static_cast<void>(m_replica.propose(encode(command{advanced}), now, out.log));
     }
   }
 }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -117,6 +117,10 @@
   void handle(base::instance_id const& from, referral const& referral, base::monotonic_time now,
               control_effects& out);
 
+  /// An instance asks for a place in the group.
+  void take(consensus::join_request const& request, base::instance_id const& from,
+            base::monotonic_time now, control_effects& out);
+
   [[nodiscard]] call_reply reply_to(read_document const& request) const;
   [[nodiscard]] call_reply reply_to(read_rollout const& request, base::monotonic_time now) const;
   [[nodiscard]] call_reply reply_to(announce_endpoint const& request, base::monotonic_time now,
--- a/libraries/proxy/replicated_state.cpp
+++ b/libraries/proxy/replicated_state.cpp
@@ -31,7 +31,7 @@
 bool replicated_state::apply_one(start_rollout const& command) {
   auto const known = m_rollouts.find(command.service);
   bool const is_resent = known != m_rollouts.end() && known->second.target == command.target &&
-                         known->second.state == rollout_state::running;
+                         known->second.is_running();
   if (is_resent) {
     return false;
   }
@@ -39,17 +39,17 @@
   m_rollouts[command.service] = {.service = command.service,
                                  .target = command.target,
                                  .duration = command.duration,
-                                 .state = rollout_state::running,
+                                 .state = rollout_state::prepared,
                                  .number = number};
   ++m_rollouts_revision;
   return true;
 }
 
-bool replicated_state::apply_one(end_rollout const& command) {
+bool replicated_state::apply_one(advance_rollout const& command) {
   auto const known = m_rollouts.find(command.service);
-  bool const is_running = known != m_rollouts.end() && known->second.number == command.number &&
-                          known->second.state == rollout_state::running;
-  if (!is_running) {
+  bool const advances = known != m_rollouts.end() && known->second.number == command.number &&
+                        known->second.is_running() && command.state > known->second.state;
+  if (!advances) {
     return false;
   }
   known->second.state = command.state;
--- a/libraries/proxy/replicated_state.h
+++ b/libraries/proxy/replicated_state.h
@@ -36,11 +36,11 @@
   }
 };
 
-/// The leader's verdict on the rollout with this number.
-struct end_rollout {
+/// The leader takes the rollout with this number to its next state.
+struct advance_rollout {
   base::service_id service;
   std::uint64_t number = 0;
-  rollout_state state = rollout_state::rolled_back;
+  rollout_state state = rollout_state::on_trial;
 
   template<class Archive>
   void serialize(Archive& archive) {
@@ -48,7 +48,7 @@
   }
 };
 
-using command = std::variant<replace_document, start_rollout, end_rollout>;
+using command = std::variant<replace_document, start_rollout, advance_rollout>;
 
 [[nodiscard]] std::string encode(command const& command);
 
@@ -82,7 +82,7 @@
 private:
   bool apply_one(replace_document const& command);
   bool apply_one(start_rollout const& command);
-  bool apply_one(end_rollout const& command);
+  bool apply_one(advance_rollout const& command);
 
   proxy::document m_document;
   std::string m_source;
--- a/libraries/proxy/rollout.h
+++ b/libraries/proxy/rollout.h
@@ -7,7 +7,16 @@
 
 namespace catkinlanding::proxy {
 
-enum class rollout_state : std::uint8_t { running, succeeded, rolled_back };
+enum class rollout_state : std::uint8_t {
+  /// Ordered. The target gets no requests yet, so that sessions under way stay where they are.
+  prepared,
+  /// The target gets a small share, by which it is judged.
+  on_trial,
+  /// The target gets all requests.
+  succeeded,
+  /// The target gets none.
+  rolled_back,
+};
 /// Greater numbers are refused when they are decoded.
 constexpr rollout_state last_enumerator(rollout_state /*any*/) {
   return rollout_state::rolled_back;
@@ -15,8 +24,10 @@
 
 [[nodiscard]] constexpr char const* name_of(rollout_state state) {
   switch (state) {
-  case rollout_state::running:
-    return "running";
+  case rollout_state::prepared:
+    return "prepared";
+  case rollout_state::on_trial:
+    return "on_trial";
   case rollout_state::succeeded:
     return "succeeded";
   case rollout_state::rolled_back:
@@ -31,12 +42,16 @@
   base::version_id target;
   /// From the order to the moment by which a sound version should have all requests.
   base::duration duration{};
-  rollout_state state = rollout_state::running;
+  rollout_state state = rollout_state::prepared;
   /// Grows with each order for this service.
   std::uint64_t number = 0;
 
   bool operator==(rollout const&) const = default;
 
+  [[nodiscard]] bool is_running() const {
+    return state == rollout_state::prepared || state == rollout_state::on_trial;
+  }
+
   template<class Archive>
   void serialize(Archive& archive) {
     archive(service, target, duration, state, number);
--- a/libraries/proxy/rollout_judge.cpp
+++ b/libraries/proxy/rollout_judge.cpp
@@ -46,18 +46,25 @@
   m_tallies[from] = tallies;
 }
 
-std::optional<rollout_state> rollout_judge::verdict(rollout const& rollout,
-                                                    base::monotonic_time now) const {
+std::optional<rollout_state> rollout_judge::next_state(rollout const& rollout,
+                                                       base::monotonic_time now) const {
   auto const known = m_times.find(rollout.service);
-  if (rollout.state != rollout_state::running || known == m_times.end()) {
+  if (!rollout.is_running() || known == m_times.end()) {
     return std::nullopt;
   }
   if (is_worse(rollout)) {
     return rollout_state::rolled_back;
   }
-  auto const due =
-      known->second.started_at + rollout.duration * m_options.verdict_permille / permille;
-  return now >= due ? std::optional(rollout_state::succeeded) : std::nullopt;
+  auto const is_due = [&](std::int64_t part) {
+    return now >= known->second.started_at + rollout.duration * part / permille;
+  };
+  if (rollout.state == rollout_state::on_trial && is_due(m_options.verdict_permille)) {
+    return rollout_state::succeeded;
+  }
+  if (rollout.state == rollout_state::prepared && is_due(m_options.trial_permille)) {
+    return rollout_state::on_trial;
+  }
+  return std::nullopt;
 }
 
 rollout_state rollout_judge::reported_state(rollout const& rollout,
@@ -68,14 +75,13 @@
   }
   auto const pause =
       rollout.duration * (m_options.report_permille - m_options.verdict_permille) / permille;
-  return now >= known->second.changed_at + pause ? rollout.state : rollout_state::running;
+  return now >= known->second.changed_at + pause ? rollout.state : rollout_state::on_trial;
 }
 
 bool rollout_judge::ended_within(rollout const& rollout, base::duration window,
                                  base::monotonic_time now) const {
   auto const known = m_times.find(rollout.service);
-  return rollout.state != rollout_state::running && known != m_times.end() &&
-         now < known->second.changed_at + window;
+  return !rollout.is_running() && known != m_times.end() && now < known->second.changed_at + window;
 }
 
 bool rollout_judge::is_worse(rollout const& rollout) const {
--- a/libraries/proxy/rollout_judge.h
+++ b/libraries/proxy/rollout_judge.h
@@ -12,11 +12,14 @@
 class rollout_judge {
 public:
   struct options {
+    /// The trial begins at this part of the duration, in thousandths. Sessions that began before
+    /// may be moved then.
+    std::int64_t trial_permille = 510;
     /// The verdict on a sound version falls at this part of its duration, in thousandths.
-    std::int64_t verdict_permille = 700;
+    std::int64_t verdict_permille = 800;
     /// An operator is told of it at this part: until then answers under way at the old version's
     /// endpoints may end.
-    std::int64_t report_permille = 900;
+    std::int64_t report_permille = 920;
     /// Bad answers of the target before it can be judged worse.
     std::uint64_t least_bad = 5;
     /// How far the target's share of bad answers must surely exceed the old version's, in
@@ -35,10 +38,11 @@
   void report(base::instance_id const& from, std::vector<version_tally> const& tallies);
   void forget(base::instance_id const& instance) { m_tallies.erase(instance); }
 
-  /// The verdict, once there is one.
-  [[nodiscard]] std::optional<rollout_state> verdict(rollout const& rollout,
-                                                     base::monotonic_time now) const;
-  /// The state of a rollout as operators should see it.
+  /// The state that the rollout should have next, once it is time.
+  [[nodiscard]] std::optional<rollout_state> next_state(rollout const& rollout,
+                                                        base::monotonic_time now) const;
+  /// The state of a rollout as operators should see it: they stop the old version's endpoints once
+  /// it has succeeded.
   [[nodiscard]] rollout_state reported_state(rollout const& rollout,
                                              base::monotonic_time now) const;
   /// Whether the rollout ended less than this long ago.
@@ -50,7 +54,7 @@
     std::uint64_t number = 0;
     base::monotonic_time started_at{};
     base::monotonic_time changed_at{};
-    rollout_state state = rollout_state::running;
+    rollout_state state = rollout_state::prepared;
   };
 
   [[nodiscard]] bool is_worse(rollout const& rollout) const;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -74,7 +74,6 @@
   auto& request = found->second;
   request.has_answer = true;
   m_endpoints.note_success(request.endpoint);
-  m_versions.note(request.service, request.facts.session, request.version, now);
   tally(request, false, now);
 }
 
@@ -112,15 +111,12 @@
   return give_up(request, now);
 }
 
-void router::end(request_number number, request_end end, base::monotonic_time now) {
+void router::end(request_number number) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end()) {
     return;
   }
   auto& request = found->second;
-  if (end != request_end::refused) {
-    m_versions.note(request.service, request.facts.session, request.version, now);
-  }
   finish_attempt(request);
   m_requests.erase(found);
 }
@@ -142,7 +138,7 @@
   return std::visit(base::overloaded{
                         [&](update const& one) {
                           m_subscriber.note_update(one, from, now);
-                          return take(one, now);
+                          return take(one);
                         },
                         [&](referral const& one) {
                           m_subscriber.follow(one, from, now);
@@ -153,7 +149,7 @@
                     message);
 }
 
-bool router::take(update const& update, base::monotonic_time now) {
+bool router::take(update const& update) {
   bool is_changed = false;
   if (update.document && update.document->revision > m_routes->revision()) {
     m_routes = std::make_shared<route_table const>(*update.document);
@@ -164,9 +160,9 @@
     is_changed = true;
   }
   if (update.rollouts) {
-    m_versions.take(*update.rollouts, now);
+    m_versions.take(*update.rollouts);
     std::erase_if(m_tallies, [&](version_tally const& tally) {
-      auto const* running = m_versions.running(tally.service);
+      auto const* running = m_versions.on_trial(tally.service);
       return running == nullptr || running->number != tally.rollout;
     });
   }
@@ -189,7 +185,7 @@
   std::erase_if(endpoints, [&](known_endpoint const* one) {
     return std::ranges::find(request.tried, one->word.id) != request.tried.end();
   });
-  endpoints = m_versions.admit(std::move(endpoints), request.service, request.facts, now);
+  endpoints = m_versions.admit(std::move(endpoints), request.service, request.facts);
   auto const* service = request.routes->find(request.service);
   choice_terms const terms{.own_zone = m_options.zone,
                            .affinity = affinity_of(request.facts.prompt),
@@ -309,7 +305,7 @@
 }
 
 void router::tally(active_request const& request, bool is_bad, base::monotonic_time now) {
-  auto const* running = m_versions.running(request.service);
+  auto const* running = m_versions.on_trial(request.service);
   if (running == nullptr) {
     return;
   }
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -50,7 +50,7 @@
   /// The latest attempt failed. `was_delivered` tells whether the caller has a part of the answer.
   [[nodiscard]] decision fail(request_number number, attempt_failure failure, bool was_delivered,
                               base::monotonic_time now);
-  void end(request_number number, request_end end, base::monotonic_time now);
+  void end(request_number number);
 
   // The control instances.
 
@@ -105,7 +105,7 @@
   void finish_attempt(active_request& request);
   void tally(active_request const& request, bool is_bad, base::monotonic_time now);
   retry_allowance& retries_of(base::service_id const& service);
-  bool take(update const& update, base::monotonic_time now);
+  bool take(update const& update);
 
   options m_options;
   base::random_generator m_random;
--- a/libraries/proxy/settings.cpp
+++ b/libraries/proxy/settings.cpp
@@ -78,7 +78,6 @@
   reader.optional("retry_slack", value.retry_slack);
   read_milliseconds(reader, "retry_window_ms", value.retry_window);
   read_share(reader, "trial_share", value.trial_share);
-  read_milliseconds(reader, "session_memory_ms", value.session_memory);
   read_milliseconds(reader, "announcement_interval_ms", value.announcement_interval);
 }
 
--- a/libraries/proxy/settings.h
+++ b/libraries/proxy/settings.h
@@ -47,8 +47,6 @@
   base::duration retry_window = std::chrono::seconds(10);
   /// The share of a service's requests that a version on trial may get.
   double trial_share = 0.1;
-  /// Requests of a session that follow each other within this belong together.
-  base::duration session_memory = std::chrono::seconds(5);
   /// How often endpoints announce themselves.
   base::duration announcement_interval = std::chrono::seconds(1);
   std::string log_level = "info";
--- a/services/daemon/disk_writer.cpp
+++ b/services/daemon/disk_writer.cpp
@@ -1,10 +1,19 @@
 #include <libraries/base/try.h>
 #include <services/daemon/disk_writer.h>
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace catkinlanding::daemon {
 
+namespace {
+
+/// Between two tries to write to a full disk.
+constexpr std::chrono::milliseconds full_disk_pause{200};
+
+} // namespace
+
 disk_writer::disk_writer(journal_file file, compactor compactor, failure_handler on_failure)
     : m_file(std::move(file)), m_compactor(std::move(compactor)),
       m_on_failure(std::move(on_failure)), m_thread([this] { run(); }) {}
@@ -37,7 +46,7 @@
       }
       jobs.swap(m_jobs);
     }
-    if (auto const stored = store(jobs); !stored) {
+    if (auto const stored = store_patiently(jobs); !stored) {
       m_on_failure(stored.error());
       return;
     }
@@ -47,16 +56,51 @@
   }
 }
 
-tl::expected<void, file_error> disk_writer::store(std::deque<job> const& jobs) {
-  for (auto const& job : jobs) {
-    CATKINLANDING_TRY_VOID(m_file.append(job.bytes));
+tl::expected<void, file_error> disk_writer::store_patiently(std::deque<job> const& jobs) {
+  bool was_full = false;
+  while (true) {
+    auto stored = store(jobs);
+    bool const is_full = !stored && stored.error() == file_error::write_failed;
+    if (is_full != was_full) {
+      was_full = is_full;
+      spdlog::warn("disk {} jobs={}", is_full ? "full" : "writable", jobs.size());
+    }
+    if (!is_full || pause()) {
+      return stored;
+    }
   }
+}
+
+tl::expected<void, file_error> disk_writer::store(std::deque<job> const& jobs) {
+  CATKINLANDING_TRY_VOID(append(jobs));
   bool const compacts = std::ranges::any_of(jobs, [](job const& job) { return job.compacts; });
   if (compacts) {
     auto const content = CATKINLANDING_TRY(m_file.read_all());
-    return m_file.replace(m_compactor(content));
+    auto const replaced = m_file.replace(m_compactor(content));
+    bool const is_full = !replaced && replaced.error() == file_error::write_failed;
+    if (!is_full) {
+      return replaced;
+    }
+    // The longer file says the same; a later snapshot tries again.
+    spdlog::warn("disk full compacts=false");
   }
   return m_file.sync();
 }
 
+tl::expected<void, file_error> disk_writer::append(std::deque<job> const& jobs) {
+  auto const size = CATKINLANDING_TRY(m_file.size());
+  for (auto const& job : jobs) {
+    if (auto const appended = m_file.append(job.bytes); !appended) {
+      // A part of a record must not stand before the next one.
+      return m_file.truncate(size) ? appended : tl::unexpected(file_error::sync_failed);
+    }
+  }
+  return {};
+}
+
+bool disk_writer::pause() {
+  std::unique_lock lock(m_mutex);
+  return m_wakeup.wait_for(lock, full_disk_pause, [this] { return m_is_stopping; });
+}
+
 } // namespace catkinlanding::daemon
--- a/services/daemon/disk_writer.h
+++ b/services/daemon/disk_writer.h
@@ -10,7 +10,8 @@
 
 namespace catkinlanding::daemon {
 
-/// Appends to one journal file on a thread of its own, and syncs once for all that waits.
+/// Appends to one journal file on a thread of its own, and syncs once for all that waits. A disk
+/// that takes no more bytes is tried again until it does; what waits for it is not reported done.
 class disk_writer {
 public:
   struct job {
@@ -36,7 +37,13 @@
 
 private:
   void run();
+  /// Stores the jobs, and waits for a full disk. Returns nothing else than what can't be mended.
+  [[nodiscard]] tl::expected<void, file_error> store_patiently(std::deque<job> const& jobs);
   [[nodiscard]] tl::expected<void, file_error> store(std::deque<job> const& jobs);
+  /// Appends all of the jobs or, where the disk takes no more bytes, none.
+  [[nodiscard]] tl::expected<void, file_error> append(std::deque<job> const& jobs);
+  /// Whether the writer was stopped while it waited.
+  [[nodiscard]] bool pause();
 
   journal_file m_file;
   compactor m_compactor;
--- a/services/daemon/journal_file.cpp
+++ b/services/daemon/journal_file.cpp
@@ -1,6 +1,8 @@
 #include <libraries/base/try.h>
 #include <services/daemon/journal_file.h>
 
+#include <sys/stat.h>
+
 #include <array>
 #include <fcntl.h>
 #include <unistd.h>
@@ -73,6 +75,14 @@
   }
 }
 
+tl::expected<std::size_t, file_error> journal_file::size() const {
+  struct stat found {};
+  if (::fstat(m_descriptor, &found) != 0) {
+    return tl::unexpected(file_error::read_failed);
+  }
+  return static_cast<std::size_t>(found.st_size);
+}
+
 tl::expected<void, file_error> journal_file::truncate(std::size_t size) {
   if (::ftruncate(m_descriptor, static_cast<off_t>(size)) != 0) {
     return tl::unexpected(file_error::write_failed);
--- a/services/daemon/journal_file.h
+++ b/services/daemon/journal_file.h
@@ -23,6 +23,7 @@
   ~journal_file();
 
   [[nodiscard]] tl::expected<std::string, file_error> read_all() const;
+  [[nodiscard]] tl::expected<std::size_t, file_error> size() const;
   [[nodiscard]] tl::expected<void, file_error> truncate(std::size_t size);
   [[nodiscard]] tl::expected<void, file_error> append(std::string_view bytes);
   [[nodiscard]] tl::expected<void, file_error> sync();
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -77,6 +77,7 @@
     co_return co_await write(render_whole(bad.base(), {}, m_keeps_caller)) && m_keeps_caller;
   }
   m_id = facts->id;
+  m_session = facts->session.value;
   auto decision = m_context.router.begin(m_number, std::move(*facts), now());
   watch_caller();
   while (true) {
@@ -428,7 +429,7 @@
   boost::system::error_code ignored;
   // Ends the watch, which is all that waits on the caller's socket now.
   m_caller.socket().cancel(ignored);
-  m_context.router.end(m_number, end, now());
+  m_context.router.end(m_number);
   auto const took = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_began_at);
   m_context.metrics.observe(m_customer, m_route, end, reason, now() - m_began_at);
   spdlog::info("entry ended request={} outcome={} reason={} route={} customer={} attempts={} "
@@ -439,9 +440,9 @@
 
 void exchange::log_attempt(attempt const& attempt) const {
   spdlog::info(
-      "entry attempt request={} number={} endpoint={} version={} model={} route={} "
+      "entry attempt request={} session={} number={} endpoint={} version={} model={} route={} "
       "revision={} load={} left_ms={}",
-      m_id.value, attempt.number, attempt.endpoint.value, attempt.version.value,
+      m_id.value, m_session, attempt.number, attempt.endpoint.value, attempt.version.value,
       attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
       attempt.load,
       std::chrono::duration_cast<std::chrono::milliseconds>(attempt.deadline - now()).count());
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -83,6 +83,7 @@
   http_request m_request;
   request_number m_number;
   base::request_id m_id;
+  std::string m_session;
   std::string m_route;
   std::string m_customer;
   base::monotonic_time m_began_at;
