tests: Cover routes, endpoints, versions, routing and control of the proxy

Unit tests of each part without network. Seen failing first, on scratch copies of the sources: take_back_an_instance_whose_seeds_do_not_lead without passing joins on, and wait_for_a_full_disk_and_leave_no_torn_record without the second try.

--- a/services/daemon/disk_writer.cpp
+++ b/services/daemon/disk_writer.cpp
@@ -99,6 +99,7 @@
 }
 
 bool disk_writer::pause() {
+  ++m_full_disk_pauses;
   std::unique_lock lock(m_mutex);
   return m_wakeup.wait_for(lock, full_disk_pause, [this] { return m_is_stopping; });
 }
--- a/services/daemon/disk_writer.h
+++ b/services/daemon/disk_writer.h
@@ -2,6 +2,7 @@
 
 #include <services/daemon/journal_file.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -35,6 +36,9 @@
 
   void submit(job job);
 
+  /// How often the disk was full.
+  [[nodiscard]] std::uint64_t full_disk_pauses() const { return m_full_disk_pauses; }
+
 private:
   void run();
   /// Stores the jobs, and waits for a full disk. Returns nothing else than what can't be mended.
@@ -52,6 +56,7 @@
   std::condition_variable m_wakeup;
   std::deque<job> m_jobs;
   bool m_is_stopping = false;
+  std::atomic<std::uint64_t> m_full_disk_pauses = 0;
   std::thread m_thread;
 };
 
--- /dev/null
+++ b/tests/libraries/proxy/control_test.cpp
@@ -0,0 +1,303 @@
+#include <libraries/proxy/control.h>
+#include <libraries/proxy/settings.h>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Control instances with perfect disks and a network that loses nothing but what is cut.
+class group {
+public:
+  explicit group(std::vector<std::string> const& seeds) {
+    for (auto const& seed : seeds) {
+      m_seeds.push_back({seed});
+    }
+  }
+
+  void start(std::string const& id, std::uint64_t disk_id, bool is_founder = false) {
+    control::options options;
+    options.replica.self = {.instance = {id}, .disk_id = disk_id};
+    options.replica.seed = disk_id;
+    for (auto const& seed : m_seeds) {
+      if (seed.value != id) {
+        options.replica.peers.push_back(seed);
+      }
+    }
+    options.is_founder = is_founder;
+    m_nodes.erase({id});
+    m_nodes.emplace(base::instance_id{id}, control::create(std::move(options), {}, m_now));
+  }
+
+  void stop(std::string const& id) { m_nodes.erase({id}); }
+
+  /// Lets this much time pass.
+  void run(base::duration time) {
+    constexpr std::chrono::milliseconds step{20};
+    for (auto const end = m_now + time; m_now < end; m_now += step) {
+      for (auto& [id, node] : m_nodes) {
+        control_effects effects;
+        node.tick(m_now, effects);
+        carry_out(id, effects);
+      }
+      deliver();
+    }
+  }
+
+  void call(std::string const& id, call_number number, call_request const& request) {
+    control_effects effects;
+    m_nodes.at({id}).receive(number, request, m_now, effects);
+    carry_out({id}, effects);
+    deliver();
+  }
+
+  void say(std::string const& from, std::string const& to, message const& message) {
+    m_flights.push_back({{from}, {to}, message});
+    deliver();
+  }
+
+  [[nodiscard]] std::string leader() const {
+    for (auto const& [id, node] : m_nodes) {
+      if (node.replica().role() == consensus::role::leader && node.replica().holds_lease(m_now)) {
+        return id.value;
+      }
+    }
+    return "";
+  }
+
+  [[nodiscard]] control const& node(std::string const& id) const { return m_nodes.at({id}); }
+  [[nodiscard]] std::optional<call_reply> reply(call_number number) const {
+    auto const found = m_replies.find(number);
+    return found == m_replies.end() ? std::nullopt : std::optional(found->second);
+  }
+  [[nodiscard]] std::vector<update> const& updates(std::string const& id) {
+    return m_updates[{id}];
+  }
+
+  [[nodiscard]] std::set<std::uint64_t> voter_disks() const {
+    std::set<std::uint64_t> disks;
+    for (auto const& voter : node(leader()).replica().current_configuration().voters) {
+      disks.insert(voter.disk_id);
+    }
+    return disks;
+  }
+
+private:
+  struct flight {
+    base::instance_id from;
+    base::instance_id to;
+    proxy::message message;
+  };
+
+  void carry_out(base::instance_id const& id, control_effects& effects) {
+    for (auto& answer : effects.answers) {
+      m_replies[answer.number] = std::move(answer.reply);
+    }
+    for (auto& outgoing : effects.log.messages) {
+      m_flights.push_back({id, outgoing.to, message{std::move(outgoing.message)}});
+    }
+    for (auto& outgoing : effects.messages) {
+      m_flights.push_back({id, outgoing.to, std::move(outgoing.message)});
+    }
+    for (auto const& write : effects.log.writes) {
+      control_effects more;
+      m_nodes.at(id).complete_write(write.id, m_now, more);
+      carry_out(id, more);
+    }
+  }
+
+  void deliver() {
+    while (!m_flights.empty()) {
+      auto const flight = std::move(m_flights.front());
+      m_flights.pop_front();
+      auto const found = m_nodes.find(flight.to);
+      if (found == m_nodes.end()) {
+        if (auto const* told = std::get_if<update>(&flight.message)) {
+          m_updates[flight.to].push_back(*told);
+        }
+        continue;
+      }
+      control_effects effects;
+      found->second.receive(flight.from, flight.message, m_now, effects);
+      carry_out(flight.to, effects);
+    }
+  }
+
+  std::vector<base::instance_id> m_seeds;
+  std::map<base::instance_id, control> m_nodes;
+  std::deque<flight> m_flights;
+  std::map<call_number, call_reply> m_replies;
+  std::map<base::instance_id, std::vector<update>> m_updates;
+  base::monotonic_time m_now{};
+};
+
+replace_document document(std::uint64_t revision, std::string source) {
+  replace_document made;
+  made.document.revision = revision;
+  made.source = std::move(source);
+  return made;
+}
+
+/// Three seeds that have founded a group.
+group founded_group() {
+  group made({"a", "b", "c"});
+  made.start("a", 1, true);
+  made.start("b", 2);
+  made.start("c", 3);
+  made.run(5s);
+  return made;
+}
+
+TEST(control_groups, are_founded_by_one_seed_and_joined_by_the_others) {
+  auto group = founded_group();
+  EXPECT_EQ(group.leader(), "a");
+  EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3}));
+}
+
+TEST(control_groups, wait_for_the_first_seed) {
+  group group({"a", "b", "c"});
+  group.start("b", 2);
+  group.start("c", 3);
+  group.run(5s);
+  EXPECT_EQ(group.leader(), "");
+  group.start("a", 1, true);
+  group.run(5s);
+  EXPECT_EQ(group.voter_disks().size(), 3U);
+}
+
+TEST(control_groups, keep_the_highest_revision) {
+  auto group = founded_group();
+  group.call("a", 1, document(7, "seven"));
+  group.call("a", 2, document(5, "five"));
+  group.call("a", 3, document(7, "another seven"));
+  for (call_number number = 1; number <= 3; ++number) {
+    ASSERT_TRUE(group.reply(number).has_value());
+    EXPECT_EQ(group.reply(number)->kind, reply_kind::done);
+  }
+  group.call("a", 4, read_document{});
+  EXPECT_EQ(group.reply(4)->source, "seven");
+}
+
+TEST(control_groups, send_callers_to_the_leader) {
+  auto group = founded_group();
+  group.call("b", 1, read_document{});
+  ASSERT_TRUE(group.reply(1).has_value());
+  EXPECT_EQ(group.reply(1)->kind, reply_kind::not_leader);
+  EXPECT_EQ(group.reply(1)->leader, base::instance_id{"a"});
+}
+
+TEST(control_groups, answer_nothing_as_done_without_a_quorum) {
+  auto group = founded_group();
+  group.stop("b");
+  group.stop("c");
+  group.call("a", 1, document(7, "seven"));
+  group.run(3s);
+  ASSERT_TRUE(group.reply(1).has_value());
+  EXPECT_EQ(group.reply(1)->kind, reply_kind::unavailable);
+  group.call("a", 2, read_document{});
+  EXPECT_NE(group.reply(2)->kind, reply_kind::found);
+}
+
+TEST(control_groups, keep_what_was_acknowledged_when_the_leader_is_lost) {
+  auto group = founded_group();
+  group.call("a", 1, document(7, "seven"));
+  group.stop("a");
+  group.run(5s);
+  ASSERT_NE(group.leader(), "");
+  group.call(group.leader(), 2, read_document{});
+  EXPECT_EQ(group.reply(2)->source, "seven");
+}
+
+// A fourth instance led, whom the one that came back with an empty disk did not know.
+TEST(control_groups, take_back_an_instance_whose_seeds_do_not_lead) {
+  group group({"a", "b", "c"});
+  group.start("a", 1, true);
+  group.start("b", 2);
+  group.start("c", 3);
+  group.start("d", 4);
+  group.run(6s);
+  ASSERT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3, 4}));
+  for (int i = 0; group.leader() != "d" && i < 20; ++i) {
+    auto const leader = group.leader();
+    ASSERT_NE(leader, "");
+    control_effects effects;
+    group.stop(leader);
+    group.run(3s);
+    group.start(leader, static_cast<std::uint64_t>(10 + i));
+    group.run(10s);
+  }
+  ASSERT_EQ(group.leader(), "d");
+  group.stop("b");
+  group.run(1s);
+  group.start("b", 99);
+  group.run(8s);
+  EXPECT_TRUE(group.voter_disks().contains(99));
+  EXPECT_EQ(group.voter_disks().size(), 4U);
+}
+
+TEST(control_groups, replace_an_instance_that_is_gone_for_good) {
+  auto group = founded_group();
+  group.stop("b");
+  group.run(6s);
+  group.start("e", 5);
+  group.run(12s);
+  EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 3, 5}));
+}
+
+TEST(control_groups, tell_entries_what_they_lack) {
+  auto group = founded_group();
+  group.call("a", 1, document(7, "seven"));
+  group.say("entry", "a", subscription{.is_entry = true});
+  ASSERT_FALSE(group.updates("entry").empty());
+  auto const first = group.updates("entry").back();
+  ASSERT_TRUE(first.document.has_value());
+  EXPECT_EQ(first.document->revision, 7U);
+  // What the entry has is not sent again; what is new is pushed.
+  group.say("entry", "a", subscription{.known = first.state, .is_entry = true});
+  EXPECT_FALSE(group.updates("entry").back().document.has_value());
+  group.call("a", 2, document(9, "nine"));
+  ASSERT_TRUE(group.updates("entry").back().document.has_value());
+  EXPECT_EQ(group.updates("entry").back().document->revision, 9U);
+}
+
+TEST(control_groups, push_that_an_endpoint_leaves) {
+  auto group = founded_group();
+  endpoint_word word{.id = {"e"}, .service = {"s"}, .number = {.incarnation = 1, .sequence = 1}};
+  group.call("a", 1, announce_endpoint{word});
+  group.say("entry", "a", subscription{.is_entry = true});
+  word.is_leaving = true;
+  word.number.sequence = 2;
+  group.call("a", 2, announce_endpoint{word});
+  auto const& last = group.updates("entry").back();
+  ASSERT_FALSE(last.endpoints.empty());
+  EXPECT_EQ(last.endpoints.back().state, endpoint_state::leaving);
+}
+
+TEST(control_groups, take_a_resent_order_of_a_rollout_as_the_same) {
+  auto group = founded_group();
+  start_rollout const order{.service = {"s"}, .target = {"v2"}, .duration = 10s};
+  group.call("a", 1, order);
+  group.call("a", 2, order);
+  EXPECT_EQ(group.reply(2)->kind, reply_kind::done);
+  EXPECT_EQ(group.node("a").state().find_rollout({"s"})->number, 1U);
+  group.call("a", 3, start_rollout{.service = {"s"}, .target = {"v3"}, .duration = 10s});
+  EXPECT_EQ(group.reply(3)->kind, reply_kind::conflict);
+  group.run(11s);
+  group.call("a", 4, read_rollout{{"s"}});
+  ASSERT_TRUE(group.reply(4)->rollout.has_value());
+  EXPECT_EQ(group.reply(4)->rollout->state, rollout_state::succeeded);
+  // It ended just now, so this is the first order once more.
+  group.call("a", 5, order);
+  EXPECT_EQ(group.node("a").state().find_rollout({"s"})->number, 1U);
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/tests/libraries/proxy/endpoint_choice_test.cpp
@@ -0,0 +1,94 @@
+#include <libraries/proxy/endpoint_choice.h>
+
+#include <gtest/gtest.h>
+
+#include <list>
+#include <set>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::monotonic_time start{};
+
+class endpoint_choices : public ::testing::Test {
+protected:
+  known_endpoint& add(std::string id, std::string zone, std::uint32_t slots = 8) {
+    auto& made = m_endpoints.emplace_back();
+    made.word.id.value = std::move(id);
+    made.word.zone.value = std::move(zone);
+    made.word.slots = slots;
+    return made;
+  }
+
+  [[nodiscard]] std::string choose(std::string affinity = {}, std::uint64_t salt = 0) const {
+    std::vector<known_endpoint const*> pointers;
+    for (auto const& one : m_endpoints) {
+      pointers.push_back(&one);
+    }
+    auto const* chosen = choose_endpoint(
+        pointers, {.own_zone = {"here"}, .affinity = std::move(affinity), .salt = salt}, start);
+    return chosen == nullptr ? "" : chosen->word.id.value;
+  }
+
+  /// Stays in place while endpoints are added.
+  std::list<known_endpoint> m_endpoints;
+};
+
+TEST_F(endpoint_choices, stay_in_the_zone_while_it_has_room) {
+  auto& near = add("near", "here");
+  add("far", "there");
+  near.own_outstanding = 7;
+  EXPECT_EQ(choose(), "near");
+  near.other_outstanding = 1;
+  EXPECT_EQ(choose(), "far");
+}
+
+TEST_F(endpoint_choices, keep_what_shares_a_prompt_together) {
+  for (int i = 0; i < 6; ++i) {
+    add("e" + std::to_string(i), "here", 64);
+  }
+  std::set<std::string> used;
+  for (std::uint64_t salt = 0; salt < 50; ++salt) {
+    used.insert(choose("subject", salt));
+  }
+  EXPECT_EQ(used.size(), 1U);
+}
+
+// One subject gets much of the traffic: its endpoint must not take it all.
+TEST_F(endpoint_choices, spread_a_hot_prompt_over_more_endpoints) {
+  for (int i = 0; i < 6; ++i) {
+    add("e" + std::to_string(i), "here", 64);
+  }
+  std::uint32_t most = 0;
+  for (int i = 0; i < 120; ++i) {
+    auto const chosen = choose("subject");
+    for (auto& one : m_endpoints) {
+      one.own_outstanding += one.word.id.value == chosen ? 1 : 0;
+      most = std::max(most, one.own_outstanding);
+    }
+  }
+  // 20 on the mean; the bound is a quarter and two more, and one for the last step.
+  EXPECT_LE(most, 28U);
+}
+
+TEST_F(endpoint_choices, pass_over_endpoints_that_failed_until_there_is_no_other) {
+  add("a", "here").avoided_until = start + 2s;
+  EXPECT_EQ(choose(), "a");
+  add("b", "here").avoided_until = start + 1s;
+  EXPECT_EQ(choose(), "b");
+  add("c", "there");
+  EXPECT_EQ(choose(), "c");
+}
+
+TEST_F(endpoint_choices, take_the_longest_shared_part_for_the_prompts_name) {
+  EXPECT_EQ(affinity_of({}), "");
+  EXPECT_EQ(affinity_of({{.id = "own"}}), "own");
+  EXPECT_EQ(affinity_of({{.id = "all"}, {.id = "subject"}, {.id = "own"}}), "subject");
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/tests/libraries/proxy/retry_allowance_test.cpp
@@ -0,0 +1,59 @@
+#include <libraries/proxy/retry_allowance.h>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::monotonic_time start{};
+
+TEST(retry_allowances, are_shared_by_the_instances) {
+  retry_allowance alone({.ratio = 0.0, .slack = 100, .window = 10s});
+  retry_allowance shared({.ratio = 0.0, .slack = 100, .window = 10s});
+  shared.set_instances(10);
+  int spent_alone = 0;
+  int spent_shared = 0;
+  for (int i = 0; i < 200; ++i) {
+    spent_alone += alone.try_spend(start) ? 1 : 0;
+    spent_shared += shared.try_spend(start) ? 1 : 0;
+  }
+  EXPECT_LE(spent_alone, 100);
+  EXPECT_LE(10 * spent_shared, 100);
+  EXPECT_GT(spent_shared, 0);
+}
+
+// A pool that fails everything: each request is followed by as many attempts as are allowed.
+TEST(retry_allowances, hold_in_every_window_of_a_failing_pool) {
+  constexpr double ratio = 0.5;
+  retry_allowance allowance({.ratio = ratio, .slack = 20, .window = 10s});
+  std::deque<base::monotonic_time> requests;
+  std::deque<base::monotonic_time> retries;
+  for (auto now = start; now < start + 60s; now += 20ms) {
+    // The traffic stops half way, so that the window's requests run out.
+    if (now < start + 30s) {
+      allowance.note_request(now);
+      requests.push_back(now);
+    }
+    while (allowance.try_spend(now)) {
+      retries.push_back(now);
+    }
+    while (!requests.empty() && requests.front() + 20s <= now) {
+      requests.pop_front();
+    }
+    while (!retries.empty() && retries.front() + 10s <= now) {
+      retries.pop_front();
+    }
+    ASSERT_LE(static_cast<double>(retries.size()),
+              ratio * static_cast<double>(requests.size()) + 20)
+        << (now - start).count();
+  }
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/tests/libraries/proxy/rollout_judge_test.cpp
@@ -0,0 +1,79 @@
+#include <libraries/proxy/rollout_judge.h>
+
+#include <gtest/gtest.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::monotonic_time start{};
+
+rollout make_rollout(rollout_state state) {
+  return {.service = {"llm"}, .target = {"v2"}, .duration = 10s, .state = state, .number = 1};
+}
+
+version_tally tally(std::string version, std::uint64_t answers, std::uint64_t bad,
+                    std::uint64_t milliseconds = 0) {
+  return {.service = {"llm"},
+          .version = {std::move(version)},
+          .rollout = 1,
+          .answers = answers,
+          .bad = bad,
+          .milliseconds = milliseconds};
+}
+
+class rollout_judges : public ::testing::Test {
+protected:
+  rollout_judges() { m_judge.note(make_rollout(rollout_state::prepared), start); }
+
+  rollout_judge m_judge{{}};
+};
+
+TEST_F(rollout_judges, begin_the_trial_in_the_second_half) {
+  auto const prepared = make_rollout(rollout_state::prepared);
+  EXPECT_EQ(m_judge.next_state(prepared, start + 5s), std::nullopt);
+  EXPECT_EQ(m_judge.next_state(prepared, start + 5100ms), rollout_state::on_trial);
+}
+
+TEST_F(rollout_judges, let_a_sound_version_succeed_before_its_duration_is_over) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_judge.report({"a"}, {tally("v1", 300, 6), tally("v2", 30, 1)});
+  EXPECT_EQ(m_judge.next_state(trial, start + 7s), std::nullopt);
+  EXPECT_EQ(m_judge.next_state(trial, start + 8s), rollout_state::succeeded);
+}
+
+TEST_F(rollout_judges, sum_up_the_bad_answers_of_all_instances) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_judge.report({"a"}, {tally("v1", 100, 2), tally("v2", 4, 2)});
+  EXPECT_EQ(m_judge.next_state(trial, start + 6s), std::nullopt);
+  m_judge.report({"b"}, {tally("v1", 100, 2), tally("v2", 6, 4)});
+  EXPECT_EQ(m_judge.next_state(trial, start + 6s), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_judges, see_a_version_that_is_slow) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_judge.report({"a"}, {tally("v1", 100, 0, 20'000), tally("v2", 20, 0, 16'000)});
+  EXPECT_EQ(m_judge.next_state(trial, start + 6s), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_judges, pass_over_reports_on_an_earlier_rollout) {
+  auto old = tally("v2", 20, 20);
+  old.rollout = 0;
+  m_judge.report({"a"}, {tally("v1", 100, 0), old});
+  EXPECT_EQ(m_judge.next_state(make_rollout(rollout_state::on_trial), start + 6s), std::nullopt);
+}
+
+TEST_F(rollout_judges, report_success_after_a_pause) {
+  auto const done = make_rollout(rollout_state::succeeded);
+  m_judge.note(done, start + 8s);
+  EXPECT_TRUE(m_judge.reported_state(done, start + 8s) != rollout_state::succeeded);
+  EXPECT_EQ(m_judge.reported_state(done, start + 9200ms), rollout_state::succeeded);
+  EXPECT_TRUE(m_judge.ended_within(done, 10s, start + 17s));
+  EXPECT_FALSE(m_judge.ended_within(done, 10s, start + 18s));
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/tests/services/daemon/disk_writer_test.cpp
@@ -0,0 +1,58 @@
+#include <services/daemon/disk_writer.h>
+
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+namespace catkinlanding::daemon {
+
+namespace {
+
+/// Lets files of this process grow to the given size only, as a full disk would.
+void limit_files(rlim_t bytes) {
+  rlimit limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &limit), 0);
+  limit.rlim_cur = bytes;
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &limit), 0);
+}
+
+TEST(disk_writers, wait_for_a_full_disk_and_leave_no_torn_record) {
+  std::signal(SIGXFSZ, SIG_IGN);
+  auto pattern = (std::filesystem::temp_directory_path() / "catkinlanding.XXXXXX").string();
+  ASSERT_NE(::mkdtemp(pattern.data()), nullptr);
+  std::filesystem::path const path = std::filesystem::path(pattern) / "log";
+  auto file = journal_file::open(path);
+  ASSERT_TRUE(file.has_value());
+  constexpr rlim_t room = 10;
+  limit_files(room);
+  std::promise<void> stored;
+  std::atomic<bool> has_failed = false;
+  {
+    disk_writer writer(
+        std::move(*file), [](std::string const& content) { return content; },
+        [&](file_error /*error*/) { has_failed = true; });
+    writer.submit({.bytes = "0123456789abcdef", .done = [&] { stored.set_value(); }});
+    while (writer.full_disk_pauses() == 0 && !has_failed) {
+      std::this_thread::yield();
+    }
+    limit_files(RLIM_INFINITY);
+    if (!has_failed) {
+      stored.get_future().wait();
+    }
+  }
+  EXPECT_FALSE(has_failed);
+  auto const reopened = journal_file::open(path);
+  ASSERT_TRUE(reopened.has_value());
+  EXPECT_EQ(reopened->read_all(), "0123456789abcdef");
+  std::filesystem::remove_all(pattern);
+}
+
+} // namespace
+
+} // namespace catkinlanding::daemon
