proxy: Try a version for long enough, however late its trial begins

The verdict for a version now needs a quarter of the duration on trial and 15 answers. What is given up: a sound version may succeed after its duration.

Test seen failing before the change by its first line: try_a_version_for_long_enough_when_its_trial_begins_late.

--- a/libraries/proxy/rollout_judge.cpp
+++ b/libraries/proxy/rollout_judge.cpp
@@ -52,19 +52,22 @@
   if (!rollout.is_running() || known == m_times.end()) {
     return std::nullopt;
   }
-  if (is_worse(rollout)) {
+  auto const seen = evidence_on(rollout);
+  if (is_worse(seen)) {
     return rollout_state::rolled_back;
   }
-  auto const is_due = [&](std::int64_t part) {
-    return now >= known->second.started_at + rollout.duration * part / permille;
+  auto const has_passed = [&](base::monotonic_time since, std::int64_t part) {
+    return now >= since + rollout.duration * part / permille;
   };
-  if (rollout.state == rollout_state::on_trial && is_due(m_options.verdict_permille)) {
-    return rollout_state::succeeded;
+  auto const& times = known->second;
+  if (rollout.state == rollout_state::prepared) {
+    bool const is_due = has_passed(times.started_at, m_options.trial_permille);
+    return is_due ? std::optional(rollout_state::on_trial) : std::nullopt;
   }
-  if (rollout.state == rollout_state::prepared && is_due(m_options.trial_permille)) {
-    return rollout_state::on_trial;
-  }
-  return std::nullopt;
+  bool const is_tried = has_passed(times.changed_at, m_options.least_trial_permille) &&
+                        seen.target.answers >= m_options.least_answers;
+  bool const is_due = has_passed(times.started_at, m_options.verdict_permille);
+  return is_tried && is_due ? std::optional(rollout_state::succeeded) : std::nullopt;
 }
 
 rollout_state rollout_judge::reported_state(rollout const& rollout,
@@ -84,16 +87,21 @@
   return !rollout.is_running() && known != m_times.end() && now < known->second.changed_at + window;
 }
 
-bool rollout_judge::is_worse(rollout const& rollout) const {
-  version_tally fresh;
-  version_tally old;
+rollout_judge::evidence rollout_judge::evidence_on(rollout const& rollout) const {
+  evidence seen;
   for (auto const& [instance, tallies] : m_tallies) {
     for (auto const& tally : tallies) {
       if (tally.service == rollout.service && tally.rollout == rollout.number) {
-        add(tally.version == rollout.target ? fresh : old, tally);
+        add(tally.version == rollout.target ? seen.target : seen.old, tally);
       }
     }
   }
+  return seen;
+}
+
+bool rollout_judge::is_worse(evidence const& seen) const {
+  auto const& fresh = seen.target;
+  auto const& old = seen.old;
   catalogue::rollout_bounds bounds;
   bounds.least_bad_answers = static_cast<decltype(bounds.least_bad_answers)>(m_options.least_bad);
   bounds.abort_excess_permille = m_options.excess_permille;
--- a/libraries/proxy/rollout_judge.h
+++ b/libraries/proxy/rollout_judge.h
@@ -15,8 +15,11 @@
     /// The trial begins at this part of the duration, in thousandths. Sessions that began before
     /// may be moved then.
     std::int64_t trial_permille = 510;
-    /// The verdict on a sound version falls at this part of its duration, in thousandths.
+    /// The verdict on a sound version falls at this part of its duration, in thousandths, and not
+    /// before its trial has lasted for a part and brought so many answers.
     std::int64_t verdict_permille = 800;
+    std::int64_t least_trial_permille = 250;
+    std::uint64_t least_answers = 15;
     /// An operator is told of it at this part: until then answers under way at the old version's
     /// endpoints may end.
     std::int64_t report_permille = 920;
@@ -57,7 +60,14 @@
     rollout_state state = rollout_state::prepared;
   };
 
-  [[nodiscard]] bool is_worse(rollout const& rollout) const;
+  /// The answers of both versions, as all instances reported them.
+  struct evidence {
+    version_tally target;
+    version_tally old;
+  };
+
+  [[nodiscard]] evidence evidence_on(rollout const& rollout) const;
+  [[nodiscard]] bool is_worse(evidence const& seen) const;
 
   options m_options;
   std::map<base::service_id, times> m_times;
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -289,7 +289,10 @@
   EXPECT_EQ(group.node("a").state().find_rollout({"s"})->number, 1U);
   group.call("a", 3, start_rollout{.service = {"s"}, .target = {"v3"}, .duration = 10s});
   EXPECT_EQ(group.reply(3)->kind, reply_kind::conflict);
-  group.run(11s);
+  group.run(7s);
+  version_tally const sound{.service = {"s"}, .version = {"v2"}, .rollout = 1, .answers = 20};
+  group.say("entry", "a", subscription{.is_entry = true, .tallies = {sound}});
+  group.run(3s);
   group.call("a", 4, read_rollout{{"s"}});
   ASSERT_TRUE(group.reply(4)->rollout.has_value());
   EXPECT_EQ(group.reply(4)->rollout->state, rollout_state::succeeded);
--- a/tests/libraries/proxy/rollout_judge_test.cpp
+++ b/tests/libraries/proxy/rollout_judge_test.cpp
@@ -39,11 +39,23 @@
 
 TEST_F(rollout_judges, let_a_sound_version_succeed_before_its_duration_is_over) {
   auto const trial = make_rollout(rollout_state::on_trial);
+  m_judge.note(trial, start + 5100ms);
   m_judge.report({"a"}, {tally("v1", 300, 6), tally("v2", 30, 1)});
   EXPECT_EQ(m_judge.next_state(trial, start + 7s), std::nullopt);
   EXPECT_EQ(m_judge.next_state(trial, start + 8s), rollout_state::succeeded);
 }
 
+// The control instances were cut from each other until after the time of the verdict.
+TEST_F(rollout_judges, try_a_version_for_long_enough_when_its_trial_begins_late) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_judge.note(trial, start + 9s);
+  EXPECT_EQ(m_judge.next_state(trial, start + 9s), std::nullopt);
+  EXPECT_EQ(m_judge.next_state(trial, start + 12s), std::nullopt);
+  m_judge.report({"a"}, {tally("v1", 300, 6), tally("v2", 30, 1)});
+  EXPECT_EQ(m_judge.next_state(trial, start + 11s), std::nullopt);
+  EXPECT_EQ(m_judge.next_state(trial, start + 11500ms), rollout_state::succeeded);
+}
+
 TEST_F(rollout_judges, sum_up_the_bad_answers_of_all_instances) {
   auto const trial = make_rollout(rollout_state::on_trial);
   m_judge.report({"a"}, {tally("v1", 100, 2), tally("v2", 4, 2)});
