proxy: Begin with the smallest model, and let the largest answer what it doubts

The best bound depends on the load, so the needed confidence now follows the time to the first token of the largest model against the target.

Ruled out: the middle model (hardly better than the small one at four times its price).

--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -130,6 +130,9 @@
   malformed,
   /// The deadline passed.
   expired,
+  /// The answer was dropped before its first byte was passed on, as a larger model should do
+  /// better.
+  doubtful,
 };
 
 [[nodiscard]] constexpr char const* name_of(attempt_failure failure) {
@@ -148,6 +151,8 @@
     return "malformed";
   case attempt_failure::expired:
     return "expired";
+  case attempt_failure::doubtful:
+    return "doubtful";
   }
   return "unknown";
 }
--- a/libraries/proxy/retry_allowance.cpp
+++ b/libraries/proxy/retry_allowance.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Instances do not see each other's attempts, and an instance may be missing from the count.
-constexpr double safety = 0.6;
+constexpr double safety = 0.8;
 
 } // namespace
 
@@ -15,7 +15,7 @@
   ++current(now).requests;
 }
 
-bool retry_allowance::try_spend(base::monotonic_time now) {
+bool retry_allowance::try_spend(base::monotonic_time now, double reserved_part) {
   auto& now_step = current(now);
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
@@ -29,7 +29,7 @@
   auto const instances = std::max<std::uint32_t>(m_instances, 1);
   double const allowed =
       safety * (m_options.ratio * requests + static_cast<double>(m_options.slack) / instances);
-  if (retries + 1 > allowed) {
+  if (retries + 1 > allowed * (1.0 - reserved_part)) {
     return false;
   }
   ++now_step.retries;
--- a/libraries/proxy/retry_allowance.h
+++ b/libraries/proxy/retry_allowance.h
@@ -23,8 +23,9 @@
 
   void set_instances(std::uint32_t count) { m_instances = count; }
   void note_request(base::monotonic_time now);
-  /// Takes one further attempt, or returns false where the window's are used up.
-  [[nodiscard]] bool try_spend(base::monotonic_time now);
+  /// Takes one further attempt, or returns false where the window's are used up but for the part
+  /// that is to be left.
+  [[nodiscard]] bool try_spend(base::monotonic_time now, double reserved_part = 0.0);
 
 private:
   /// The window is counted in this many steps.
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// How full an endpoint may be for its larger models, in thousandths of its slots.
-constexpr std::uint32_t largest_model_permille = 600;
-constexpr std::uint32_t middle_model_permille = 850;
-constexpr std::uint32_t permille = 1000;
+/// What must be left of a request's time for another answer by the largest model.
+constexpr std::chrono::milliseconds least_escalation_time{1500};
+/// The part of the further attempts that is kept for failures.
+constexpr double failure_reserve = 0.25;
 
 bool may_have_run_after(attempt_failure failure) {
   switch (failure) {
@@ -24,6 +24,7 @@
   case attempt_failure::broken:
   case attempt_failure::malformed:
   case attempt_failure::expired:
+  case attempt_failure::doubtful:
     return true;
   }
   return true;
@@ -66,15 +67,39 @@
   return attempt_next(active, now);
 }
 
-void router::note_answer(request_number number, base::monotonic_time now) {
+bool router::note_answer(request_number number, std::optional<double> confidence,
+                         base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end() || found->second.has_answer) {
-    return;
+    return true;
   }
   auto& request = found->second;
   request.has_answer = true;
   m_endpoints.note_success(request.endpoint);
   tally(request, false, now);
+  note_largest_model(request, now);
+  return !should_escalate(request, confidence, now);
+}
+
+bool router::should_escalate(active_request const& request, std::optional<double> confidence,
+                             base::monotonic_time now) {
+  auto const& models = request.route->models;
+  bool const has_larger = request.model && !models.empty() && *request.model != models.back();
+  bool const has_attempts = request.tried.size() < request.route->most_attempts;
+  bool const has_time = now + least_escalation_time < request.deadline;
+  if (!confidence || !has_larger || !has_attempts || !has_time || request.has_delivered) {
+    return false;
+  }
+  return *confidence < m_ladders[request.service].needed_confidence(now) &&
+         retries_of(request.service).try_spend(now, failure_reserve);
+}
+
+void router::note_largest_model(active_request const& request, base::monotonic_time now) {
+  auto const& models = request.route->models;
+  if (models.size() > 1 && request.model == models.back()) {
+    m_ladders[request.service].note_largest(now - request.attempt_at, request.route->target_latency,
+                                            now);
+  }
 }
 
 decision router::fail(request_number number, attempt_failure failure, bool was_delivered,
@@ -83,6 +108,7 @@
   CATKINLANDING_VERIFY(found != m_requests.end());
   auto& request = found->second;
   finish_attempt(request);
+  request.has_delivered |= was_delivered;
   note_failure(request, failure, now);
   request.may_have_run |= may_have_run_after(failure);
   auto const& route = *request.route;
@@ -97,7 +123,9 @@
     request.tried.pop_back();
   }
   bool const has_attempts = request.tried.size() < route.most_attempts;
-  bool const is_free = failure == attempt_failure::unreachable && request.tried.empty();
+  // A doubtful answer was dropped on account of its own further attempt.
+  bool const is_free = failure == attempt_failure::doubtful ||
+                       (failure == attempt_failure::unreachable && request.tried.empty());
   if (may_repeat && may_continue && has_attempts &&
       (is_free || retries_of(request.service).try_spend(now))) {
     auto next = attempt_next(request, now);
@@ -197,8 +225,9 @@
   }
   request.endpoint = chosen->word.id;
   request.version = chosen->word.version;
-  if (!request.model) {
-    request.model = model_for(request, *chosen);
+  auto const& models = request.route->models;
+  if (!request.model && !request.facts.model && !models.empty()) {
+    request.model = models.front();
   }
   request.tried.push_back(chosen->word.id);
   request.attempt_at = now;
@@ -237,22 +266,6 @@
   return route.shares.back().service;
 }
 
-std::optional<base::model_id> router::model_for(active_request const& request,
-                                                known_endpoint const& endpoint) const {
-  auto const& models = request.route->models;
-  if (models.empty() || request.facts.model) {
-    return std::nullopt;
-  }
-  auto const* service = request.routes->find(request.service);
-  auto const slots =
-      endpoint.word.slots != 0 ? endpoint.word.slots : (service == nullptr ? 0U : service->slots);
-  auto const load = slots == 0 ? 0 : endpoint.load() * permille / slots;
-  if (load < largest_model_permille) {
-    return models.back();
-  }
-  return load < middle_model_permille ? models[models.size() / 2] : models.front();
-}
-
 refusal router::refuse(refusal_kind kind) {
   bool const may_return = kind == refusal_kind::no_document || kind == refusal_kind::no_endpoint ||
                           kind == refusal_kind::not_run || kind == refusal_kind::expired_unsent;
@@ -290,10 +303,17 @@
     m_endpoints.note_failure(request.endpoint, now);
     tally(request, true, now);
     return;
-  case attempt_failure::failed_answer:
   case attempt_failure::expired:
+    note_largest_model(request, now);
     tally(request, true, now);
     return;
+  case attempt_failure::failed_answer:
+    tally(request, true, now);
+    return;
+  case attempt_failure::doubtful:
+    // The endpoint did its work; the next answer comes from the largest model.
+    request.model = request.route->models.back();
+    return;
   }
 }
 
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -2,6 +2,7 @@
 
 #include <libraries/base/random.h>
 #include <libraries/proxy/endpoint_choice.h>
+#include <libraries/proxy/model_ladder.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/retry_allowance.h>
 #include <libraries/proxy/route_table.h>
@@ -45,8 +46,10 @@
 
   [[nodiscard]] decision begin(request_number number, request_facts facts,
                                base::monotonic_time now);
-  /// The latest attempt's endpoint began to answer well.
-  void note_answer(request_number number, base::monotonic_time now);
+  /// The latest attempt's endpoint began to answer well. Returns whether the answer should be
+  /// passed on; otherwise the attempt has failed as doubtful.
+  [[nodiscard]] bool note_answer(request_number number, std::optional<double> confidence,
+                                 base::monotonic_time now);
   /// The latest attempt failed. `was_delivered` tells whether the caller has a part of the answer.
   [[nodiscard]] decision fail(request_number number, attempt_failure failure, bool was_delivered,
                               base::monotonic_time now);
@@ -89,6 +92,7 @@
     /// Set while an attempt is under way.
     bool is_attempting = false;
     bool has_answer = false;
+    bool has_delivered = false;
     /// An attempt may have run it.
     bool may_have_run = false;
   };
@@ -96,8 +100,10 @@
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
   [[nodiscard]] base::service_id const& service_for(route const& route,
                                                     request_facts const& facts) const;
-  [[nodiscard]] std::optional<base::model_id> model_for(active_request const& request,
-                                                        known_endpoint const& endpoint) const;
+  /// Whether the largest model should answer in place of this one. Takes a further attempt then.
+  [[nodiscard]] bool should_escalate(active_request const& request,
+                                     std::optional<double> confidence, base::monotonic_time now);
+  void note_largest_model(active_request const& request, base::monotonic_time now);
   [[nodiscard]] refusal refuse(refusal_kind kind);
   /// The refusal that is true of what is known of the attempts so far.
   [[nodiscard]] refusal give_up(active_request const& request, base::monotonic_time now);
@@ -114,6 +120,7 @@
   endpoint_table m_endpoints;
   version_policy m_versions;
   std::map<base::service_id, retry_allowance> m_retries;
+  std::map<base::service_id, model_ladder> m_ladders;
   std::uint32_t m_entries = 1;
   std::unordered_map<request_number, active_request> m_requests;
   std::vector<version_tally> m_tallies;
--- a/services/proxy/dialect.h
+++ b/services/proxy/dialect.h
@@ -40,6 +40,8 @@
   bool is_not_executed = false;
   /// Another endpoint than the one meant answered.
   bool is_wrong_endpoint = false;
+  /// The model's own opinion of its answer, from 0 to 1; empty where it gives none.
+  std::optional<double> confidence;
 };
 
 /// Why a call of an operator or endpoint can't be read.
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -250,7 +250,9 @@
   if (is_success(status) && (!facts.is_sealed || is_encoded)) {
     co_return attempt_failure::malformed;
   }
-  m_context.router.note_answer(m_number, now());
+  if (!m_context.router.note_answer(m_number, facts.confidence, now())) {
+    co_return attempt_failure::doubtful;
+  }
   bool const is_stream = attempt.is_stream && is_success(status);
   auto const result = is_stream ? co_await pass_stream() : co_await pass_whole();
   if (result == pass_result::caller_failed) {
