proxy: Send a prompt where the work before its first token is least

Cause: endpoints were chosen by their number of requests, bounded around the mean.

Instances now report unread prompt tokens, weighted by the model, beside the requests in flight; a request goes where unread work, the shared part that must be read again and the way to another zone cost least. Callers before the first document are told to come back when a leader can be there.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -446,18 +446,20 @@
 }
 
 std::vector<endpoint_load> control::loads_without(base::instance_id const& instance) const {
-  std::map<base::endpoint_id, std::uint32_t> sums;
+  std::map<base::endpoint_id, endpoint_load> sums;
   for (auto const& [id, listener] : m_listeners) {
     if (id != instance) {
       for (auto const& load : listener.loads) {
-        sums[load.endpoint] += load.outstanding;
+        sums[load.endpoint].outstanding += load.outstanding;
+        sums[load.endpoint].unread += load.unread;
       }
     }
   }
   std::vector<endpoint_load> loads;
   loads.reserve(sums.size());
-  for (auto const& [endpoint, outstanding] : sums) {
-    loads.push_back({endpoint, outstanding});
+  for (auto& [endpoint, sum] : sums) {
+    sum.endpoint = endpoint;
+    loads.push_back(std::move(sum));
   }
   return loads;
 }
--- a/libraries/proxy/endpoint_choice.cpp
+++ b/libraries/proxy/endpoint_choice.cpp
@@ -9,9 +9,12 @@
 
 using candidates = std::vector<known_endpoint const*>;
 
-/// How far above the mean an endpoint's load may be before it gives up its prompts.
-constexpr double load_factor = 1.25;
-constexpr double load_slack = 2.0;
+/// What one more running request costs those beside it, in weighted prompt tokens.
+constexpr std::uint64_t running_cost = 300;
+/// What the way to another zone must save, in weighted prompt tokens.
+constexpr std::uint64_t other_zone_cost = 15'000;
+/// An endpoint without a free slot serves the request only after others have ended.
+constexpr std::uint64_t full_cost = 1'000'000;
 
 bool is_avoided(known_endpoint const& endpoint, base::monotonic_time now) {
   return now < endpoint.avoided_until;
@@ -50,12 +53,29 @@
   return base::stable_hash(endpoint.word.id.value, seed);
 }
 
-double mean_load(candidates const& all) {
-  double sum = 0.0;
-  for (auto const* one : all) {
-    sum += one->load();
-  }
-  return sum / static_cast<double>(all.size());
+/// The work before the first token of a request with a prompt.
+std::uint64_t cost_of(known_endpoint const& endpoint, bool keeps_prompt,
+                      choice_terms const& terms) {
+  auto cost = endpoint.unread() + running_cost * endpoint.load();
+  cost += keeps_prompt ? 0 : terms.shared_work;
+  cost += endpoint.word.zone == terms.own_zone ? 0 : other_zone_cost;
+  cost += has_room(endpoint, terms) ? 0 : full_cost;
+  return cost;
+}
+
+/// The endpoint of each zone that all instances take for the prompt's.
+bool is_keeper(known_endpoint const& endpoint, candidates const& all, std::uint64_t seed) {
+  auto const rank = rank_of(endpoint, seed);
+  return std::ranges::none_of(all, [&](known_endpoint const* other) {
+    return other->word.zone == endpoint.word.zone && rank_of(*other, seed) > rank;
+  });
+}
+
+known_endpoint const* choose_for_prompt(candidates const& usable, choice_terms const& terms) {
+  auto const seed = base::stable_hash(terms.affinity);
+  return *std::ranges::min_element(usable, {}, [&](known_endpoint const* one) {
+    return std::pair(cost_of(*one, is_keeper(*one, usable, seed), terms), rank_of(*one, seed));
+  });
 }
 
 } // namespace
@@ -78,19 +98,13 @@
     // The one that failed least recently is the most likely to be back.
     return *std::ranges::min_element(all, {}, [](auto const* one) { return one->avoided_until; });
   }
-  usable = nearest(usable, terms);
-  auto const seed = terms.affinity.empty() ? terms.salt : base::stable_hash(terms.affinity);
   if (!terms.affinity.empty()) {
-    auto const bound = load_factor * mean_load(usable) + load_slack;
-    auto const keepers =
-        only(usable, [&](known_endpoint const& one) { return one.load() <= bound; });
-    if (!keepers.empty()) {
-      return *std::ranges::max_element(keepers, {},
-                                       [&](auto const* one) { return rank_of(*one, seed); });
-    }
+    return choose_for_prompt(usable, terms);
   }
-  return *std::ranges::min_element(
-      usable, {}, [&](auto const* one) { return std::pair(one->load(), rank_of(*one, seed)); });
+  usable = nearest(usable, terms);
+  return *std::ranges::min_element(usable, {}, [&](known_endpoint const* one) {
+    return std::pair(one->load(), rank_of(*one, terms.salt));
+  });
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/endpoint_choice.h
+++ b/libraries/proxy/endpoint_choice.h
@@ -15,6 +15,9 @@
   /// Requests that share this go to the same endpoints, so that these keep the prompt; empty where
   /// nothing is shared.
   std::string affinity;
+  /// Work that an endpoint which keeps the prompt is spared, and one that does not has to do:
+  /// weighted prompt tokens.
+  std::uint64_t shared_work = 0;
   /// Requests that an endpoint of the service runs at once; 0 where it is not known.
   std::uint32_t slots = 0;
   /// Spreads requests without affinity among equals.
@@ -25,9 +28,12 @@
 /// request's own.
 [[nodiscard]] std::string affinity_of(std::vector<prompt_part> const& prompt);
 
-/// The best of the endpoints; nullptr where there is none. Endpoints of the own zone go first as
-/// long as they have room; among them those that keep the prompt, as long as they are not loaded
-/// much beyond the others (rendezvous hashing with bounded loads); else the least loaded.
+/// The best of the endpoints; nullptr where there is none.
+///
+/// Requests with a prompt go where the work before their first token is least: what waits to be
+/// read there, the shared part unless the endpoint keeps it (by rendezvous hashing, so that all
+/// instances agree without a message), and the way to another zone. Others stay in their own zone
+/// as long as it has room, and go to the least loaded endpoint.
 [[nodiscard]] known_endpoint const*
 choose_endpoint(std::vector<known_endpoint const*> const& candidates, choice_terms const& terms,
                 base::monotonic_time now);
--- a/libraries/proxy/endpoint_table.cpp
+++ b/libraries/proxy/endpoint_table.cpp
@@ -32,11 +32,13 @@
 void endpoint_table::take_loads(std::vector<endpoint_load> const& loads) {
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.other_outstanding = 0;
+    endpoint.other_unread = 0;
   }
   for (auto const& load : loads) {
     auto const found = m_endpoints.find(load.endpoint);
     if (found != m_endpoints.end()) {
       found->second.other_outstanding = load.outstanding;
+      found->second.other_unread = load.unread;
     }
   }
 }
@@ -60,16 +62,25 @@
   std::vector<endpoint_load> loads;
   for (auto const& [id, endpoint] : m_endpoints) {
     if (endpoint.own_outstanding > 0) {
-      loads.push_back({id, endpoint.own_outstanding});
+      loads.push_back({id, endpoint.own_outstanding, endpoint.own_unread});
     }
   }
   return loads;
 }
 
-void endpoint_table::begin_attempt(base::endpoint_id const& id) {
+void endpoint_table::begin_attempt(base::endpoint_id const& id, std::uint64_t unread) {
   auto const found = m_endpoints.find(id);
   if (found != m_endpoints.end()) {
     ++found->second.own_outstanding;
+    found->second.own_unread += unread;
+  }
+}
+
+void endpoint_table::note_read(base::endpoint_id const& id, std::uint64_t unread) {
+  auto const found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) {
+    auto& endpoint = found->second;
+    endpoint.own_unread -= std::min(endpoint.own_unread, unread);
   }
 }
 
--- a/libraries/proxy/endpoint_table.h
+++ b/libraries/proxy/endpoint_table.h
@@ -17,12 +17,16 @@
   /// Requests in flight from this instance, and from the others as last reported.
   std::uint32_t own_outstanding = 0;
   std::uint32_t other_outstanding = 0;
+  /// Their weighted prompt tokens that are not read yet.
+  std::uint64_t own_unread = 0;
+  std::uint64_t other_unread = 0;
   /// Failures without a good answer in between.
   std::uint32_t failures = 0;
   /// Takes no work before, unless there is no other.
   base::monotonic_time avoided_until{};
 
   [[nodiscard]] std::uint32_t load() const { return own_outstanding + other_outstanding; }
+  [[nodiscard]] std::uint64_t unread() const { return own_unread + other_unread; }
 };
 
 /// The endpoints that an entry instance may send requests to.
@@ -50,7 +54,10 @@
   [[nodiscard]] std::vector<endpoint_load> own_loads() const;
   [[nodiscard]] std::size_t size() const { return m_endpoints.size(); }
 
-  void begin_attempt(base::endpoint_id const& id);
+  /// `unread` is the work until the endpoint can begin to answer.
+  void begin_attempt(base::endpoint_id const& id, std::uint64_t unread);
+  /// The endpoint has read the prompt.
+  void note_read(base::endpoint_id const& id, std::uint64_t unread);
   void end_attempt(base::endpoint_id const& id);
   void note_success(base::endpoint_id const& id);
   void note_failure(base::endpoint_id const& id, base::monotonic_time now);
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -35,12 +35,14 @@
 struct endpoint_load {
   base::endpoint_id endpoint;
   std::uint32_t outstanding = 0;
+  /// Work of those that have not begun to answer: prompt tokens, weighted by the model's size.
+  std::uint64_t unread = 0;
 
   bool operator==(endpoint_load const&) const = default;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(endpoint, outstanding);
+    archive(endpoint, outstanding, unread);
   }
 };
 
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -4,6 +4,7 @@
 #include <libraries/proxy/router.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinlanding::proxy {
 
@@ -11,6 +12,8 @@
 
 /// What must be left of a request's time for another answer by the largest model.
 constexpr std::chrono::milliseconds least_escalation_time{1500};
+/// How much longer the largest model takes to read a token than the smallest.
+constexpr std::uint64_t largest_model_weight = 10;
 /// The part of the further attempts that is kept for failures.
 constexpr double failure_reserve = 0.25;
 
@@ -76,6 +79,7 @@
   auto& request = found->second;
   request.has_answer = true;
   m_endpoints.note_success(request.endpoint);
+  m_endpoints.note_read(request.endpoint, std::exchange(request.unread, 0));
   tally(request, false, now);
   note_largest_model(request, now);
   return !should_escalate(request, confidence, now);
@@ -214,9 +218,17 @@
     return std::ranges::find(request.tried, one->word.id) != request.tried.end();
   });
   endpoints = m_versions.admit(std::move(endpoints), request.service, request.facts);
+  auto const& models = request.route->models;
+  if (!request.model && !request.facts.model && !models.empty()) {
+    request.model = models.front();
+  }
   auto const* service = request.routes->find(request.service);
+  auto const own_tokens = request.facts.prompt.empty() ? 0 : request.facts.prompt.back().tokens;
+  auto const shared_tokens =
+      request.facts.prompt_tokens - std::min(request.facts.prompt_tokens, own_tokens);
   choice_terms const terms{.own_zone = m_options.zone,
                            .affinity = affinity_of(request.facts.prompt),
+                           .shared_work = work_of(request, shared_tokens),
                            .slots = service == nullptr ? 0 : service->slots,
                            .salt = m_random()};
   auto const* chosen = choose_endpoint(endpoints, terms, now);
@@ -225,10 +237,6 @@
   }
   request.endpoint = chosen->word.id;
   request.version = chosen->word.version;
-  auto const& models = request.route->models;
-  if (!request.model && !request.facts.model && !models.empty()) {
-    request.model = models.front();
-  }
   request.tried.push_back(chosen->word.id);
   request.attempt_at = now;
   request.is_attempting = true;
@@ -246,7 +254,8 @@
                .route = request.route->name,
                .document_revision = request.routes->revision(),
                .load = chosen->load()};
-  m_endpoints.begin_attempt(request.endpoint);
+  request.unread = work_of(request, request.facts.prompt_tokens);
+  m_endpoints.begin_attempt(request.endpoint, request.unread);
   return made;
 }
 
@@ -266,6 +275,12 @@
   return route.shares.back().service;
 }
 
+std::uint64_t router::work_of(active_request const& request, std::uint64_t tokens) const {
+  auto const& models = request.route->models;
+  bool const is_largest = models.size() > 1 && request.model == models.back();
+  return is_largest ? tokens * largest_model_weight : tokens;
+}
+
 refusal router::refuse(refusal_kind kind) {
   bool const may_return = kind == refusal_kind::no_document || kind == refusal_kind::no_endpoint ||
                           kind == refusal_kind::not_run || kind == refusal_kind::expired_unsent;
@@ -275,7 +290,9 @@
   // Spread, so that callers who were refused together do not come back together.
   std::uniform_int_distribution<base::duration::rep> spread(m_options.shortest_return.count(),
                                                             m_options.longest_return.count());
-  return {.kind = kind, .retry_after = base::duration(spread(m_random))};
+  auto const pause = base::duration(spread(m_random));
+  bool const is_recovering = kind == refusal_kind::no_document;
+  return {.kind = kind, .retry_after = is_recovering ? pause + m_options.recovery_return : pause};
 }
 
 refusal router::give_up(active_request const& request, base::monotonic_time now) {
@@ -320,6 +337,7 @@
 void router::finish_attempt(active_request& request) {
   if (request.is_attempting) {
     request.is_attempting = false;
+    m_endpoints.note_read(request.endpoint, std::exchange(request.unread, 0));
     m_endpoints.end_attempt(request.endpoint);
   }
 }
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -37,6 +37,9 @@
     /// When callers whose request was not run may come back.
     base::duration shortest_return = std::chrono::milliseconds(250);
     base::duration longest_return = std::chrono::milliseconds(750);
+    /// The same for callers that come before the first document: the control instances may have to
+    /// agree on a leader first.
+    base::duration recovery_return = std::chrono::milliseconds(1500);
     std::uint64_t seed = 0;
   };
 
@@ -89,6 +92,8 @@
     /// Chosen with the first attempt: another one would not continue the same answer.
     std::optional<base::model_id> model;
     base::monotonic_time attempt_at{};
+    /// Weighted prompt tokens of the attempt under way.
+    std::uint64_t unread = 0;
     /// Set while an attempt is under way.
     bool is_attempting = false;
     bool has_answer = false;
@@ -104,6 +109,8 @@
   [[nodiscard]] bool should_escalate(active_request const& request,
                                      std::optional<double> confidence, base::monotonic_time now);
   void note_largest_model(active_request const& request, base::monotonic_time now);
+  /// Reading so many prompt tokens, weighted by the size of the request's model.
+  [[nodiscard]] std::uint64_t work_of(active_request const& request, std::uint64_t tokens) const;
   [[nodiscard]] refusal refuse(refusal_kind kind);
   /// The refusal that is true of what is known of the attempts so far.
   [[nodiscard]] refusal give_up(active_request const& request, base::monotonic_time now);
