proxy: Leave endpoints that fall silent, and keep addresses with the living

A prompt that waits for a slot is no sign of loss. - the platform's engines send no start time, so a late word of a former endpoint could end the one that has its address now. While that one is heard, an unknown one of no later start waits.

--- a/libraries/proxy/endpoint_registry.cpp
+++ b/libraries/proxy/endpoint_registry.cpp
@@ -23,7 +23,7 @@
     if (m_endpoints.size() >= m_options.most_endpoints) {
       return word_outcome::refused;
     }
-    if (is_address_taken(word)) {
+    if (is_address_taken(word, now)) {
       return word_outcome::stale;
     }
     end_predecessors(word);
@@ -36,7 +36,7 @@
   bool const is_later_start = word.number.incarnation > known.record.word.number.incarnation;
   bool const is_stale = word.number <= known.record.word.number ||
                         (known.record.state == endpoint_state::gone && !is_later_start);
-  if (is_stale || is_address_taken(word)) {
+  if (is_stale || is_address_taken(word, now)) {
     return word_outcome::stale;
   }
   // An endpoint that leaves does not come back without a new start.
@@ -147,9 +147,16 @@
   return holds_it ? &other : nullptr;
 }
 
-bool endpoint_registry::is_address_taken(endpoint_word const& word) {
+bool endpoint_registry::is_address_taken(endpoint_word const& word, base::monotonic_time now) {
   auto const* rival = rival_of(word);
-  return rival != nullptr && rival->record.word.number.incarnation > word.number.incarnation;
+  if (rival == nullptr) {
+    return false;
+  }
+  auto const known = rival->record.word.number.incarnation;
+  auto const said = word.number.incarnation;
+  bool const is_alive = rival->record.state == endpoint_state::ready &&
+                        now < rival->heard_at + m_options.rival_patience;
+  return known > said || (known == said && is_alive);
 }
 
 void endpoint_registry::end_predecessors(endpoint_word const& word) {
--- a/libraries/proxy/endpoint_registry.h
+++ b/libraries/proxy/endpoint_registry.h
@@ -41,6 +41,9 @@
   struct options {
     /// Without a word for so long an endpoint counts as silent.
     base::duration silence = std::chrono::seconds(8);
+    /// A word of an unknown endpoint at the address of one that was heard this recently is a late
+    /// one, unless it names a later start.
+    base::duration rival_patience = std::chrono::milliseconds(1800);
     /// Ended endpoints are remembered for so long, against late words of theirs.
     base::duration memory = std::chrono::seconds(120);
     /// Words of made-up endpoints must not fill the memory.
@@ -74,8 +77,8 @@
   void change(entry& entry, endpoint_state state);
   /// Another endpoint that has the address of this word and has not ended.
   [[nodiscard]] entry* rival_of(endpoint_word const& word);
-  /// Whether a later start of another endpoint has the address of this word.
-  [[nodiscard]] bool is_address_taken(endpoint_word const& word);
+  /// Whether a later start of another endpoint has the address of this word, or one that is alive.
+  [[nodiscard]] bool is_address_taken(endpoint_word const& word, base::monotonic_time now);
   /// Ends earlier starts at the address of this word.
   void end_predecessors(endpoint_word const& word);
 
--- a/libraries/proxy/endpoint_table.cpp
+++ b/libraries/proxy/endpoint_table.cpp
@@ -91,6 +91,13 @@
   }
 }
 
+void endpoint_table::note_heard(base::endpoint_id const& id, base::monotonic_time now) {
+  auto const found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) {
+    found->second.heard_at = now;
+  }
+}
+
 void endpoint_table::note_success(base::endpoint_id const& id) {
   auto const found = m_endpoints.find(id);
   if (found != m_endpoints.end()) {
--- a/libraries/proxy/endpoint_table.h
+++ b/libraries/proxy/endpoint_table.h
@@ -20,6 +20,8 @@
   /// Their weighted prompt tokens that are not read yet.
   std::uint64_t own_unread = 0;
   std::uint64_t other_unread = 0;
+  /// When this instance last had a byte of an answer from it.
+  base::monotonic_time heard_at{};
   /// Failures without a good answer in between.
   std::uint32_t failures = 0;
   /// Takes no work before, unless there is no other.
@@ -59,6 +61,8 @@
   /// The endpoint has read the prompt.
   void note_read(base::endpoint_id const& id, std::uint64_t unread);
   void end_attempt(base::endpoint_id const& id);
+  /// A byte of an answer came.
+  void note_heard(base::endpoint_id const& id, base::monotonic_time now);
   void note_success(base::endpoint_id const& id);
   void note_failure(base::endpoint_id const& id, base::monotonic_time now);
   void note_full(base::endpoint_id const& id, base::monotonic_time now);
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -130,6 +130,8 @@
   malformed,
   /// The deadline passed.
   expired,
+  /// Nothing came for so long that the endpoint is taken for lost.
+  stalled,
   /// The answer was dropped before its first byte was passed on, as a larger model should do
   /// better.
   doubtful,
@@ -151,6 +153,8 @@
     return "malformed";
   case attempt_failure::expired:
     return "expired";
+  case attempt_failure::stalled:
+    return "stalled";
   case attempt_failure::doubtful:
     return "doubtful";
   }
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -27,6 +27,7 @@
   case attempt_failure::broken:
   case attempt_failure::malformed:
   case attempt_failure::expired:
+  case attempt_failure::stalled:
   case attempt_failure::doubtful:
     return true;
   }
@@ -106,6 +107,60 @@
   }
 }
 
+void router::note_progress(request_number number, base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found != m_requests.end()) {
+    found->second.progress_at = now;
+    m_endpoints.note_heard(found->second.endpoint, now);
+  }
+}
+
+std::optional<base::monotonic_time> router::stall_time(request_number number) const {
+  auto const found = m_requests.find(number);
+  if (found == m_requests.end()) {
+    return std::nullopt;
+  }
+  auto const& request = found->second;
+  auto const& route = *request.route;
+  bool const may_repeat = route.is_repeatable() && request.tried.size() < route.most_attempts;
+  if (!may_repeat || !request.is_attempting) {
+    return std::nullopt;
+  }
+  auto const times = [](base::duration duration, double factor) {
+    return std::chrono::duration_cast<base::duration>(duration * factor);
+  };
+  if (!route.is_stream()) {
+    bool const has_target = route.target_latency > base::duration::zero() && !request.has_answer;
+    return has_target ? std::optional(request.attempt_at +
+                                      times(route.target_latency, m_options.stalled_latencies))
+                      : std::nullopt;
+  }
+  if (request.has_answer) {
+    auto const pause = times(route.target_pause, m_options.stalled_pauses);
+    return request.progress_at + std::max(pause, m_options.shortest_stall);
+  }
+  // A busy endpoint makes others' events while a prompt waits; a lost one makes none.
+  auto const* endpoint = m_endpoints.find(request.endpoint);
+  bool const is_full =
+      endpoint != nullptr && endpoint->word.slots != 0 && endpoint->load() > endpoint->word.slots;
+  if (is_full) {
+    return std::nullopt;
+  }
+  auto const heard_at = endpoint == nullptr ? request.attempt_at : endpoint->heard_at;
+  auto const due = request.attempt_at + std::max(route.target_latency, m_options.shortest_stall);
+  return std::max(due, heard_at + m_options.shortest_stall);
+}
+
+bool router::claim_stall(request_number number, base::monotonic_time now) {
+  auto const due = stall_time(number);
+  if (!due || now < *due) {
+    return false;
+  }
+  auto const& request = m_requests.at(number);
+  return now + m_options.least_attempt_time < request.deadline &&
+         retries_of(request.service).try_spend(now);
+}
+
 decision router::fail(request_number number, attempt_failure failure, bool was_delivered,
                       base::monotonic_time now) {
   auto const found = m_requests.find(number);
@@ -127,8 +182,9 @@
     request.tried.pop_back();
   }
   bool const has_attempts = request.tried.size() < route.most_attempts;
-  // A doubtful answer was dropped on account of its own further attempt.
+  // Doubtful and stalled answers were broken off on account of their own further attempt.
   bool const is_free = failure == attempt_failure::doubtful ||
+                       failure == attempt_failure::stalled ||
                        (failure == attempt_failure::unreachable && request.tried.empty());
   if (may_repeat && may_continue && has_attempts &&
       (is_free || retries_of(request.service).try_spend(now))) {
@@ -239,6 +295,7 @@
   request.version = chosen->word.version;
   request.tried.push_back(chosen->word.id);
   request.attempt_at = now;
+  request.progress_at = now;
   request.is_attempting = true;
   request.has_answer = false;
   attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
@@ -317,6 +374,7 @@
     return;
   case attempt_failure::broken:
   case attempt_failure::malformed:
+  case attempt_failure::stalled:
     m_endpoints.note_failure(request.endpoint, now);
     tally(request, true, now);
     return;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -34,6 +34,12 @@
     base::duration longest_patience = std::chrono::seconds(60);
     /// What is left must allow for an answer, or no further attempt is made.
     base::duration least_attempt_time = std::chrono::milliseconds(30);
+    /// A stream's endpoint counts as lost after a pause of so many targets, and not before the
+    /// shortest of these times; so does one that makes no first event and nothing else meanwhile.
+    double stalled_pauses = 2.5;
+    base::duration shortest_stall = std::chrono::seconds(2);
+    /// The same for the answer to an idempotent request, in targets.
+    double stalled_latencies = 1.3;
     /// When callers whose request was not run may come back.
     base::duration shortest_return = std::chrono::milliseconds(250);
     base::duration longest_return = std::chrono::milliseconds(750);
@@ -53,6 +59,13 @@
   /// passed on; otherwise the attempt has failed as doubtful.
   [[nodiscard]] bool note_answer(request_number number, std::optional<double> confidence,
                                  base::monotonic_time now);
+  /// More of the latest attempt's answer came.
+  void note_progress(request_number number, base::monotonic_time now);
+  /// When the latest attempt's endpoint counts as lost unless more comes until then; nothing where
+  /// no other attempt could follow.
+  [[nodiscard]] std::optional<base::monotonic_time> stall_time(request_number number) const;
+  /// Whether the latest attempt is to be broken off as stalled. Takes a further attempt then.
+  [[nodiscard]] bool claim_stall(request_number number, base::monotonic_time now);
   /// The latest attempt failed. `was_delivered` tells whether the caller has a part of the answer.
   [[nodiscard]] decision fail(request_number number, attempt_failure failure, bool was_delivered,
                               base::monotonic_time now);
@@ -92,6 +105,8 @@
     /// Chosen with the first attempt: another one would not continue the same answer.
     std::optional<base::model_id> model;
     base::monotonic_time attempt_at{};
+    /// When the attempt began, or more of its answer came.
+    base::monotonic_time progress_at{};
     /// Weighted prompt tokens of the attempt under way.
     std::uint64_t unread = 0;
     /// Set while an attempt is under way.
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -66,7 +66,8 @@
 
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
     : m_context(context), m_caller(caller), m_request(std::move(request)),
-      m_number(++context.last_request), m_began_at(now()), m_deadline(context.io) {}
+      m_number(++context.last_request), m_began_at(now()), m_deadline(context.io),
+      m_stall(context.io) {}
 
 awaitable<bool> exchange::run() {
   m_keeps_caller = m_request.keep_alive();
@@ -130,7 +131,9 @@
   ++m_attempts;
   m_route = attempt.route;
   m_customer = attempt.customer ? attempt.customer->value : "";
+  m_is_stalled = false;
   watch_deadline(attempt.deadline);
+  watch_progress();
   log_attempt(attempt);
   m_upstream = m_context.pool.take(attempt.endpoint, attempt.address, now());
   if (!m_upstream && !co_await connect(attempt)) {
@@ -144,6 +147,7 @@
   if (!failure) {
     failure = co_await pass_answer(attempt);
   }
+  m_stall.cancel();
   m_parser.reset();
   m_upstream.reset();
   if (failure) {
@@ -357,6 +361,7 @@
   if (error && error != http::error::need_buffer) {
     co_return std::nullopt;
   }
+  m_context.router.note_progress(m_number, now());
   co_return std::string_view(m_piece.data(), m_piece.size() - body.size);
 }
 
@@ -375,7 +380,10 @@
 
 attempt_failure exchange::failure_after(attempt_failure failure) const {
   // What failed because the time was over tells nothing of the endpoint.
-  return m_is_expired ? attempt_failure::expired : failure;
+  if (m_is_expired) {
+    return attempt_failure::expired;
+  }
+  return m_is_stalled ? attempt_failure::stalled : failure;
 }
 
 void exchange::keep_upstream() {
@@ -415,6 +423,28 @@
   });
 }
 
+void exchange::watch_progress() {
+  auto const due = m_context.router.stall_time(m_number);
+  if (!due) {
+    return;
+  }
+  m_stall.expires_at(*due);
+  m_stall.async_wait([self = shared_from_this()](boost::system::error_code error) {
+    if (error || self->m_is_done || !self->m_upstream) {
+      return;
+    }
+    if (self->m_context.router.claim_stall(self->m_number, now())) {
+      self->m_is_stalled = true;
+      self->stop_upstream();
+      return;
+    }
+    auto const later = self->m_context.router.stall_time(self->m_number);
+    if (later && *later > now()) {
+      self->watch_progress();
+    }
+  });
+}
+
 void exchange::stop_upstream() {
   if (m_upstream) {
     // Closing the connection makes the endpoint drop the request.
@@ -428,6 +458,7 @@
   }
   m_is_done = true;
   m_deadline.cancel();
+  m_stall.cancel();
   boost::system::error_code ignored;
   // Ends the watch, which is all that waits on the caller's socket now.
   m_caller.socket().cancel(ignored);
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -73,6 +73,8 @@
   void keep_upstream();
   void watch_caller();
   void watch_deadline(base::monotonic_time deadline);
+  /// Breaks the attempt off when its endpoint is lost.
+  void watch_progress();
   void stop_upstream();
   void finish(request_end end, std::string_view reason);
   void log_attempt(attempt const& attempt) const;
@@ -88,6 +90,7 @@
   std::string m_customer;
   base::monotonic_time m_began_at;
   daemon::steady_timer m_deadline;
+  daemon::steady_timer m_stall;
   std::unique_ptr<upstream> m_upstream;
   std::unique_ptr<answer_parser> m_parser;
   std::array<char, 16 * 1024> m_piece{};
@@ -97,6 +100,7 @@
   bool m_keeps_caller = true;
   bool m_head_sent = false;
   bool m_is_expired = false;
+  bool m_is_stalled = false;
   bool m_caller_left = false;
   bool m_is_done = false;
 };
--- a/tests/libraries/proxy/endpoint_registry_test.cpp
+++ b/tests/libraries/proxy/endpoint_registry_test.cpp
@@ -66,6 +66,17 @@
   EXPECT_EQ(state_of(registry, "new"), endpoint_state::ready);
 }
 
+// These endpoints do not say when they started.
+TEST(endpoint_registries, keep_an_address_with_the_endpoint_that_is_alive) {
+  endpoint_registry registry({.rival_patience = 2s});
+  registry.hear(word("new", 0, 1), start);
+  EXPECT_EQ(registry.hear(word("old", 0, 7), start + 1s), word_outcome::stale);
+  EXPECT_EQ(state_of(registry, "new"), endpoint_state::ready);
+  // Nothing is heard of the first any more.
+  EXPECT_EQ(registry.hear(word("next", 0, 1), start + 3s), word_outcome::changed);
+  EXPECT_EQ(state_of(registry, "new"), endpoint_state::gone);
+}
+
 TEST(endpoint_registries, mark_silent_ones_and_hear_them_again) {
   endpoint_registry registry({.silence = 5s});
   registry.hear(word("a", 1, 1), start);
