--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -6,6 +6,15 @@
 
 namespace catkinlanding::proxy {
 
+namespace {
+
+/// Whom an instance that does not lead may ask. One that is alone asks itself, which is never sent.
+std::vector<base::instance_id> others_or_self(consensus::replica::options const& options) {
+  return options.peers.empty() ? std::vector{options.self.instance} : options.peers;
+}
+
+} // namespace
+
 control control::create(options options, consensus::recovered_state const& recovered,
                         base::monotonic_time now) {
   return control(std::move(options), recovered, now);
@@ -16,7 +25,7 @@
     : m_options(std::move(options)),
       m_replica(consensus::replica::create(m_options.replica, recovered, now)),
       m_registry(m_options.registry), m_subscriber({.self = m_options.replica.self.instance,
-                                                    .seeds = m_options.replica.peers,
+                                                    .seeds = others_or_self(m_options.replica),
                                                     .seed = m_options.replica.seed}),
       m_judge(m_options.judge) {
   restore(recovered.snapshot);
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -161,6 +161,13 @@
   EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3}));
 }
 
+TEST(control_groups, may_have_one_member) {
+  group group({"a"});
+  group.start("a", 1, true);
+  group.run(2s);
+  EXPECT_EQ(group.leader(), "a");
+}
+
 TEST(control_groups, wait_for_the_first_seed) {
   group group({"a", "b", "c"});
   group.start("b", 2);
@@ -224,13 +231,13 @@
   group.start("d", 4);
   group.run(6s);
   ASSERT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3, 4}));
-  for (int i = 0; group.leader() != "d" && i < 20; ++i) {
+  for (std::uint64_t i = 0; group.leader() != "d" && i < 20; ++i) {
     auto const leader = group.leader();
     ASSERT_NE(leader, "");
     control_effects effects;
     group.stop(leader);
     group.run(3s);
-    group.start(leader, static_cast<std::uint64_t>(10 + i));
+    group.start(leader, 10U + i);
     group.run(10s);
   }
   ASSERT_EQ(group.leader(), "d");
--- /dev/null
+++ b/tests/platform/dialect_test.cpp
@@ -0,0 +1,249 @@
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <platform/http_dialect.h>
+#include <platform/json.h>
+
+#include <random>
+
+namespace catkinlanding::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+json minimal_document() {
+  return {{"version", 7},
+          {"routes",
+           {{{"name", "r"},
+             {"host", "h"},
+             {"path_prefix", "/p/"},
+             {"route_kind", "idempotent"},
+             {"timeout_ms", 800},
+             {"service", "s"}}}},
+          {"services", {{{"name", "s"}}}}};
+}
+
+json word() {
+  return {{"service", "s"}, {"address", "10.0.0.1:80"}, {"zone", "z"},       {"version", "v1"},
+          {"slots", 6},     {"state", "ready"},         {"cold_left_ms", 0}, {"seq", 4}};
+}
+
+proxy::http_request call(proxy::http::verb method, std::string target, std::string body = {}) {
+  proxy::http_request request(method, target, 11);
+  request.body() = std::move(body);
+  return request;
+}
+
+TEST(documents_of_the_platform, are_read_whole) {
+  auto full = minimal_document();
+  full["routes"][0].update({{"route_kind", "streaming"},
+                            {"resumable", true},
+                            {"max_attempts", 3},
+                            {"sizes", {"small", "large"}},
+                            {"target_gap_ms", 1000.0},
+                            {"priority", 2}});
+  full["routes"][0].erase("service");
+  full["routes"][0]["traffic_split"] = {{{"service", "s"}, {"weight", 90}},
+                                        {{"service", "t"}, {"weight", 10}}};
+  full["services"].push_back({{"name", "t"}, {"engine", {{"slots", 64}, {"kv_capacity", 1000}}}});
+  full["tenants"] = {{{"name", "ann"}, {"api_keys", {"k"}}, {"priority", 1}}};
+  full["limits"] = {{"max_body_bytes", 99}, {"idle_timeout_ms", 15000}};
+  auto const read = read_document(full.dump());
+  ASSERT_TRUE(read.has_value()) << read.error().problem;
+  EXPECT_EQ(read->revision, 7U);
+  auto const& route = read->routes.at(0);
+  EXPECT_EQ(route.kind, proxy::route_kind::resumable_stream);
+  EXPECT_EQ(route.timeout, 800ms);
+  EXPECT_EQ(route.target_pause, 1s);
+  EXPECT_EQ(route.shares.at(1).weight, 10U);
+  EXPECT_EQ(route.models.at(1).value, "large");
+  EXPECT_EQ(read->services.at(1).slots, 64U);
+  EXPECT_EQ(read->customers.at(0).priority, 1U);
+  EXPECT_EQ(read->limits.largest_body_bytes, 99U);
+}
+
+TEST(documents_of_the_platform, may_hold_fields_that_nobody_knows) {
+  auto grown = minimal_document();
+  grown["later"] = {1, 2};
+  grown["routes"][0]["later"] = "x";
+  EXPECT_TRUE(read_document(grown.dump()).has_value());
+}
+
+TEST(documents_of_the_platform, are_refused_where_a_part_can_not_be_read) {
+  auto const broken = [](auto const& breaking) {
+    auto document = minimal_document();
+    breaking(document);
+    return !read_document(document.dump()).has_value();
+  };
+  EXPECT_TRUE(broken([](json& d) { d.erase("version"); }));
+  EXPECT_TRUE(broken([](json& d) { d["version"] = -1; }));
+  EXPECT_TRUE(broken([](json& d) { d["version"] = "7"; }));
+  EXPECT_TRUE(broken([](json& d) { d["version"] = 7.5; }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"] = "none"; }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"][0] = 3; }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"][0].erase("timeout_ms"); }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"][0]["timeout_ms"] = -5; }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"][0]["route_kind"] = "sometimes"; }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"][0]["public"] = "yes"; }));
+  EXPECT_TRUE(broken([](json& d) { d["routes"][0].erase("service"); }));
+  EXPECT_TRUE(broken([](json& d) { d["services"][0].erase("name"); }));
+  EXPECT_TRUE(broken([](json& d) { d["tenants"] = {{{"name", "a"}, {"api_keys", {1}}}}; }));
+}
+
+TEST(documents_of_the_platform, are_refused_wherever_they_are_cut_short) {
+  auto const text = minimal_document().dump();
+  for (std::size_t size = 0; size < text.size(); ++size) {
+    EXPECT_FALSE(read_document(text.substr(0, size)).has_value()) << size;
+  }
+}
+
+TEST(documents_of_the_platform, never_harm_the_reader) {
+  std::mt19937_64 random(1);
+  auto const text = minimal_document().dump();
+  for (int i = 0; i < 20'000; ++i) {
+    auto changed = text;
+    for (std::uint64_t j = random() % 4 + 1; j > 0; --j) {
+      changed[random() % changed.size()] = static_cast<char>(random());
+    }
+    static_cast<void>(read_document(changed));
+    static_cast<void>(read_endpoint_word({"e"}, changed));
+    static_cast<void>(read_rollout_order(changed));
+  }
+}
+
+TEST(words_of_endpoints, say_what_the_product_needs) {
+  auto said = word();
+  said["state"] = "draining";
+  said["born"] = 1'700'000'000'000;
+  auto const read = read_endpoint_word({"e"}, said.dump());
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read->id.value, "e");
+  EXPECT_EQ(read->address, (base::address{.ip = "10.0.0.1", .port = 80}));
+  EXPECT_TRUE(read->is_leaving);
+  EXPECT_EQ(read->number, (proxy::word_number{.incarnation = 1'700'000'000'000, .sequence = 4}));
+}
+
+TEST(words_of_endpoints, are_refused_when_another_writer_made_them) {
+  for (auto const* field : {"service", "address", "state", "seq"}) {
+    auto said = word();
+    said.erase(field);
+    EXPECT_FALSE(read_endpoint_word({"e"}, said.dump()).has_value()) << field;
+    said[field] = json::array();
+    EXPECT_FALSE(read_endpoint_word({"e"}, said.dump()).has_value()) << field;
+  }
+  auto said = word();
+  said["state"] = "resting";
+  EXPECT_FALSE(read_endpoint_word({"e"}, said.dump()).has_value());
+  said = word();
+  said["born"] = 17.5;
+  EXPECT_FALSE(read_endpoint_word({"e"}, said.dump()).has_value());
+}
+
+TEST(calls, are_told_apart) {
+  http_dialect const dialect;
+  using proxy::http::verb;
+  auto const index = [&](proxy::http_request const& request) {
+    auto const read = dialect.read_call(request);
+    return read ? static_cast<int>(read->index()) : -1;
+  };
+  EXPECT_EQ(index(call(verb::post, "/api/Config.Put", minimal_document().dump())), 0);
+  EXPECT_EQ(index(call(verb::get, "/api/Config.Get")), 1);
+  EXPECT_EQ(index(call(verb::post, "/api/Rollouts.Start",
+                       R"({"service":"s","target":"v2","duration_s":12})")),
+            2);
+  EXPECT_EQ(index(call(verb::get, "/api/Rollouts.Get/s")), 3);
+  EXPECT_EQ(index(call(verb::post, "/api/Instances.Heartbeat/e", word().dump())), 4);
+  EXPECT_EQ(index(call(verb::post, "/api/Instances.Deregister/e")), 5);
+  EXPECT_EQ(index(call(verb::get, "/api/Config.Put")), -1);
+  EXPECT_EQ(index(call(verb::post, "/api/Instances.Heartbeat/", word().dump())), -1);
+  EXPECT_EQ(index(call(verb::get, "/")), -1);
+}
+
+TEST(replies, promise_only_what_holds) {
+  http_dialect const dialect;
+  auto const request = call(proxy::http::verb::get, "/api/Config.Get");
+  auto const status = [&](proxy::reply_kind kind, std::string const& leader = {}) {
+    return dialect.write_reply(request, proxy::read_document{}, {.kind = kind}, leader)
+        .result_int();
+  };
+  EXPECT_EQ(status(proxy::reply_kind::found), 200U);
+  EXPECT_EQ(status(proxy::reply_kind::not_found), 503U);
+  EXPECT_EQ(status(proxy::reply_kind::unavailable), 503U);
+  EXPECT_EQ(status(proxy::reply_kind::not_leader), 503U);
+  EXPECT_EQ(status(proxy::reply_kind::not_leader, "10.0.0.1:80"), 307U);
+}
+
+TEST(refusals, say_not_run_only_where_that_is_known) {
+  http_dialect const dialect;
+  using proxy::refusal_kind;
+  auto const status = [&](refusal_kind kind) {
+    return dialect.refuse({.kind = kind}).result_int();
+  };
+  EXPECT_EQ(status(refusal_kind::not_run), 503U);
+  EXPECT_EQ(status(refusal_kind::no_endpoint), 503U);
+  EXPECT_EQ(status(refusal_kind::expired_unsent), 503U);
+  EXPECT_EQ(status(refusal_kind::expired), 504U);
+  EXPECT_EQ(status(refusal_kind::outcome_unknown), 502U);
+  auto const later = dialect.refuse({.kind = refusal_kind::not_run, .retry_after = 412ms});
+  EXPECT_EQ(later["Retry-After"], "0.412");
+}
+
+TEST(requests_of_callers, are_read_into_what_decides) {
+  http_dialect const dialect;
+  proxy::http_request request(proxy::http::verb::post, "/p/x?q=/y/", 11);
+  request.set("Host", "h");
+  request.set("Attempt-Id", "a");
+  request.set("Deadline-Ms", "1500");
+  request.set("Authorization", "Bearer key");
+  request.set("Model", "*");
+  request.set("Token-Counts", "1460,80");
+  request.set("Prefix-Hash", "5c1e:800, 91bd:410,broken,e440:250");
+  auto const facts = dialect.read_request(request.base());
+  ASSERT_TRUE(facts.has_value());
+  EXPECT_EQ(facts->path, "/p/x");
+  EXPECT_EQ(facts->patience, 1500ms);
+  EXPECT_EQ(facts->key, "key");
+  EXPECT_FALSE(facts->model.has_value());
+  EXPECT_EQ(facts->prompt_tokens, 1460U);
+  ASSERT_EQ(facts->prompt.size(), 3U);
+  EXPECT_EQ(facts->prompt[1], (proxy::prompt_part{.id = "91bd", .tokens = 410}));
+}
+
+TEST(requests_of_callers, need_a_host_an_id_and_a_readable_time) {
+  http_dialect const dialect;
+  proxy::http_request request(proxy::http::verb::get, "/", 11);
+  EXPECT_EQ(dialect.read_request(request.base()).error(), proxy::request_fault::no_host);
+  request.set("Host", "h");
+  EXPECT_EQ(dialect.read_request(request.base()).error(), proxy::request_fault::no_request_id);
+  request.set("Attempt-Id", "a");
+  for (auto const* time : {"soon", "-1", "", "1 2", "nan"}) {
+    request.set("Deadline-Ms", time);
+    EXPECT_FALSE(dialect.read_request(request.base()).has_value()) << time;
+  }
+}
+
+TEST(answers, are_matched_to_their_request) {
+  http_dialect const dialect;
+  auto const facts = [&](proxy::http_response const& answer) {
+    return dialect.read_answer(answer.base(), {"a"}, {"e"});
+  };
+  proxy::http_response answer(proxy::http::status::ok, 11);
+  EXPECT_FALSE(facts(answer).is_for_request);
+  answer.set("Attempt-Id", "b");
+  EXPECT_FALSE(facts(answer).is_for_request);
+  answer.set("Attempt-Id", "a");
+  answer.set("Confidence", "40");
+  EXPECT_TRUE(facts(answer).is_for_request);
+  EXPECT_FALSE(facts(answer).is_sealed);
+  EXPECT_DOUBLE_EQ(facts(answer).confidence.value_or(0.0), 0.4);
+  proxy::http_response misdirected(proxy::http::status::misdirected_request, 11);
+  EXPECT_TRUE(facts(misdirected).is_not_executed);
+  EXPECT_FALSE(facts(misdirected).is_wrong_endpoint);
+  misdirected.set("Instance-Id", "f");
+  EXPECT_TRUE(facts(misdirected).is_wrong_endpoint);
+}
+
+} // namespace
+
+} // namespace catkinlanding::platform
--- /dev/null
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -0,0 +1,231 @@
+#include <tests/stand_ins/platform_endpoint.h>
+
+#include <arpa/inet.h>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/flat_static_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <chrono>
+#include <optional>
+#include <poll.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace catkinlanding::testing {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int last_event = 5;
+constexpr std::chrono::milliseconds poll_interval{10};
+
+bool send_all(int socket, std::string_view bytes) {
+  while (!bytes.empty()) {
+    auto const sent = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) {
+      return false;
+    }
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+  return true;
+}
+
+std::string header(received_request const& request, std::string const& name) {
+  auto const found = request.headers.find(name);
+  return found == request.headers.end() ? "" : found->second;
+}
+
+std::string head(received_request const& request, std::string const& status) {
+  return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + header(request, "Attempt-Id") +
+         "\r\nResponse-Seal: seal-" + header(request, "Attempt-Id") + "\r\n";
+}
+
+std::string whole(std::string const& start, std::string const& body) {
+  return start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(std::string const& bytes) {
+  std::ostringstream text;
+  text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+  return text.str();
+}
+
+std::string event(int number) {
+  return "id: " + std::to_string(number) + "\ndata: event-" + std::to_string(number) + "\n\n";
+}
+
+/// Whether the other side has closed the connection.
+bool is_closed(int socket) {
+  char byte = 0;
+  return ::recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/// Reads one request; nothing where the connection ends or the reader should stop.
+std::optional<received_request> read_request(int socket, std::string& pending,
+                                             std::atomic<bool> const& is_stopping) {
+  http::request_parser<http::string_body> parser;
+  parser.eager(true);
+  std::array<char, 16 * 1024> piece{};
+  while (!parser.is_done()) {
+    if (!pending.empty()) {
+      boost::system::error_code error;
+      auto const used = parser.put(boost::asio::buffer(pending), error);
+      pending.erase(0, used);
+      if (error && error != http::error::need_more) {
+        return std::nullopt;
+      }
+      if (parser.is_done()) {
+        break;
+      }
+    }
+    pollfd waiting{.fd = socket, .events = POLLIN, .revents = 0};
+    while (::poll(&waiting, 1, static_cast<int>(poll_interval.count())) == 0) {
+      if (is_stopping) {
+        return std::nullopt;
+      }
+    }
+    auto const size = ::recv(socket, piece.data(), piece.size(), 0);
+    if (size <= 0) {
+      return std::nullopt;
+    }
+    pending.append(piece.data(), static_cast<std::size_t>(size));
+  }
+  auto const& message = parser.get();
+  received_request request{.method = std::string(message.method_string()),
+                           .target = std::string(message.target()),
+                           .body = message.body(),
+                           .headers = {}};
+  for (auto const& field : message) {
+    request.headers[std::string(field.name_string())] = std::string(field.value());
+  }
+  return request;
+}
+
+} // namespace
+
+platform_endpoint::platform_endpoint(std::string ip, int port, std::string id)
+    : m_ip(std::move(ip)), m_port(port), m_id(std::move(id)),
+      m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  ::inet_pton(AF_INET, m_ip.c_str(), &address.sin_addr);
+  address.sin_port = htons(static_cast<std::uint16_t>(m_port));
+  int const on = 1;
+  ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  ::bind(m_listener, reinterpret_cast<sockaddr const*>(&address), sizeof(address));
+  constexpr int backlog = 64;
+  ::listen(m_listener, backlog);
+  m_acceptor = std::thread([this] { accept(); });
+}
+
+platform_endpoint::~platform_endpoint() {
+  m_is_stopping = true;
+  m_is_released = true;
+  m_acceptor.join();
+  for (auto& thread : m_threads) {
+    thread.join();
+  }
+  ::close(m_listener);
+}
+
+std::vector<received_request> platform_endpoint::ran() const {
+  std::scoped_lock const lock(m_mutex);
+  return m_ran;
+}
+
+void platform_endpoint::accept() {
+  while (!m_is_stopping) {
+    pollfd waiting{.fd = m_listener, .events = POLLIN, .revents = 0};
+    if (::poll(&waiting, 1, static_cast<int>(poll_interval.count())) <= 0) {
+      continue;
+    }
+    int const socket = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (socket >= 0) {
+      m_threads.emplace_back([this, socket] { serve(socket); });
+    }
+  }
+}
+
+void platform_endpoint::serve(int socket) {
+  std::string pending;
+  while (auto const request = read_request(socket, pending, m_is_stopping)) {
+    if (!answer(socket, *request)) {
+      break;
+    }
+  }
+  ::close(socket);
+}
+
+bool platform_endpoint::answer(int socket, received_request const& request) {
+  auto const behaviour = request.target.substr(request.target.rfind('/') + 1);
+  if (header(request, "Expect-Instance") != m_id) {
+    return send_all(socket,
+                    whole("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + m_id + "\r\n", ""));
+  }
+  if (behaviour == "shed") {
+    return send_all(socket, whole("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n", ""));
+  }
+  {
+    std::scoped_lock const lock(m_mutex);
+    m_ran.push_back(request);
+  }
+  if (behaviour == "fail") {
+    return send_all(socket, whole(head(request, "500 Internal Server Error"), "failed"));
+  }
+  if (behaviour == "cut") {
+    send_all(socket, head(request, "200 OK") + "Content-Length: 100\r\n\r\nonly a part");
+    return false;
+  }
+  if (behaviour == "unsealed") {
+    return send_all(
+        socket,
+        whole("HTTP/1.1 200 OK\r\nAttempt-Id: " + header(request, "Attempt-Id") + "\r\n", "x"));
+  }
+  if (behaviour == "other") {
+    return send_all(
+        socket, whole("HTTP/1.1 200 OK\r\nAttempt-Id: someone\r\nResponse-Seal: s\r\n", "theirs"));
+  }
+  if (behaviour == "hang") {
+    while (!m_is_stopping && !is_closed(socket)) {
+      std::this_thread::sleep_for(poll_interval);
+    }
+    m_saw_cancellation = m_saw_cancellation || !m_is_stopping;
+    return false;
+  }
+  if (behaviour.find("stream") != std::string::npos) {
+    return stream(socket, request, behaviour);
+  }
+  return send_all(socket, whole(head(request, "200 OK"), "echo " + request.body));
+}
+
+bool platform_endpoint::stream(int socket, received_request const& request,
+                               std::string const& behaviour) {
+  auto const from = header(request, "Last-Event-Id");
+  int const first = from.empty() ? 1 : std::stoi(from) + 1;
+  if (!send_all(socket,
+                head(request, "200 OK") +
+                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+    return false;
+  }
+  for (int number = first; number <= last_event; ++number) {
+    if (behaviour == "broken-stream" && from.empty() && number == 3) {
+      // The chunk is whole, the event in it is not.
+      send_all(socket, chunk(event(number).substr(0, 9)));
+      return false;
+    }
+    while (behaviour == "slow-stream" && number > 1 && !m_is_released) {
+      std::this_thread::sleep_for(poll_interval);
+    }
+    if (!send_all(socket, chunk(event(number)))) {
+      return false;
+    }
+  }
+  return send_all(socket, "0\r\n\r\n");
+}
+
+} // namespace catkinlanding::testing
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -11,13 +11,12 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-http_answer exchange(int port, http_request const& request) {
+http_answer exchange(int port, http_request const& request, std::string const& ip) {
   asio::io_context context;
   beast::tcp_stream stream(context);
   boost::system::error_code error;
   stream.connect(
-      asio::ip::tcp::endpoint{asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
-      error);
+      asio::ip::tcp::endpoint{asio::ip::make_address(ip), static_cast<std::uint16_t>(port)}, error);
   if (error) {
     return {};
   }
--- a/tests/support/http_client.h
+++ b/tests/support/http_client.h
@@ -19,7 +19,9 @@
   std::map<std::string, std::string> headers;
 };
 
-/// One exchange with a server on loopback. An answer that breaks off counts as none.
-[[nodiscard]] http_answer exchange(int port, http_request const& request);
+/// One exchange with a server on an address of this machine. An answer that breaks off counts as
+/// none.
+[[nodiscard]] http_answer exchange(int port, http_request const& request,
+                                   std::string const& ip = "127.0.0.1");
 
 } // namespace catkinlanding::testing
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -1,5 +1,6 @@
 #include <tests/support/raw_connection.h>
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -12,19 +13,19 @@
 
 namespace {
 
-sockaddr_in loopback(int port) {
+sockaddr_in address_of(int port, std::string const& ip) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   address.sin_port = htons(static_cast<std::uint16_t>(port));
   return address;
 }
 
 } // namespace
 
-raw_connection::raw_connection(int port)
+raw_connection::raw_connection(int port, std::string const& ip)
     : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  auto const address = loopback(port);
+  auto const address = address_of(port, ip);
   if (::connect(m_socket, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) != 0) {
     ::close(m_socket);
     m_socket = -1;
@@ -80,9 +81,9 @@
   return size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-void send_datagram(int port, std::string_view bytes) {
+void send_datagram(int port, std::string_view bytes, std::string const& ip) {
   int const socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-  auto const address = loopback(port);
+  auto const address = address_of(port, ip);
   ::sendto(socket, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr const*>(&address),
            sizeof(address));
   ::close(socket);
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -9,7 +9,7 @@
 /// A TCP connection on loopback over which a test sends whatever bytes it likes.
 class raw_connection {
 public:
-  explicit raw_connection(int port);
+  explicit raw_connection(int port, std::string const& ip = "127.0.0.1");
   raw_connection(raw_connection const&) = delete;
   raw_connection& operator=(raw_connection const&) = delete;
   ~raw_connection();
@@ -28,6 +28,6 @@
 };
 
 /// Sends one datagram to a port on loopback.
-void send_datagram(int port, std::string_view bytes);
+void send_datagram(int port, std::string_view bytes, std::string const& ip = "127.0.0.1");
 
 } // namespace catkinlanding::testing
