--- a/libraries/proxy/endpoint_table.h
+++ b/libraries/proxy/endpoint_table.h
@@ -37,7 +37,7 @@
   struct options {
     /// After the first failure an endpoint is avoided for so long, and twice as long with each
     /// further one.
-    base::duration shortest_avoidance = std::chrono::milliseconds(250);
+    base::duration shortest_avoidance = std::chrono::milliseconds(500);
     base::duration longest_avoidance = std::chrono::seconds(4);
     /// The same for an endpoint that has no room now.
     base::duration full_avoidance = std::chrono::milliseconds(100);
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -19,7 +19,8 @@
 using daemon::awaitable;
 using daemon::completion;
 
-constexpr std::chrono::milliseconds connect_timeout{500};
+/// Several round trips between the farthest zones.
+constexpr std::chrono::milliseconds connect_timeout{250};
 /// A caller that takes nothing for so long is given up.
 constexpr std::chrono::seconds write_timeout{10};
 /// Answers up to this size are read whole before their first byte is passed on, so that a torn one
