proxy: Let every first token say how loaded a service is

Every first token counts now, and the needed confidence falls from 0.06 to 0.3 of the target.

Test: the same scarce pool as before, settle_a_scarce_pool_below_its_target, on the new bounds.

--- a/libraries/proxy/model_ladder.cpp
+++ b/libraries/proxy/model_ladder.cpp
@@ -5,8 +5,8 @@
 
 namespace catkinlanding::proxy {
 
-void model_ladder::note_largest(base::duration took, base::duration target,
-                                base::monotonic_time now) {
+void model_ladder::note_first_token(base::duration took, base::duration target,
+                                    base::monotonic_time now) {
   if (target <= base::duration::zero()) {
     return;
   }
--- a/libraries/proxy/model_ladder.h
+++ b/libraries/proxy/model_ladder.h
@@ -9,18 +9,18 @@
 /// Every request that may run on several models begins with the smallest. Its answer is passed on
 /// if the model is sure enough of it; otherwise it is dropped before its first byte, and the
 /// largest model answers. The pattern this serves: a pool that has time for the largest model on
-/// some requests only. The longer the largest model takes to begin, measured against the route's
-/// target, the less sure the small one has to be, so that the pool's time goes to the requests
+/// some requests only. The longer attempts take to begin, measured against the route's target, the
+/// less sure the small one has to be, so that the pool's time goes to the requests
 /// that need it most and none of them waits beyond its target.
 class model_ladder {
 public:
   struct options {
-    /// From 0 to 1; needed while the largest model begins at once.
+    /// From 0 to 1; needed while answers begin at once.
     double highest_confidence = 0.6;
     /// Times to the first token, as parts of the target: below the first all of the above is
     /// needed, beyond the second nothing.
-    double light_pressure = 0.12;
-    double full_pressure = 0.65;
+    double light_pressure = 0.06;
+    double full_pressure = 0.3;
     /// The weight of one observation in the mean.
     double gain = 0.12;
     /// Without observations the pressure is halved in this time, so that the largest model is
@@ -31,8 +31,8 @@
   model_ladder() = default;
   explicit model_ladder(options options) : m_options(options) {}
 
-  /// The largest model took this long to its first token, or had not begun by then.
-  void note_largest(base::duration took, base::duration target, base::monotonic_time now);
+  /// An attempt took this long to its first token, or had not begun by then.
+  void note_first_token(base::duration took, base::duration target, base::monotonic_time now);
 
   /// The least confidence, from 0 to 1, with which a small model's answer is kept.
   [[nodiscard]] double needed_confidence(base::monotonic_time now) const;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -82,7 +82,7 @@
   m_endpoints.note_success(request.endpoint);
   m_endpoints.note_read(request.endpoint, std::exchange(request.unread, 0));
   tally(request, false, now);
-  note_largest_model(request, now);
+  note_first_token(request, now);
   return !should_escalate(request, confidence, now);
 }
 
@@ -99,11 +99,10 @@
          retries_of(request.service).try_spend(now, failure_reserve);
 }
 
-void router::note_largest_model(active_request const& request, base::monotonic_time now) {
-  auto const& models = request.route->models;
-  if (models.size() > 1 && request.model == models.back()) {
-    m_ladders[request.service].note_largest(now - request.attempt_at, request.route->target_latency,
-                                            now);
+void router::note_first_token(active_request const& request, base::monotonic_time now) {
+  if (request.route->models.size() > 1) {
+    m_ladders[request.service].note_first_token(now - request.attempt_at,
+                                                request.route->target_latency, now);
   }
 }
 
@@ -379,7 +378,7 @@
     tally(request, true, now);
     return;
   case attempt_failure::expired:
-    note_largest_model(request, now);
+    note_first_token(request, now);
     tally(request, true, now);
     return;
   case attempt_failure::failed_answer:
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -123,7 +123,7 @@
   /// Whether the largest model should answer in place of this one. Takes a further attempt then.
   [[nodiscard]] bool should_escalate(active_request const& request,
                                      std::optional<double> confidence, base::monotonic_time now);
-  void note_largest_model(active_request const& request, base::monotonic_time now);
+  void note_first_token(active_request const& request, base::monotonic_time now);
   /// Reading so many prompt tokens, weighted by the size of the request's model.
   [[nodiscard]] std::uint64_t work_of(active_request const& request, std::uint64_t tokens) const;
   [[nodiscard]] refusal refuse(refusal_kind kind);
--- a/tests/libraries/proxy/model_ladder_test.cpp
+++ b/tests/libraries/proxy/model_ladder_test.cpp
@@ -16,14 +16,14 @@
 TEST(model_ladders, need_the_most_while_the_largest_model_begins_at_once) {
   model_ladder ladder({.highest_confidence = 0.6});
   EXPECT_DOUBLE_EQ(ladder.needed_confidence(start), 0.6);
-  ladder.note_largest(100ms, target, start);
+  ladder.note_first_token(100ms, target, start);
   EXPECT_DOUBLE_EQ(ladder.needed_confidence(start), 0.6);
 }
 
 TEST(model_ladders, need_nothing_when_the_largest_model_comes_too_late) {
   model_ladder ladder{model_ladder::options{}};
   for (int i = 0; i < 40; ++i) {
-    ladder.note_largest(3s, target, start);
+    ladder.note_first_token(3s, target, start);
   }
   EXPECT_DOUBLE_EQ(ladder.needed_confidence(start), 0.0);
 }
@@ -31,14 +31,14 @@
 TEST(model_ladders, try_the_largest_model_again_after_a_pause) {
   model_ladder ladder({.half_life = 3s});
   for (int i = 0; i < 40; ++i) {
-    ladder.note_largest(3s, target, start);
+    ladder.note_first_token(3s, target, start);
   }
   EXPECT_GT(ladder.needed_confidence(start + 12s), 0.0);
 }
 
 TEST(model_ladders, pass_over_routes_without_a_target) {
   model_ladder ladder{model_ladder::options{}};
-  ladder.note_largest(3s, 0s, start);
+  ladder.note_first_token(3s, 0s, start);
   EXPECT_GT(ladder.needed_confidence(start), 0.0);
 }
 
@@ -77,7 +77,7 @@
     ++escalated;
     auto const took = pool.begin(now);
     late += took > target ? 1 : 0;
-    ladder.note_largest(took, target, now + took);
+    ladder.note_first_token(took, target, now + took);
   }
   EXPECT_LT(late, escalated / 20);
   double const seconds = 4000 / requests_per_second;
