--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -29,7 +29,8 @@
           {"slots", 6},     {"state", "ready"},         {"cold_left_ms", 0}, {"seq", 4}};
 }
 
-proxy::http_request call(proxy::http::verb method, std::string target, std::string body = {}) {
+proxy::http_request call(proxy::http::verb method, std::string const& target,
+                         std::string body = {}) {
   proxy::http_request request(method, target, 11);
   request.body() = std::move(body);
   return request;
--- a/tests/services/proxy/proxy_whole_path_process.cpp
+++ b/tests/services/proxy/proxy_whole_path_process.cpp
@@ -22,7 +22,7 @@
   std::string events;
   for (int number = 1; number <= 5; ++number) {
     auto const text = std::to_string(number);
-    events += "id: " + text + "\ndata: event-" + text + "\n\n";
+    events.append("id: ").append(text).append("\ndata: event-").append(text).append("\n\n");
   }
   return events;
 }
@@ -40,7 +40,7 @@
 };
 
 TEST_F(proxy_whole_path, passes_requests_and_answers_on_unchanged) {
-  std::string const body("\0\r\n\xff any bytes", 15);
+  std::string const body("\0\r\n\xff any bytes", 14);
   auto const answer = m_deployment.ask("entry-1", {.path = "/once/a%20b/answer",
                                                    .body = body,
                                                    .headers = {{"Attempt-Id", "id-1"},
@@ -225,7 +225,9 @@
   };
   for (auto const& framing : framings) {
     raw_connection const caller(m_deployment.caller_port(), m_deployment.ip_of("entry-1"));
-    caller.send(start + framing + hidden);
+    std::string bytes = start;
+    bytes.append(framing).append(hidden);
+    caller.send(bytes);
     auto const answer = caller.read_until("\r\n\r\n", patience);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << framing << answer;
   }
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <poll.h>
 #include <sstream>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace catkinlanding::testing {
@@ -117,9 +118,13 @@
   address.sin_port = htons(static_cast<std::uint16_t>(m_port));
   int const on = 1;
   ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  ::bind(m_listener, reinterpret_cast<sockaddr const*>(&address), sizeof(address));
   constexpr int backlog = 64;
-  ::listen(m_listener, backlog);
+  bool const is_listening =
+      ::bind(m_listener, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0 &&
+      ::listen(m_listener, backlog) == 0;
+  if (!is_listening) {
+    throw std::runtime_error("the stand-in can't listen at " + this->address());
+  }
   m_acceptor = std::thread([this] { accept(); });
 }
 
