proxy: Try no endpoint twice that no connection reached

Cause, found by reading the change: a failed connect cost no attempt and the endpoint stayed a candidate, so with every endpoint of a service refusing connections a request went round until its deadline, as fast as they refused, in place of being answered at once.

Each endpoint is tried once for a connection; then the caller is told that the request did not run and when to come back. Test seen failing first: try_no_endpoint_twice_that_was_not_reached.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -178,6 +178,7 @@
   bool const may_continue = !was_delivered || route.kind == route_kind::resumable_stream;
   // An endpoint that was not reached was not sent the request.
   if (failure == attempt_failure::unreachable) {
+    request.unreached.push_back(std::move(request.tried.back()));
     request.tried.pop_back();
   }
   bool const has_attempts = request.tried.size() < route.most_attempts;
@@ -270,7 +271,9 @@
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
   auto endpoints = m_endpoints.ready(request.service);
   std::erase_if(endpoints, [&](known_endpoint const* one) {
-    return std::ranges::find(request.tried, one->word.id) != request.tried.end();
+    auto const& id = one->word.id;
+    return std::ranges::find(request.tried, id) != request.tried.end() ||
+           std::ranges::find(request.unreached, id) != request.unreached.end();
   });
   endpoints = m_versions.admit(std::move(endpoints), request.service, request.facts);
   auto const& models = request.route->models;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -99,7 +99,9 @@
     std::uint32_t priority = 0;
     base::monotonic_time began_at{};
     base::monotonic_time deadline{};
+    /// Endpoints that it was sent to, and those that no connection reached.
     std::vector<base::endpoint_id> tried;
+    std::vector<base::endpoint_id> unreached;
     base::endpoint_id endpoint;
     base::version_id version;
     /// Chosen with the first attempt: another one would not continue the same answer.
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -136,6 +136,16 @@
   }
 }
 
+// Every endpoint of a service refuses connections: its callers must hear of it at once.
+TEST_F(routers, try_no_endpoint_twice_that_was_not_reached) {
+  learn({"a", "b"});
+  ASSERT_TRUE(is_attempt(begin("/again/x")));
+  ASSERT_TRUE(is_attempt(fail(attempt_failure::unreachable)));
+  auto const made = fail(attempt_failure::unreachable);
+  ASSERT_EQ(refusal_of(made), refusal_kind::not_run);
+  EXPECT_TRUE(std::get<refusal>(made).retry_after.has_value());
+}
+
 TEST_F(routers, say_not_run_only_if_no_attempt_may_have_run) {
   learn({"a", "b"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
