--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -49,6 +49,10 @@
          status == unavailable;
 }
 
+std::int64_t whole_milliseconds(base::duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// For how long the endpoint keeps an idle connection, where it says so.
 base::duration keep_alive_timeout(http_response_header const& header) {
   constexpr std::string_view parameter = "timeout=";
@@ -68,7 +72,7 @@
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
     : m_context(context), m_caller(caller), m_request(std::move(request)),
       m_number(++context.last_request), m_began_at(now()), m_deadline(context.io),
-      m_stall(context.io) {}
+      m_stall(context.io), m_pace(m_began_at) {}
 
 awaitable<bool> exchange::run() {
   m_keeps_caller = m_request.keep_alive();
@@ -328,6 +332,7 @@
     if (!co_await write(std::move(bytes))) {
       co_return pass_result::caller_failed;
     }
+    m_pace.note_delivery(now());
   }
   if (m_events.partial_bytes() != 0) {
     co_return pass_result::broken;
@@ -464,12 +469,16 @@
   // Ends the watch, which is all that waits on the caller's socket now.
   m_caller.socket().cancel(ignored);
   m_context.router.end(m_number);
-  auto const took = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_began_at);
-  m_context.metrics.observe(m_customer, m_route, end, reason, now() - m_began_at);
+  auto const took = now() - m_began_at;
+  m_context.metrics.observe(m_customer, m_route, end, reason, took);
+  if (auto const first = m_pace.first_event()) {
+    m_context.metrics.observe_stream(m_customer, m_route, *first, m_pace.longest_pause());
+  }
   spdlog::info("entry ended request={} outcome={} reason={} route={} customer={} attempts={} "
-               "events={} took_ms={}",
+               "events={} first_event_ms={} longest_pause_ms={} took_ms={}",
                m_id.value, name_of(end), reason, m_route, m_customer, m_attempts, m_events.events(),
-               took.count());
+               whole_milliseconds(m_pace.first_event().value_or(base::duration::zero())),
+               whole_milliseconds(m_pace.longest_pause()), whole_milliseconds(took));
 }
 
 void exchange::log_attempt(attempt const& attempt) const {
@@ -478,8 +487,7 @@
       "revision={} load={} left_ms={}",
       m_id.value, m_session, attempt.number, attempt.endpoint.value, attempt.version.value,
       attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
-      attempt.load,
-      std::chrono::duration_cast<std::chrono::milliseconds>(attempt.deadline - now()).count());
+      attempt.load, whole_milliseconds(attempt.deadline - now()));
 }
 
 void exchange::log_failure(attempt_failure failure) const {
--- a/services/proxy/metrics.cpp
+++ b/services/proxy/metrics.cpp
@@ -41,6 +41,16 @@
                                              .Name("catkinlanding_proxy_request_seconds")
                                              .Help("Time from the request to the end of its answer")
                                              .Register(registry);
+  prometheus::Family<Histogram>& first_events =
+      prometheus::BuildHistogram()
+          .Name("catkinlanding_proxy_first_event_seconds")
+          .Help("Time from the request to the first event of its stream")
+          .Register(registry);
+  prometheus::Family<Histogram>& pauses =
+      prometheus::BuildHistogram()
+          .Name("catkinlanding_proxy_longest_pause_seconds")
+          .Help("The longest pause between two deliveries of a stream")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& ends = prometheus::BuildCounter()
                                                       .Name("catkinlanding_proxy_requests_total")
                                                       .Help("Requests by how they ended, and why")
@@ -72,6 +82,16 @@
   m_implementation->ends.Add(labels).Increment();
 }
 
+void metrics::observe_stream(std::string const& customer, std::string const& route,
+                             base::duration first_event, base::duration longest_pause) {
+  auto const labels = m_implementation->labels(customer, route);
+  auto const seconds = [](base::duration one) {
+    return std::chrono::duration<double>(one).count();
+  };
+  m_implementation->first_events.Add(labels, boundaries).Observe(seconds(first_event));
+  m_implementation->pauses.Add(labels, boundaries).Observe(seconds(longest_pause));
+}
+
 void metrics::count_connection() {
   m_implementation->connections.Increment();
 }
