proxy: Give a restarted instance its document at once

Instances ask as they start, follow one referral at once, and ask another instance every 100 ms while no leader is known. One that holds no document is sent it each time it asks. Envelopes carry the sender's incarnation, and a new one drops the connection to the old. The envelopes of both protocols are one type now, with a format each.

--- a/libraries/instance/message.h
+++ b/libraries/instance/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/base/envelope.h>
 #include <libraries/billing/message.h>
 #include <libraries/claims/message.h>
 #include <libraries/consensus/message.h>
@@ -27,24 +28,9 @@
                  operators::message, membership::message, routing::message, claims::message,
                  limits::message, rollouts::message, sessions::message>;
 
-/// A message as it travels.
-struct envelope {
-  /// Grows when the messages change in a way that older instances can't read.
-  static constexpr std::uint32_t current_format = 2;
-
-  std::uint32_t format = current_format;
-  base::instance_id from;
-  instance::message message;
-
-  template<class Archive>
-  void serialize(Archive& archive) {
-    archive(format, from, message);
-  }
-};
-
-enum class envelope_error : std::uint8_t { malformed, unknown_format };
+using envelope = base::envelope<message, 3>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
-[[nodiscard]] tl::expected<envelope, envelope_error> decode(std::string_view bytes);
+[[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
 
 } // namespace catkinlanding::instance
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -163,8 +163,10 @@
 }
 
 void control::handle(base::instance_id const& from, referral const& referral,
-                     base::monotonic_time now, control_effects& /*out*/) {
-  m_subscriber.follow(referral, from, now);
+                     base::monotonic_time now, control_effects& out) {
+  if (auto const upstream = m_subscriber.follow(referral, from, now)) {
+    out.messages.push_back({*upstream, subscription{.known = m_subscriber.known()}});
+  }
 }
 
 // Calls of operators and endpoints.
@@ -426,7 +428,9 @@
                         .registry_revision = m_registry.revision(),
                         .rollouts_revision = m_state.rollouts_revision()}};
   auto const& known = listener.known;
-  bool const was_just_sent = listener.document_sent == m_state.revision() &&
+  // One that holds none started after the last was sent, or never got it.
+  bool const has_any = known.document_revision != 0;
+  bool const was_just_sent = has_any && listener.document_sent == m_state.revision() &&
                              now < listener.document_sent_at + m_options.push_interval;
   if (known.document_revision >= m_state.revision()) {
     // Nothing to send.
--- a/libraries/proxy/message.cpp
+++ b/libraries/proxy/message.cpp
@@ -1,4 +1,4 @@
-#include <libraries/base/codec.h>
+#include <libraries/base/envelope_codec.h>
 #include <libraries/proxy/message.h>
 
 namespace catkinlanding::proxy {
@@ -7,19 +7,8 @@
   return base::encode(envelope);
 }
 
-tl::expected<envelope, envelope_error> decode(std::string_view bytes) {
-  auto const format = base::decode_prefix<std::uint32_t>(bytes);
-  if (!format) {
-    return tl::unexpected(envelope_error::malformed);
-  }
-  if (*format != envelope::current_format) {
-    return tl::unexpected(envelope_error::unknown_format);
-  }
-  auto decoded = base::decode<envelope>(bytes);
-  if (!decoded) {
-    return tl::unexpected(envelope_error::malformed);
-  }
-  return std::move(*decoded);
+tl::expected<envelope, base::envelope_error> decode(std::string_view bytes) {
+  return base::decode_envelope<envelope>(bytes);
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/base/envelope.h>
 #include <libraries/consensus/message.h>
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/endpoint.h>
@@ -98,24 +99,9 @@
 
 using message = std::variant<consensus::message, subscription, update, referral>;
 
-/// A message as it travels.
-struct envelope {
-  /// Grows when the messages change in a way that older instances can't read.
-  static constexpr std::uint32_t current_format = 0x43505801;
-
-  std::uint32_t format = current_format;
-  base::instance_id from;
-  proxy::message message;
-
-  template<class Archive>
-  void serialize(Archive& archive) {
-    archive(format, from, message);
-  }
-};
-
-enum class envelope_error : std::uint8_t { malformed, unknown_format };
+using envelope = base::envelope<message, 0x43505802>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
-[[nodiscard]] tl::expected<envelope, envelope_error> decode(std::string_view bytes);
+[[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -211,30 +211,33 @@
 
 std::vector<outgoing> router::tick(base::monotonic_time now) {
   auto const upstream = m_subscriber.tick(now);
-  if (!upstream) {
-    return {};
-  }
-  subscription asked{.known = m_subscriber.known(),
-                     .is_entry = true,
-                     .tallies = m_tallies,
-                     .loads = m_endpoints.own_loads()};
-  return {{*upstream, std::move(asked)}};
+  return upstream ? std::vector{ask(*upstream)} : std::vector<outgoing>{};
 }
 
-bool router::receive(base::instance_id const& from, message const& message,
-                     base::monotonic_time now) {
-  return std::visit(base::overloaded{
-                        [&](update const& one) {
-                          m_subscriber.note_update(one, from, now);
-                          return take(one);
-                        },
-                        [&](referral const& one) {
-                          m_subscriber.follow(one, from, now);
-                          return false;
-                        },
-                        [](auto const&) { return false; },
-                    },
-                    message);
+outgoing router::ask(base::instance_id const& upstream) const {
+  return {upstream, subscription{.known = m_subscriber.known(),
+                                 .is_entry = true,
+                                 .tallies = m_tallies,
+                                 .loads = m_endpoints.own_loads()}};
+}
+
+router::reception router::receive(base::instance_id const& from, message const& message,
+                                  base::monotonic_time now) {
+  reception result;
+  std::visit(base::overloaded{
+                 [&](update const& one) {
+                   m_subscriber.note_update(one, from, now);
+                   result.is_changed = take(one);
+                 },
+                 [&](referral const& one) {
+                   if (auto const upstream = m_subscriber.follow(one, from, now)) {
+                     result.messages.push_back(ask(*upstream));
+                   }
+                 },
+                 [](auto const&) {},
+             },
+             message);
+  return result;
 }
 
 bool router::take(update const& update) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -45,7 +45,7 @@
     base::duration longest_return = std::chrono::milliseconds(750);
     /// The same for callers that come before the first document: the control instances may have to
     /// agree on a leader first.
-    base::duration recovery_return = std::chrono::milliseconds(1500);
+    base::duration recovery_return = std::chrono::milliseconds(600);
     std::uint64_t seed = 0;
   };
 
@@ -75,8 +75,15 @@
 
   /// What to send now to keep up to date.
   [[nodiscard]] std::vector<outgoing> tick(base::monotonic_time now);
-  /// Takes a message from another instance. Returns whether it changed what is routed.
-  bool receive(base::instance_id const& from, message const& message, base::monotonic_time now);
+  /// What a message from another instance made of this one.
+  struct reception {
+    /// It changed what is routed.
+    bool is_changed = false;
+    std::vector<outgoing> messages;
+  };
+
+  [[nodiscard]] reception receive(base::instance_id const& from, message const& message,
+                                  base::monotonic_time now);
 
   [[nodiscard]] caller_limits const& limits() const { return m_routes->document().limits; }
   [[nodiscard]] std::uint64_t document_revision() const { return m_routes->revision(); }
@@ -119,6 +126,8 @@
     bool may_have_run = false;
   };
 
+  /// Asks an instance for what this one lacks, and reports what it saw.
+  [[nodiscard]] outgoing ask(base::instance_id const& upstream) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
   [[nodiscard]] base::service_id const& service_for(route const& route,
                                                     request_facts const& facts) const;
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -3,6 +3,7 @@
 #include <libraries/proxy/subscriber.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinlanding::proxy {
 
@@ -16,26 +17,35 @@
 }
 
 std::optional<base::instance_id> subscriber::tick(base::monotonic_time now) {
-  bool const is_due = !m_was_asked || now >= m_asked_at + m_options.interval;
-  if (!is_due) {
+  if (!is_due(now)) {
     return std::nullopt;
   }
-  bool const is_silent = now >= std::max(m_heard_at, m_turned_at) + m_options.patience;
-  if (m_was_asked && is_silent) {
-    turn_to_next(now);
-  }
   if (!m_was_asked) {
     m_turned_at = now;
+  } else if (is_upstream_silent(now)) {
+    turn_to_next(now);
   }
   m_was_asked = true;
+  m_may_follow = true;
   m_asked_at = now;
   return m_upstream;
 }
 
-void subscriber::follow(referral const& referral, base::instance_id const& from,
-                        base::monotonic_time now) {
+bool subscriber::is_due(base::monotonic_time now) const {
+  auto const interval = m_leader ? m_options.interval : m_options.search_interval;
+  return !m_was_asked || now >= m_asked_at + interval;
+}
+
+bool subscriber::is_upstream_silent(base::monotonic_time now) const {
+  auto const patience = m_leader ? m_options.patience : m_options.search_interval;
+  return now >= std::max(m_heard_at, m_turned_at) + patience;
+}
+
+std::optional<base::instance_id> subscriber::follow(referral const& referral,
+                                                    base::instance_id const& from,
+                                                    base::monotonic_time now) {
   if (from != m_upstream) {
-    return;
+    return std::nullopt;
   }
   if (m_leader == from) {
     m_leader.reset();
@@ -43,12 +53,15 @@
   bool const is_useful = referral.leader && *referral.leader != m_options.self;
   if (!is_useful) {
     turn_to_next(now);
-    return;
+    return std::nullopt;
   }
   m_upstream = *referral.leader;
   m_turned_at = now;
-  // The next tick asks at once, unless the last question is very recent.
-  m_asked_at = std::min(m_asked_at, now - m_options.interval + m_options.shortest_interval);
+  if (!std::exchange(m_may_follow, false)) {
+    return std::nullopt;
+  }
+  m_asked_at = now;
+  return m_upstream;
 }
 
 void subscriber::note_update(update const& update, base::instance_id const& from,
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -24,8 +24,8 @@
     base::duration interval = std::chrono::milliseconds(400);
     /// Without an answer for so long another control instance is asked.
     base::duration patience = std::chrono::milliseconds(900);
-    /// Referrals are followed no faster than this, as two instances may point at each other.
-    base::duration shortest_interval = std::chrono::milliseconds(50);
+    /// Takes the place of both while no leader is known.
+    base::duration search_interval = std::chrono::milliseconds(100);
     std::uint64_t seed = 0;
   };
 
@@ -33,7 +33,10 @@
 
   /// Whom to ask now; nothing while the last question is recent.
   [[nodiscard]] std::optional<base::instance_id> tick(base::monotonic_time now);
-  void follow(referral const& referral, base::instance_id const& from, base::monotonic_time now);
+  /// Whom to ask at once, as the instance that was asked does not lead. One referral is followed
+  /// between two ticks' questions, as two instances may point at each other.
+  [[nodiscard]] std::optional<base::instance_id>
+  follow(referral const& referral, base::instance_id const& from, base::monotonic_time now);
   /// The instance that sent an update leads.
   void note_update(update const& update, base::instance_id const& from, base::monotonic_time now);
   /// Advances the known state by an update. Returns whether the registry's part of it holds.
@@ -46,6 +49,8 @@
 
 private:
   void turn_to_next(base::monotonic_time now);
+  [[nodiscard]] bool is_due(base::monotonic_time now) const;
+  [[nodiscard]] bool is_upstream_silent(base::monotonic_time now) const;
 
   options m_options;
   std::vector<base::instance_id> m_candidates;
@@ -56,6 +61,7 @@
   base::monotonic_time m_heard_at{};
   base::monotonic_time m_turned_at{};
   bool m_was_asked = false;
+  bool m_may_follow = false;
   bool m_was_heard = false;
   known_state m_known;
 };
--- a/services/daemon/daemon.h
+++ b/services/daemon/daemon.h
@@ -33,7 +33,7 @@
   int run();
 
 private:
-  using peer_transport = message_transport<instance::envelope, instance::decode>;
+  using peer_transport = message_transport<instance::envelope, instance::encode, instance::decode>;
 
   explicit daemon(settings::daemon_settings settings);
 
--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -22,8 +22,6 @@
 constexpr std::size_t largest_frame = 64 * 1024 * 1024;
 constexpr std::size_t largest_queue = 64 * 1024 * 1024;
 constexpr std::size_t most_connections = 1024;
-/// Foreign senders must not fill the memory with made-up instances.
-constexpr std::size_t most_peers = 4096;
 /// A frame is read in pieces of this size, so that its length alone allocates nothing.
 constexpr std::size_t piece_bytes = 256 * 1024;
 constexpr std::chrono::seconds connect_timeout{1};
@@ -200,6 +198,16 @@
   }
 }
 
+void frame_transport::drop_connection(base::instance_id const& to) {
+  auto const found = m_connections.find(to);
+  if (found == m_connections.end()) {
+    return;
+  }
+  auto const dropped = std::move(found->second);
+  m_connections.erase(found);
+  dropped->stream.close();
+}
+
 bool frame_transport::deliver(std::string_view bytes, udp::endpoint const* sender) {
   bool const is_readable = m_on_frame(bytes, [&](base::instance_id const& from) {
     if (sender != nullptr && m_peers.size() < most_peers) {
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -23,6 +23,9 @@
 /// connections. Frames may be lost, doubled or reordered; the parts allow for that.
 class frame_transport {
 public:
+  /// Foreign senders must not fill the memory with made-up instances.
+  static constexpr std::size_t most_peers = 4096;
+
   /// Says from whom a frame is, before it is answered.
   using sender_note = std::function<void(base::instance_id const& from)>;
   /// Takes a frame apart and returns whether it could be read.
@@ -41,6 +44,8 @@
 
   /// From now on the instance is reached at this address.
   void learn(base::instance_id const& instance, base::address const& address);
+  /// Gives up what is queued for the instance; the next frame opens another connection.
+  void drop_connection(base::instance_id const& to);
 
 private:
   struct connection {
--- a/services/daemon/message_transport.h
+++ b/services/daemon/message_transport.h
@@ -6,33 +6,41 @@
 
 namespace catkinlanding::daemon {
 
-/// Carries the messages of one protocol between instances. `Decode` reads an envelope from bytes.
-template<class Envelope, auto Decode>
+/// Carries the messages of one protocol between instances. `Encode` makes bytes of an envelope, and
+/// `Decode` reads one from them.
+template<class Envelope, std::string (*Encode)(Envelope const&), auto Decode>
 class message_transport {
 public:
   using message = decltype(Envelope::message);
   using handler = std::function<void(base::instance_id const& from, message message)>;
   using sockets = frame_transport::sockets;
 
-  message_transport(boost::asio::io_context& context, base::instance_id self, sockets sockets,
+  struct identity {
+    base::instance_id self;
+    /// Drawn anew at each start.
+    std::uint64_t incarnation = 0;
+  };
+
+  message_transport(boost::asio::io_context& context, identity identity, sockets sockets,
                     std::map<base::instance_id, base::address> const& peers, handler on_message)
-      : m_context(context), m_self(std::move(self)), m_on_message(std::move(on_message)),
+      : m_context(context), m_identity(std::move(identity)), m_on_message(std::move(on_message)),
         m_frames(context, std::move(sockets), peers,
                  [this](std::string_view bytes, frame_transport::sender_note const& note_sender) {
                    return deliver(bytes, note_sender);
                  }) {}
 
   void send(base::instance_id const& to, message message) {
-    if (to == m_self) {
+    if (to == m_identity.self) {
       boost::asio::post(m_context, [this, message = std::move(message)]() mutable {
-        m_on_message(m_self, std::move(message));
+        m_on_message(m_identity.self, std::move(message));
       });
       return;
     }
     Envelope envelope;
-    envelope.from = m_self;
+    envelope.from = m_identity.self;
+    envelope.incarnation = m_identity.incarnation;
     envelope.message = std::move(message);
-    m_frames.send(to, encode(envelope));
+    m_frames.send(to, Encode(envelope));
   }
 
   /// From now on the instance is reached at this address.
@@ -47,12 +55,27 @@
       return false;
     }
     note_sender(envelope->from);
+    note_incarnation(envelope->from, envelope->incarnation);
     m_on_message(envelope->from, std::move(envelope->message));
     return true;
   }
 
+  /// What was queued for the process before is lost; what is sent now must not queue behind it.
+  void note_incarnation(base::instance_id const& from, std::uint64_t incarnation) {
+    bool const is_known = m_incarnations.contains(from);
+    if (!is_known && m_incarnations.size() >= frame_transport::most_peers) {
+      return;
+    }
+    auto& known = m_incarnations[from];
+    if (is_known && known != incarnation) {
+      m_frames.drop_connection(from);
+    }
+    known = incarnation;
+  }
+
   boost::asio::io_context& m_context;
-  base::instance_id m_self;
+  identity m_identity;
+  std::map<base::instance_id, std::uint64_t> m_incarnations;
   handler m_on_message;
   frame_transport m_frames;
 };
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -91,9 +91,7 @@
 
 void entry_process::on_tick() {
   auto const time = now();
-  for (auto& message : m_router.tick(time)) {
-    m_process.send(message.to, std::move(message.message));
-  }
+  send(m_router.tick(time));
   bool const is_connected = m_router.is_connected(time);
   if (is_connected != m_was_connected) {
     m_was_connected = is_connected;
@@ -106,10 +104,17 @@
   }
 }
 
+void entry_process::send(std::vector<outgoing> messages) {
+  for (auto& one : messages) {
+    m_process.send(one.to, std::move(one.message));
+  }
+}
+
 void entry_process::on_message(base::instance_id const& from, message const& message) {
   auto const revision = m_router.document_revision();
-  bool const is_changed = m_router.receive(from, message, now());
-  if (!is_changed) {
+  auto received = m_router.receive(from, message, now());
+  send(std::move(received.messages));
+  if (!received.is_changed) {
     return;
   }
   if (m_router.document_revision() != revision) {
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -20,6 +20,7 @@
   [[nodiscard]] static router::options router_options(process_settings const& settings);
 
   void on_tick();
+  void send(std::vector<outgoing> messages);
   void on_message(base::instance_id const& from, message const& message);
   void on_stop();
   void finish_when_idle();
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -1,4 +1,5 @@
 #include <libraries/base/try.h>
+#include <services/proxy/clock.h>
 #include <services/proxy/log.h>
 #include <services/proxy/process.h>
 
@@ -18,7 +19,8 @@
   auto datagrams = CATKINLANDING_TRY(daemon::open_datagram_socket(m_io, settings.peers));
   auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_io, settings.peers));
   m_peers = std::make_unique<peer_transport>(
-      m_io, settings.id(), peer_transport::sockets{std::move(datagrams), std::move(acceptor)},
+      m_io, peer_transport::identity{.self = settings.id(), .incarnation = random_number()},
+      peer_transport::sockets{std::move(datagrams), std::move(acceptor)},
       std::map<base::instance_id, base::address>{}, m_handlers.on_message);
   if (settings.metrics_port != 0) {
     base::address const address{.ip = settings.peers.ip, .port = settings.metrics_port};
@@ -41,6 +43,7 @@
   m_signals.add(SIGINT);
   m_signals.add(SIGHUP);
   await_signal();
+  m_handlers.on_tick();
   schedule_tick();
   m_io.run();
 }
--- a/services/proxy/process.h
+++ b/services/proxy/process.h
@@ -20,7 +20,7 @@
 /// they run, messages to other instances, metrics.
 class process {
 public:
-  using peer_transport = daemon::message_transport<envelope, decode>;
+  using peer_transport = daemon::message_transport<envelope, encode, decode>;
 
   struct handlers {
     std::function<void(base::instance_id const& from, message message)> on_message;
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -308,6 +308,27 @@
   EXPECT_EQ(group.node("a").state().find_rollout({"s"})->number, 1U);
 }
 
+// The pattern: many entry instances are killed at once just after a change, and the document that
+// was sent to them is lost.
+TEST(control_groups, send_the_document_at_once_to_an_instance_that_started_again) {
+  auto group = founded_group();
+  group.call("a", 1, document(7, "seven"));
+  group.say("entry", "a", subscription{.known = {.document_revision = 6}, .is_entry = true});
+  group.say("entry", "a", subscription{.is_entry = true});
+  auto const& updates = group.updates("entry");
+  ASSERT_EQ(updates.size(), 2U);
+  EXPECT_TRUE(updates.front().document.has_value());
+  EXPECT_TRUE(updates.back().document.has_value());
+}
+
+// The pattern: all control instances lose power at once, and nothing is served until one leads.
+TEST(control_groups, have_a_leader_soon_after_the_last_one_was_lost) {
+  auto group = founded_group();
+  group.stop("a");
+  group.run(900ms);
+  EXPECT_NE(group.leader(), "");
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -56,7 +56,7 @@
                                .number = {.incarnation = 1, .sequence = 1}};
       told.endpoints.push_back({.word = word, .state = endpoint_state::ready, .revision = 1});
     }
-    ASSERT_TRUE(m_router.receive({"control"}, told, start));
+    ASSERT_TRUE(m_router.receive({"control"}, told, start).is_changed);
   }
 
   static request_facts facts(std::string path) {
@@ -207,7 +207,7 @@
                            .is_leaving = true,
                            .number = {.incarnation = 1, .sequence = 2}};
   told.endpoints.push_back({.word = word, .state = endpoint_state::leaving, .revision = 2});
-  ASSERT_TRUE(m_router.receive({"control"}, told, start));
+  ASSERT_TRUE(m_router.receive({"control"}, told, start).is_changed);
   for (request_number i = 1; i < 20; ++i) {
     auto const made = m_router.begin(i, facts("/once/x"), start);
     ASSERT_TRUE(is_attempt(made));
