proxy: Elect a leader within 600 ms of the loss of one

The election timeout of 0.75 to 1.25 s was chosen for deployments of the other daemon.

An upgrade from the former times needs all control instances of a group to be stopped together, as an old leader's lease outlasts the new election timeout.

--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -53,7 +53,12 @@
 class control {
 public:
   struct options {
-    consensus::replica::options replica;
+    /// All instances of one deployment are a few milliseconds apart, so that a leader is missed,
+    /// and another one elected, in well under a second.
+    consensus::replica::options replica{.heartbeat_interval = std::chrono::milliseconds(80),
+                                        .election_timeout = std::chrono::milliseconds(350),
+                                        .election_jitter = std::chrono::milliseconds(250),
+                                        .lease_duration = std::chrono::milliseconds(280)};
     /// Whether this instance makes the first group where its disk is empty and nobody leads.
     bool is_founder = false;
     endpoint_registry::options registry;
