proxy: Take a stream to another zone only where that saves a second

A lost packet of an endpoint in another zone takes a retransmission, longer than an event may be under way; and about a third of the streams went to another zone to spare 15,000 weighted tokens of work.

The way to another zone must now save 120,000.

--- a/libraries/proxy/endpoint_choice.cpp
+++ b/libraries/proxy/endpoint_choice.cpp
@@ -11,8 +11,9 @@
 
 /// What one more running request costs those beside it, in weighted prompt tokens.
 constexpr std::uint64_t running_cost = 300;
-/// What the way to another zone must save, in weighted prompt tokens.
-constexpr std::uint64_t other_zone_cost = 15'000;
+/// What the way to another zone must save, in weighted prompt tokens: about a second of reading. A
+/// link between zones that loses packets, or is cut, makes every stream on it late.
+constexpr std::uint64_t other_zone_cost = 120'000;
 /// An endpoint without a free slot serves the request only after others have ended.
 constexpr std::uint64_t full_cost = 1'000'000;
 
