proxy: Let requests wait for the first document of a start

Until 1.5 s after its start an instance lets requests wait for its first document, as it comes with the next leader; they keep their own deadline, and a caller that leaves is let go. Nothing is held that was given up: afterwards the refusal is immediate, with when to come back.

Tests: let_requests_wait_for_the_first_ document_of_a_start, count_the_time_that_a_request_has_waited.

--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -31,6 +31,8 @@
   std::optional<std::string> key;
   /// How long the caller waits for the end of the answer.
   std::optional<base::duration> patience;
+  /// How long it has waited in this instance already.
+  base::duration waited{};
   /// The model that the caller names; empty where it leaves the choice to the system.
   std::optional<base::model_id> model;
   std::uint32_t prompt_tokens = 0;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -40,6 +40,14 @@
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
       m_endpoints(m_options.endpoints), m_versions(m_options.versions) {}
 
+std::optional<base::monotonic_time> router::wait_for_document(base::monotonic_time now) const {
+  if (is_ready() || !m_started_at) {
+    return std::nullopt;
+  }
+  auto const end = *m_started_at + m_options.start_patience;
+  return now < end ? std::optional(end) : std::nullopt;
+}
+
 decision router::begin(request_number number, request_facts facts, base::monotonic_time now) {
   if (m_routes->revision() == 0) {
     return refuse(refusal_kind::no_document);
@@ -63,12 +71,13 @@
   request.routes = m_routes;
   request.route = route;
   request.service = service_for(*route, facts);
-  request.began_at = now;
-  request.deadline = now + patience;
+  request.began_at = now - facts.waited;
+  request.deadline = request.began_at + patience;
   request.facts = std::move(facts);
   retries_of(request.service).note_request(now);
   auto& active = m_requests[number] = std::move(request);
-  return attempt_next(active, now);
+  bool const has_time = now + m_options.least_attempt_time <= active.deadline;
+  return has_time ? attempt_next(active, now) : give_up(active, now);
 }
 
 bool router::note_answer(request_number number, std::optional<double> confidence,
@@ -210,6 +219,7 @@
 }
 
 std::vector<outgoing> router::tick(base::monotonic_time now) {
+  m_started_at = m_started_at.value_or(now);
   auto const upstream = m_subscriber.tick(now);
   return upstream ? std::vector{ask(*upstream)} : std::vector<outgoing>{};
 }
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -45,6 +45,9 @@
     base::duration longest_return = std::chrono::milliseconds(750);
     /// The same for callers that come before the first document: the control instances may have to
     /// agree on a leader first.
+    /// Callers that come while this instance starts wait for its first document, until so long
+    /// after the start: an election of the control instances and the way to their leader.
+    base::duration start_patience = std::chrono::milliseconds(1500);
     base::duration recovery_return = std::chrono::milliseconds(600);
     std::uint64_t seed = 0;
   };
@@ -53,6 +56,10 @@
 
   // Requests.
 
+  /// Until when a request may wait for the first document; nothing where it need not, or should be
+  /// refused now.
+  [[nodiscard]] std::optional<base::monotonic_time>
+  wait_for_document(base::monotonic_time now) const;
   [[nodiscard]] decision begin(request_number number, request_facts facts,
                                base::monotonic_time now);
   /// The latest attempt's endpoint began to answer well. Returns whether the answer should be
@@ -152,6 +159,7 @@
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
   endpoint_table m_endpoints;
   version_policy m_versions;
+  std::optional<base::monotonic_time> m_started_at;
   std::map<base::service_id, retry_allowance> m_retries;
   std::map<base::service_id, model_ladder> m_ladders;
   std::uint32_t m_entries = 1;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -36,7 +36,9 @@
                                                   .router = m_router,
                                                   .pool = m_pool,
                                                   .dialect = m_dialect,
-                                                  .metrics = m_process.metrics()} {}
+                                                  .metrics = m_process.metrics(),
+                                                  .document_wait =
+                                                      daemon::steady_timer(m_process.io())} {}
 
 router::options entry_process::router_options(process_settings const& settings) {
   router::options options;
@@ -118,6 +120,7 @@
     return;
   }
   if (m_router.document_revision() != revision) {
+    m_context.document_wait.cancel();
     spdlog::info("control document revision={} before={} from={}", m_router.document_revision(),
                  revision, from.value);
   }
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -84,8 +84,15 @@
   }
   m_id = facts->id;
   m_session = facts->session.value;
-  auto decision = m_context.router.begin(m_number, std::move(*facts), now());
   watch_caller();
+  co_await wait_for_document();
+  if (m_caller_left) {
+    finish(request_end::caller_left, "caller_left");
+    co_return false;
+  }
+  auto const began_at = now();
+  facts->waited = began_at - m_began_at;
+  auto decision = m_context.router.begin(m_number, std::move(*facts), began_at);
   while (true) {
     if (auto const* refused = std::get_if<refusal>(&decision)) {
       auto const copy = *refused;
@@ -109,6 +116,20 @@
   }
 }
 
+awaitable<void> exchange::wait_for_document() {
+  auto const end = m_context.router.wait_for_document(now());
+  if (!end) {
+    co_return;
+  }
+  // The first that waits sets the time; it is the same for all.
+  if (m_context.document_wait.expiry() != *end) {
+    m_context.document_wait.expires_at(*end);
+  }
+  co_await m_context.document_wait.async_wait(completion);
+  spdlog::info("entry waited request={} for=document is_there={} waited_ms={}", m_id.value,
+               m_context.router.is_ready(), whole_milliseconds(now() - m_began_at));
+}
+
 awaitable<bool> exchange::refuse(refusal refusal) {
   if (m_head_sent) {
     // What was sent must not look like a whole answer.
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -95,6 +95,31 @@
   EXPECT_TRUE(std::get<refusal>(made).retry_after.has_value());
 }
 
+// The pattern: all instances are killed at once, and their callers come back before the control
+// instances have a leader. Each caller returns a few times only, so a refusal is often the last.
+TEST_F(routers, let_requests_wait_for_the_first_document_of_a_start) {
+  EXPECT_EQ(m_router.wait_for_document(start), std::nullopt);
+  std::ignore = m_router.tick(start);
+  auto const end = m_router.wait_for_document(start + 100ms);
+  ASSERT_TRUE(end.has_value());
+  EXPECT_LE(*end, start + 2s);
+  EXPECT_EQ(m_router.wait_for_document(*end), std::nullopt);
+  learn({"a"});
+  EXPECT_EQ(m_router.wait_for_document(start + 100ms), std::nullopt);
+}
+
+TEST_F(routers, count_the_time_that_a_request_has_waited) {
+  learn({"a"});
+  auto waited = facts("/once/x");
+  waited.waited = 600ms;
+  auto const made = m_router.begin(number, waited, start + 600ms);
+  ASSERT_TRUE(is_attempt(made));
+  EXPECT_EQ(std::get<attempt>(made).deadline, start + 1s);
+  waited.waited = 1s;
+  EXPECT_EQ(refusal_of(m_router.begin(number + 1, waited, start + 1s)),
+            refusal_kind::expired_unsent);
+}
+
 TEST_F(routers, refuse_what_the_document_does_not_allow) {
   learn({"a"});
   EXPECT_EQ(refusal_of(begin("/nowhere/x")), refusal_kind::unknown_route);
