proxy: Serve a cut-off zone from the last known state after a restart

A control instance that knows no leader gives such an instance the document, endpoints and rollouts that it held last. An entry instance takes them only while it holds no document, and not before 1 s after its start, which is longer than an election; the first word of a leader replaces them. What it serves by may be older than what others have, as with every instance in a cut-off zone.

Tests: serve_by_the_last_known_state_where_no_leader_is_found, tell_a_starting_entry_what_they_held_when_they_lost_the_leader.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -129,12 +129,7 @@
 void control::handle(base::instance_id const& from, subscription const& subscription,
                      base::monotonic_time now, control_effects& out) {
   if (!leads(now)) {
-    std::optional<base::instance_id> leader;
-    if (auto const& known = m_replica.leader();
-        known && known->instance != m_replica.self().instance) {
-      leader = known->instance;
-    }
-    out.messages.push_back({from, referral{leader}});
+    refer(from, subscription, out);
     return;
   }
   auto const [entry, is_new] = m_listeners.try_emplace(from);
@@ -150,6 +145,28 @@
   push_to(from, listener, true, now, out);
 }
 
+void control::refer(base::instance_id const& from, subscription const& subscription,
+                    control_effects& out) const {
+  std::optional<base::instance_id> leader;
+  if (auto const& known = m_replica.leader();
+      known && known->instance != m_replica.self().instance) {
+    leader = known->instance;
+  }
+  out.messages.push_back({from, referral{leader}});
+  bool const starts_alone =
+      !leader && subscription.is_entry && subscription.known.document_revision == 0;
+  if (starts_alone && m_state.revision() != 0) {
+    out.messages.push_back({from, last_known_state{.document = m_state.document(),
+                                                   .endpoints = m_registry.changes_since(0),
+                                                   .rollouts = m_state.rollouts()}});
+  }
+}
+
+void control::handle(base::instance_id const& /*from*/, last_known_state const& /*state*/,
+                     base::monotonic_time /*now*/, control_effects& /*out*/) {
+  // Only entry instances serve from it.
+}
+
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
                      control_effects& /*out*/) {
   if (m_replica.role() == consensus::role::leader) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -122,6 +122,13 @@
   void handle(base::instance_id const& from, referral const& referral, base::monotonic_time now,
               control_effects& out);
 
+  void handle(base::instance_id const& from, last_known_state const& state,
+              base::monotonic_time now, control_effects& out);
+
+  /// Answers a subscription that only a leader could answer in full.
+  void refer(base::instance_id const& from, subscription const& subscription,
+             control_effects& out) const;
+
   /// An instance asks for a place in the group.
   void take(consensus::join_request const& request, base::instance_id const& from,
             base::monotonic_time now, control_effects& out);
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -97,7 +97,20 @@
   }
 };
 
-using message = std::variant<consensus::message, subscription, update, referral>;
+/// What a control instance held when it lost the leader, for an entry instance that started without
+/// a way to one. It may be older than what is in force elsewhere.
+struct last_known_state {
+  proxy::document document;
+  std::vector<endpoint_record> endpoints;
+  std::vector<rollout> rollouts;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(document, endpoints, rollouts);
+  }
+};
+
+using message = std::variant<consensus::message, subscription, update, referral, last_known_state>;
 
 using envelope = base::envelope<message, 0x43505802>;
 
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -244,12 +244,28 @@
                      result.messages.push_back(ask(*upstream));
                    }
                  },
+                 [&](last_known_state const& one) { result.is_changed = take(one, now); },
                  [](auto const&) {},
              },
              message);
   return result;
 }
 
+bool router::take(last_known_state const& state, base::monotonic_time now) {
+  bool const is_isolated = m_started_at && now >= *m_started_at + m_options.isolation_patience;
+  if (is_ready() || !is_isolated) {
+    return false;
+  }
+  m_routes = std::make_shared<route_table const>(state.document);
+  m_subscriber.note_document(state.document.revision);
+  constexpr std::uint64_t no_term = 0;
+  for (auto const& record : state.endpoints) {
+    m_endpoints.take(record, no_term);
+  }
+  m_versions.take(state.rollouts);
+  return true;
+}
+
 bool router::take(update const& update) {
   bool is_changed = false;
   if (update.document && update.document->revision > m_routes->revision()) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -45,6 +45,9 @@
     base::duration longest_return = std::chrono::milliseconds(750);
     /// The same for callers that come before the first document: the control instances may have to
     /// agree on a leader first.
+    /// An instance that found no leader until so long after its start serves by what a control
+    /// instance held last. An election takes less.
+    base::duration isolation_patience = std::chrono::milliseconds(1000);
     /// Callers that come while this instance starts wait for its first document, until so long
     /// after the start: an election of the control instances and the way to their leader.
     base::duration start_patience = std::chrono::milliseconds(1500);
@@ -152,6 +155,7 @@
   void tally(active_request const& request, bool is_bad, base::monotonic_time now);
   retry_allowance& retries_of(base::service_id const& service);
   bool take(update const& update);
+  bool take(last_known_state const& state, base::monotonic_time now);
 
   options m_options;
   base::random_generator m_random;
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -95,6 +95,10 @@
   return true;
 }
 
+void subscriber::note_document(std::uint64_t revision) {
+  m_known.document_revision = std::max(m_known.document_revision, revision);
+}
+
 bool subscriber::is_connected(base::monotonic_time now) const {
   return m_was_heard && now < m_heard_at + 2 * m_options.patience;
 }
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -42,6 +42,9 @@
   /// Advances the known state by an update. Returns whether the registry's part of it holds.
   [[nodiscard]] bool advance(update const& update);
 
+  /// The document came from an instance that does not lead.
+  void note_document(std::uint64_t revision);
+
   [[nodiscard]] known_state const& known() const { return m_known; }
   /// Whether the leader was heard from lately.
   [[nodiscard]] bool is_connected(base::monotonic_time now) const;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -124,6 +124,10 @@
     spdlog::info("control document revision={} before={} from={}", m_router.document_revision(),
                  revision, from.value);
   }
+  if (std::holds_alternative<last_known_state>(message)) {
+    spdlog::warn("control isolated revision={} endpoints={} from={}", m_router.document_revision(),
+                 m_router.endpoint_count(), from.value);
+  }
   if (auto const* told = std::get_if<update>(&message)) {
     for (auto const& record : told->endpoints) {
       spdlog::info("control endpoint id={} state={} version={} incarnation={} sequence={}",
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -81,6 +81,10 @@
     return m_updates[{id}];
   }
 
+  [[nodiscard]] std::vector<last_known_state> const& last_known(std::string const& id) {
+    return m_last_known[{id}];
+  }
+
   [[nodiscard]] std::set<std::uint64_t> voter_disks() const {
     std::set<std::uint64_t> disks;
     for (auto const& voter : node(leader()).replica().current_configuration().voters) {
@@ -122,6 +126,9 @@
         if (auto const* told = std::get_if<update>(&flight.message)) {
           m_updates[flight.to].push_back(*told);
         }
+        if (auto const* told = std::get_if<last_known_state>(&flight.message)) {
+          m_last_known[flight.to].push_back(*told);
+        }
         continue;
       }
       control_effects effects;
@@ -135,6 +142,7 @@
   std::deque<flight> m_flights;
   std::map<call_number, call_reply> m_replies;
   std::map<base::instance_id, std::vector<update>> m_updates;
+  std::map<base::instance_id, std::vector<last_known_state>> m_last_known;
   base::monotonic_time m_now{};
 };
 
@@ -321,6 +329,24 @@
   EXPECT_TRUE(updates.back().document.has_value());
 }
 
+// The pattern: a zone with one control instance is cut off, and an entry instance in it starts
+// anew.
+TEST(control_groups, tell_a_starting_entry_what_they_held_when_they_lost_the_leader) {
+  auto group = founded_group();
+  group.call("a", 1, document(7, "seven"));
+  group.run(1s);
+  group.say("entry", "b", subscription{.is_entry = true});
+  EXPECT_TRUE(group.last_known("entry").empty());
+  group.stop("a");
+  group.stop("c");
+  group.run(2s);
+  group.say("entry", "b", subscription{.known = {.document_revision = 6}, .is_entry = true});
+  EXPECT_TRUE(group.last_known("entry").empty());
+  group.say("entry", "b", subscription{.is_entry = true});
+  ASSERT_EQ(group.last_known("entry").size(), 1U);
+  EXPECT_EQ(group.last_known("entry").front().document.revision, 7U);
+}
+
 // The pattern: all control instances lose power at once, and nothing is served until one leads.
 TEST(control_groups, have_a_leader_soon_after_the_last_one_was_lost) {
   auto group = founded_group();
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -120,6 +120,25 @@
             refusal_kind::expired_unsent);
 }
 
+// The pattern: a zone is cut off, and an instance in it starts anew. Its callers can be served by
+// what the zone's control instance held last.
+TEST_F(routers, serve_by_the_last_known_state_where_no_leader_is_found) {
+  last_known_state state;
+  state.document = {.revision = 3,
+                    .routes = {make_route("/once/", route_kind::at_most_once, 1)},
+                    .services = {{.id = {"s"}}}};
+  endpoint_word const word{.id = {"a"}, .service = {"s"}, .zone = {"here"}};
+  state.endpoints = {{.word = word}};
+  std::ignore = m_router.tick(start);
+  EXPECT_FALSE(m_router.receive({"control"}, state, start + 500ms).is_changed);
+  EXPECT_FALSE(m_router.is_ready());
+  EXPECT_TRUE(m_router.receive({"control"}, state, start + 1s).is_changed);
+  EXPECT_TRUE(is_attempt(begin("/once/x")));
+  state.document.revision = 2;
+  EXPECT_FALSE(m_router.receive({"control"}, state, start + 2s).is_changed);
+  EXPECT_EQ(m_router.document_revision(), 3U);
+}
+
 TEST_F(routers, refuse_what_the_document_does_not_allow) {
   learn({"a"});
   EXPECT_EQ(refusal_of(begin("/nowhere/x")), refusal_kind::unknown_route);
