proxy: Take changed settings without a signal, and use the seeds they name

Each process looks at its file's time of change every 2 s, reads it when that moved, and ignores a text that it has. Seeds and the patience of a stop hold from then on, beside the log level; the remaining fields are those of the sockets and bounds, and need a start. Faulty files are named in the log, and change nothing.

Tests: ask_the_seeds_that_the_settings_name_now, and with real processes takes_changed_settings_without_a_signal_and_cuts_no_request, which has no reload line without this.

--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -73,6 +73,9 @@
   /// Replaces the log up to the applied index by the state of the state machine.
   void compact(log_index index, std::string state, effects& out);
 
+  /// Control instances that may know the leader, from now on.
+  void use_peers(std::vector<base::instance_id> peers) { m_options.peers = std::move(peers); }
+
   /// Gives up leadership before a planned stop. Takes no more proposals, waits a little until a
   /// voter holds the whole log, and lets that one campaign at once.
   void resign(base::monotonic_time now, effects& out);
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -104,6 +104,12 @@
   settle(now, out);
 }
 
+void control::use_seeds(std::vector<base::instance_id> const& seeds) {
+  m_options.replica.peers = seeds;
+  m_replica.use_peers(seeds);
+  m_subscriber.use_seeds(others_or_self(m_options.replica));
+}
+
 // Messages.
 
 void control::handle(base::instance_id const& from, consensus::message const& message,
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -90,6 +90,8 @@
   void tick(base::monotonic_time now, control_effects& out);
   void complete_write(consensus::write_id id, base::monotonic_time now, control_effects& out);
   void resign(base::monotonic_time now, control_effects& out);
+  /// Other control instances that the settings name from now on.
+  void use_seeds(std::vector<base::instance_id> const& seeds);
 
   [[nodiscard]] replicated_state const& state() const { return m_state; }
   [[nodiscard]] consensus::replica const& replica() const { return m_replica; }
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -83,6 +83,8 @@
 
   // The control instances.
 
+  void use_seeds(std::vector<base::instance_id> seeds) { m_subscriber.use_seeds(std::move(seeds)); }
+
   /// What to send now to keep up to date.
   [[nodiscard]] std::vector<outgoing> tick(base::monotonic_time now);
   /// What a message from another instance made of this one.
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -74,6 +74,16 @@
     return;
   }
   m_candidates = update.control_instances;
+  add_seeds_to_candidates();
+}
+
+void subscriber::use_seeds(std::vector<base::instance_id> seeds) {
+  CATKINLANDING_VERIFY(!seeds.empty());
+  m_options.seeds = std::move(seeds);
+  add_seeds_to_candidates();
+}
+
+void subscriber::add_seeds_to_candidates() {
   for (auto const& seed : m_options.seeds) {
     if (std::ranges::find(m_candidates, seed) == m_candidates.end()) {
       m_candidates.push_back(seed);
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -31,6 +31,8 @@
 
   explicit subscriber(options options);
 
+  /// The settings name these from now on.
+  void use_seeds(std::vector<base::instance_id> seeds);
   /// Whom to ask now; nothing while the last question is recent.
   [[nodiscard]] std::optional<base::instance_id> tick(base::monotonic_time now);
   /// Whom to ask at once, as the instance that was asked does not lead. One referral is followed
@@ -52,6 +54,7 @@
 
 private:
   void turn_to_next(base::monotonic_time now);
+  void add_seeds_to_candidates();
   [[nodiscard]] bool is_due(base::monotonic_time now) const;
   [[nodiscard]] bool is_upstream_silent(base::monotonic_time now) const;
 
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -20,6 +20,18 @@
 /// Replies that are queued when the instance stops are given this long to be written.
 constexpr std::chrono::milliseconds flush_time{100};
 
+/// Instances have the same ports on all machines.
+std::vector<base::instance_id> other_seeds(process_settings const& settings) {
+  std::vector<base::instance_id> others;
+  for (auto const& seed : settings.seeds) {
+    auto const peer = instance_at({.ip = seed.ip, .port = settings.peers.port});
+    if (peer != settings.id()) {
+      others.push_back(peer);
+    }
+  }
+  return others;
+}
+
 char const* name_of_call(call_request const& call) {
   constexpr std::array<char const*, std::variant_size_v<call_request>> names{
       "replace_document", "read_document",     "start_rollout",
@@ -72,12 +84,7 @@
   control::options options;
   options.replica.self = {.instance = settings.id(), .disk_id = m_data_folder->disk_id()};
   options.replica.seed = random_number();
-  for (auto const& seed : settings.seeds) {
-    auto const peer = instance_at({.ip = seed.ip, .port = settings.peers.port});
-    if (peer != settings.id()) {
-      options.replica.peers.push_back(peer);
-    }
-  }
+  options.replica.peers = other_seeds(settings);
   // The first seed is the same for all, so that one instance makes the first group.
   options.is_founder = settings.is_first_start && settings.seeds.front().ip == settings.peers.ip;
   auto const recovered = m_data_folder->take_recovered();
@@ -103,7 +110,8 @@
             carry_out(std::move(effects));
           },
       .on_stop = [this] { on_stop(); },
-      .on_settings = [](process_settings const& /*settings*/) {},
+      .on_settings =
+          [this](process_settings const& changed) { m_control->use_seeds(other_seeds(changed)); },
       .on_metrics =
           [this](metrics& metrics) {
             metrics.set("document_revision", static_cast<double>(m_control->state().revision()));
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -61,7 +61,8 @@
       .on_message = [this](auto const& from, message const& message) { on_message(from, message); },
       .on_tick = [this] { on_tick(); },
       .on_stop = [this] { on_stop(); },
-      .on_settings = [](process_settings const& /*settings*/) {},
+      .on_settings =
+          [this](process_settings const& changed) { m_router.use_seeds(seed_instances(changed)); },
       .on_metrics =
           [this](metrics& metrics) {
             metrics.set("active_requests", static_cast<double>(m_router.active_requests()));
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -11,7 +11,25 @@
 
 namespace catkinlanding::proxy {
 
-process::process(options options) : m_options(std::move(options)) {}
+namespace {
+
+constexpr std::chrono::seconds settings_check_interval{2};
+
+std::string read_file(std::string const& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return std::move(text).str();
+}
+
+} // namespace
+
+process::process(options options)
+    : m_options(std::move(options)), m_settings_text(read_file(m_options.settings_path)) {
+  std::error_code error;
+  // Where this fails the first check reads the file once more.
+  m_settings_written_at = std::filesystem::last_write_time(m_options.settings_path, error);
+}
 
 tl::expected<void, daemon::listener_error> process::open(handlers handlers) {
   m_handlers = std::move(handlers);
@@ -95,16 +113,34 @@
   m_tick.async_wait([this](boost::system::error_code error) {
     if (!error) {
       m_handlers.on_tick();
+      check_settings_file();
       schedule_tick();
     }
   });
 }
 
+void process::check_settings_file() {
+  auto const time = std::chrono::steady_clock::now();
+  if (time < m_settings_checked_at + settings_check_interval) {
+    return;
+  }
+  m_settings_checked_at = time;
+  std::error_code error;
+  auto const written_at = std::filesystem::last_write_time(m_options.settings_path, error);
+  // A file that is being replaced may be away for a moment; the next check finds it.
+  if (error || written_at == m_settings_written_at) {
+    return;
+  }
+  m_settings_written_at = written_at;
+  reload();
+}
+
 void process::reload() {
-  std::ifstream file(m_options.settings_path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  auto settings = parse_settings(text.str());
+  auto text = read_file(m_options.settings_path);
+  if (text == m_settings_text) {
+    return;
+  }
+  auto settings = parse_settings(text);
   if (!settings) {
     for (auto const& error : settings.error()) {
       spdlog::error("process reload_failed fault=\"{}\"",
@@ -112,9 +148,14 @@
     }
     return;
   }
-  spdlog::info("process reloaded seeds={} log_level={}", settings->seeds.size(),
-               settings->log_level);
+  m_settings_text = std::move(text);
+  spdlog::info(
+      "process reloaded seeds={} log_level={} stop_patience_ms={}", settings->seeds.size(),
+      settings->log_level,
+      std::chrono::duration_cast<std::chrono::milliseconds>(settings->stop_patience).count());
   set_log_level(settings->log_level);
+  m_options.settings.seeds = settings->seeds;
+  m_options.settings.stop_patience = settings->stop_patience;
   m_handlers.on_settings(*settings);
 }
 
--- a/services/proxy/process.h
+++ b/services/proxy/process.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
@@ -57,7 +58,10 @@
 
 private:
   void await_signal();
+  void check_settings_file();
   void schedule_tick();
+  /// Reads the settings again if their file has changed. A signal asks for it at once; it is also
+  /// done from time to time, as not every platform sends one.
   void reload();
 
   options m_options;
@@ -69,6 +73,9 @@
   std::unique_ptr<peer_transport> m_peers;
   std::unique_ptr<call_server> m_metrics_server;
   std::set<base::instance_id> m_known_peers;
+  std::string m_settings_text;
+  std::filesystem::file_time_type m_settings_written_at{};
+  std::chrono::steady_clock::time_point m_settings_checked_at{};
   bool m_is_stopping = false;
 };
 
--- a/tests/libraries/proxy/subscriber_test.cpp
+++ b/tests/libraries/proxy/subscriber_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -57,6 +59,17 @@
   EXPECT_EQ(one.tick(start + 101ms), base::instance_id{"y"});
 }
 
+// The pattern: the seeds are exchanged for other instances, and all former ones go away.
+TEST(subscribers, ask_the_seeds_that_the_settings_name_now) {
+  auto one = made();
+  one.use_seeds({{"d"}});
+  std::vector<base::instance_id> asked;
+  for (auto time = start; time < start + 400ms; time += 100ms) {
+    asked.push_back(one.tick(time).value());
+  }
+  EXPECT_NE(std::ranges::find(asked, base::instance_id{"d"}), asked.end());
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
--- a/tests/services/proxy/proxy_whole_path_process.cpp
+++ b/tests/services/proxy/proxy_whole_path_process.cpp
@@ -206,6 +206,21 @@
   EXPECT_EQ(m_deployment.process("entry-1").wait(), 0);
 }
 
+TEST_F(proxy_whole_path, takes_changed_settings_without_a_signal_and_cuts_no_request) {
+  auto answer = std::async(std::launch::async, [&] { return ask("id-1", "/stream/slow-stream"); });
+  ASSERT_TRUE(eventually([&] { return m_deployment.runs_of("id-1").size() == 1; }));
+  for (auto const* name : {"entry-1", "control"}) {
+    m_deployment.change_log_level(name, "debug");
+    EXPECT_TRUE(eventually([&] {
+      return m_deployment.log(name).find("process reloaded seeds=1 log_level=debug") !=
+             std::string::npos;
+    }));
+  }
+  m_deployment.endpoint(0).release();
+  m_deployment.endpoint(1).release();
+  EXPECT_EQ(answer.get().body, all_events());
+}
+
 TEST_F(proxy_whole_path, lets_no_request_hide_in_another) {
   std::string const hidden =
       "POST /once/answer HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: hidden\r\n"
--- a/tests/support/proxy_deployment.cpp
+++ b/tests/support/proxy_deployment.cpp
@@ -50,7 +50,11 @@
   std::filesystem::remove_all(m_folder);
 }
 
-void proxy_deployment::write_settings(std::string const& name) const {
+void proxy_deployment::change_log_level(std::string const& name, std::string const& level) const {
+  write_settings(name, level);
+}
+
+void proxy_deployment::write_settings(std::string const& name, std::string const& log_level) const {
   auto const& ip = m_ips.at(name);
   auto const at = [&](int port) { return ip + ":" + std::to_string(port); };
   bool const is_control = name == "control";
@@ -64,6 +68,7 @@
                          {"seeds", {std::string(control_ip) + ":" + std::to_string(m_call_port)}},
                          {"first_start", true},
                          {"data_folder", is_control ? (m_folder / "data").string() : ""},
+                         {"log_level", log_level},
                          {"bounds", {{"retry_ratio", 0.5}, {"retry_slack", 200}}}};
   std::ofstream(m_folder / (name + ".json")) << settings.dump();
 }
--- a/tests/support/proxy_deployment.h
+++ b/tests/support/proxy_deployment.h
@@ -26,6 +26,8 @@
   /// Returns whether all of that came about.
   [[nodiscard]] bool start();
   void start_process(std::string const& name);
+  /// Writes the settings of the process again, with another level of its log.
+  void change_log_level(std::string const& name, std::string const& level) const;
   [[nodiscard]] child_process& process(std::string const& name) { return m_processes.at(name); }
 
   /// A caller's request to an entry, with a key, an id and a deadline unless it names its own.
@@ -53,7 +55,7 @@
   [[nodiscard]] std::string log(std::string const& name) const;
 
 private:
-  void write_settings(std::string const& name) const;
+  void write_settings(std::string const& name, std::string const& log_level = "info") const;
 
   std::filesystem::path m_folder;
   std::map<std::string, std::string> m_ips;
