proxy: Count an instance as silent only if it was asked

Ruled out: the leader's document lost on its way (the leader noted no subscription of these entries).

Test seen failing before the change: ask_every_seed_though_two_point_at_a_leader_that_lost_its_lease.

--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -38,7 +38,8 @@
 
 bool subscriber::is_upstream_silent(base::monotonic_time now) const {
   auto const patience = m_leader ? m_options.patience : m_options.search_interval;
-  return now >= std::max(m_heard_at, m_turned_at) + patience;
+  bool const was_asked = m_asked_at >= m_turned_at;
+  return was_asked && now >= std::max(m_heard_at, m_turned_at) + patience;
 }
 
 std::optional<base::instance_id> subscriber::follow(referral const& referral,
--- a/tests/libraries/proxy/subscriber_test.cpp
+++ b/tests/libraries/proxy/subscriber_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace catkinlanding::proxy {
 
@@ -22,6 +23,21 @@
   return made;
 }
 
+/// Whom it asks where "b" names "a" for the leader, and the others know none.
+std::set<base::instance_id> asked_in_a_second(subscriber& one) {
+  std::set<base::instance_id> asked;
+  for (auto time = start; time < start + 1s; time += 100ms) {
+    auto upstream = one.tick(time);
+    for (int answers = 0; upstream && answers < 2; ++answers) {
+      asked.insert(*upstream);
+      auto const referred =
+          *upstream == base::instance_id{"b"} ? referral{.leader = {{"a"}}} : referral{};
+      upstream = one.follow(referred, *upstream, time + 3ms + answers * 3ms);
+    }
+  }
+  return asked;
+}
+
 // The pattern: an entry instance was killed, and its callers' next connections reach it as soon as
 // it listens.
 TEST(subscribers, ask_the_leader_as_soon_as_an_instance_names_it) {
@@ -70,6 +86,15 @@
   EXPECT_NE(std::ranges::find(asked, base::instance_id{"d"}), asked.end());
 }
 
+// The pattern: two of the seeds are cut off together, one of them the former leader, and the other
+// still points at it.
+TEST(subscribers, ask_every_seed_though_two_point_at_a_leader_that_lost_its_lease) {
+  for (std::uint64_t seed = 0; seed < 10; ++seed) {
+    subscriber one({.self = {"entry"}, .seeds = {{"a"}, {"b"}, {"c"}}, .seed = seed});
+    EXPECT_EQ(asked_in_a_second(one), (std::set<base::instance_id>{{"a"}, {"b"}, {"c"}}));
+  }
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
