--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -33,21 +33,26 @@
 
 void control::receive(base::instance_id const& from, message const& message,
                       base::monotonic_time now, control_effects& out) {
-  m_heard[from] = now;
+  note_heard(from, now);
   std::visit([&](auto const& one) { handle(from, one, now, out); }, message);
   settle(now, out);
 }
 
+void control::note_heard(base::instance_id const& from, base::monotonic_time now) {
+  if (m_heard.size() >= m_options.most_heard) {
+    std::erase_if(m_heard,
+                  [&](auto const& item) { return now >= item.second + m_options.voter_patience; });
+  }
+  if (m_heard.contains(from) || m_heard.size() < m_options.most_heard) {
+    m_heard[from] = now;
+  }
+}
+
 void control::receive(call_number number, call_request const& request, base::monotonic_time now,
                       control_effects& out) {
   auto const answer = [&](call_reply reply) { out.answers.push_back({number, std::move(reply)}); };
   if (m_replica.role() != consensus::role::leader) {
-    call_reply reply{.kind = reply_kind::not_leader};
-    auto const& leader = m_replica.leader();
-    if (leader && leader->instance != m_replica.self().instance) {
-      reply.leader = leader->instance;
-    }
-    answer(std::move(reply));
+    answer({.kind = reply_kind::not_leader, .leader = leader_elsewhere()});
     return;
   }
   if (!leads(now)) {
@@ -123,12 +128,10 @@
 void control::take(consensus::join_request const& request, base::instance_id const& from,
                    base::monotonic_time now, control_effects& out) {
   m_applicants[request.voter.instance] = now;
-  auto const& leader = m_replica.leader();
-  bool const is_led_elsewhere = m_replica.role() != consensus::role::leader && leader &&
-                                leader->instance != m_replica.self().instance;
+  auto const leader = leader_elsewhere();
   // Who joins knows some of the instances only, and the leader may be none of these.
-  if (is_led_elsewhere && leader->instance != from) {
-    out.messages.push_back({leader->instance, consensus::message{request}});
+  if (leader && *leader != from) {
+    out.messages.push_back({*leader, consensus::message{request}});
   }
 }
 
@@ -153,11 +156,7 @@
 
 void control::refer(base::instance_id const& from, subscription const& subscription,
                     control_effects& out) const {
-  std::optional<base::instance_id> leader;
-  if (auto const& known = m_replica.leader();
-      known && known->instance != m_replica.self().instance) {
-    leader = known->instance;
-  }
+  auto const leader = leader_elsewhere();
   out.messages.push_back({from, referral{leader}});
   bool const starts_alone =
       !leader && subscription.is_entry && subscription.known.document_revision == 0;
@@ -280,6 +279,12 @@
 
 // The replicated log.
 
+std::optional<base::instance_id> control::leader_elsewhere() const {
+  auto const& leader = m_replica.leader();
+  bool const is_known = leader && leader->instance != m_replica.self().instance;
+  return is_known ? std::optional(leader->instance) : std::nullopt;
+}
+
 bool control::leads(base::monotonic_time now) const {
   return m_replica.role() == consensus::role::leader && m_replica.holds_lease(now);
 }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -74,6 +74,8 @@
     /// A voter that was silent for so long yields its place to an instance that asks for one.
     base::duration voter_patience = std::chrono::seconds(5);
     std::size_t most_voters = 7;
+    /// Made-up senders must not fill the memory.
+    std::size_t most_heard = 4096;
     /// The same document is not pushed again to a subscriber before.
     base::duration push_interval = std::chrono::milliseconds(500);
     /// An order of a rollout that ended more recently is a resent one.
@@ -150,6 +152,9 @@
                control_effects& out);
 
   [[nodiscard]] bool leads(base::monotonic_time now) const;
+  /// The leader that this instance knows, unless it is itself.
+  [[nodiscard]] std::optional<base::instance_id> leader_elsewhere() const;
+  void note_heard(base::instance_id const& from, base::monotonic_time now);
   /// Follows up what the replica did: role, committed entries, snapshots.
   void settle(base::monotonic_time now, control_effects& out);
   void note_role(base::monotonic_time now, control_effects& out);
