proxy: Let requests wait for the first endpoint of a start, too

Look-ups that waited for the document were held for as long as the others, and some until their time was over.

While an instance starts, a request waits for whatever it lacks: the document, or any endpoint of its service. No request waits for more than half of its own time, so that its caller can come back.

Known limit: those that waited all go to the first endpoints that announce themselves; a leader that starts with none could keep the last registry on its disk.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -40,14 +40,26 @@
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
       m_endpoints(m_options.endpoints), m_versions(m_options.versions) {}
 
-std::optional<base::monotonic_time> router::wait_for_document(base::monotonic_time now) const {
-  if (is_ready() || !m_started_at) {
+std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
+                                                           base::monotonic_time now) const {
+  if (!m_started_at || !lacks_state_for(facts)) {
     return std::nullopt;
   }
-  auto const end = *m_started_at + m_options.start_patience;
+  auto const patience = facts.patience.value_or(m_options.longest_patience);
+  auto const own_part = std::chrono::duration_cast<base::duration>(
+      patience * m_options.longest_waiting_part - facts.waited);
+  auto const end = std::min(*m_started_at + m_options.start_patience, now + own_part);
   return now < end ? std::optional(end) : std::nullopt;
 }
 
+bool router::lacks_state_for(request_facts const& facts) const {
+  if (!is_ready()) {
+    return true;
+  }
+  auto const* route = m_routes->find(facts.host, facts.path);
+  return route != nullptr && m_endpoints.ready(service_for(*route, facts)).empty();
+}
+
 decision router::begin(request_number number, request_facts facts, base::monotonic_time now) {
   if (m_routes->revision() == 0) {
     return refuse(refusal_kind::no_document);
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -45,13 +45,15 @@
     base::duration longest_return = std::chrono::milliseconds(750);
     /// The same for callers that come before the first document: the control instances may have to
     /// agree on a leader first.
+    base::duration recovery_return = std::chrono::milliseconds(600);
     /// An instance that found no leader until so long after its start serves by what a control
     /// instance held last. An election takes less.
     base::duration isolation_patience = std::chrono::milliseconds(1000);
-    /// Callers that come while this instance starts wait for its first document, until so long
-    /// after the start: an election of the control instances and the way to their leader.
-    base::duration start_patience = std::chrono::milliseconds(1500);
-    base::duration recovery_return = std::chrono::milliseconds(600);
+    /// Callers that come while this instance starts wait for what it lacks, until so long after the
+    /// start: an election of the control instances, and a round of the endpoints' announcements.
+    base::duration start_patience = std::chrono::milliseconds(2500);
+    /// The part of its own time that such a caller waits at most, so that it can come back.
+    double longest_waiting_part = 0.5;
     std::uint64_t seed = 0;
   };
 
@@ -59,10 +61,10 @@
 
   // Requests.
 
-  /// Until when a request may wait for the first document; nothing where it need not, or should be
-  /// refused now.
-  [[nodiscard]] std::optional<base::monotonic_time>
-  wait_for_document(base::monotonic_time now) const;
+  /// Until when a request may wait for the first document, or for an endpoint to announce itself
+  /// after this instance's start; nothing where it need not, or should be refused now.
+  [[nodiscard]] std::optional<base::monotonic_time> wait_for_state(request_facts const& facts,
+                                                                   base::monotonic_time now) const;
   [[nodiscard]] decision begin(request_number number, request_facts facts,
                                base::monotonic_time now);
   /// The latest attempt's endpoint began to answer well. Returns whether the answer should be
@@ -140,6 +142,8 @@
 
   /// Asks an instance for what this one lacks, and reports what it saw.
   [[nodiscard]] outgoing ask(base::instance_id const& upstream) const;
+  /// Whether a request needs something that this instance does not know yet.
+  [[nodiscard]] bool lacks_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
   [[nodiscard]] base::service_id const& service_for(route const& route,
                                                     request_facts const& facts) const;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -36,9 +36,7 @@
                                                   .router = m_router,
                                                   .pool = m_pool,
                                                   .dialect = m_dialect,
-                                                  .metrics = m_process.metrics(),
-                                                  .document_wait =
-                                                      daemon::steady_timer(m_process.io())} {}
+                                                  .metrics = m_process.metrics()} {}
 
 router::options entry_process::router_options(process_settings const& settings) {
   router::options options;
@@ -120,8 +118,10 @@
   if (!received.is_changed) {
     return;
   }
+  for (auto* timer : m_context.waiting) {
+    timer->cancel();
+  }
   if (m_router.document_revision() != revision) {
-    m_context.document_wait.cancel();
     spdlog::info("control document revision={} before={} from={}", m_router.document_revision(),
                  revision, from.value);
   }
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -85,14 +85,12 @@
   m_id = facts->id;
   m_session = facts->session.value;
   watch_caller();
-  co_await wait_for_document();
+  co_await wait_for_state(*facts);
   if (m_caller_left) {
     finish(request_end::caller_left, "caller_left");
     co_return false;
   }
-  auto const began_at = now();
-  facts->waited = began_at - m_began_at;
-  auto decision = m_context.router.begin(m_number, std::move(*facts), began_at);
+  auto decision = m_context.router.begin(m_number, std::move(*facts), now());
   while (true) {
     if (auto const* refused = std::get_if<refusal>(&decision)) {
       auto const copy = *refused;
@@ -116,18 +114,25 @@
   }
 }
 
-awaitable<void> exchange::wait_for_document() {
-  auto const end = m_context.router.wait_for_document(now());
-  if (!end) {
-    co_return;
-  }
-  // The first that waits sets the time; it is the same for all.
-  if (m_context.document_wait.expiry() != *end) {
-    m_context.document_wait.expires_at(*end);
+awaitable<void> exchange::wait_for_state(request_facts& facts) {
+  bool has_waited = false;
+  while (auto const end = m_context.router.wait_for_state(facts, now())) {
+    if (m_caller_left) {
+      co_return;
+    }
+    has_waited = true;
+    daemon::steady_timer timer(m_context.io);
+    timer.expires_at(*end);
+    m_context.waiting.insert(&timer);
+    co_await timer.async_wait(completion);
+    m_context.waiting.erase(&timer);
+    facts.waited = now() - m_began_at;
+  }
+  if (has_waited) {
+    spdlog::info("entry waited request={} revision={} endpoints={} waited_ms={}", m_id.value,
+                 m_context.router.document_revision(), m_context.router.endpoint_count(),
+                 whole_milliseconds(facts.waited));
   }
-  co_await m_context.document_wait.async_wait(completion);
-  spdlog::info("entry waited request={} for=document is_there={} waited_ms={}", m_id.value,
-               m_context.router.is_ready(), whole_milliseconds(now() - m_began_at));
 }
 
 awaitable<bool> exchange::refuse(refusal refusal) {
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace catkinlanding::proxy {
@@ -25,8 +26,8 @@
   upstream_pool& pool;
   proxy::dialect const& dialect;
   proxy::metrics& metrics;
-  /// Wakes requests that wait for the first document: cancelled when it is there.
-  daemon::steady_timer document_wait;
+  /// Timers of requests that wait for what this instance lacks: cancelled when it learns something.
+  std::set<daemon::steady_timer*> waiting;
   request_number last_request = 0;
   /// Set while the instance stops: answers end their connections.
   bool is_stopping = false;
@@ -53,7 +54,7 @@
 
   enum class pass_result { whole, broken, caller_failed };
 
-  daemon::awaitable<void> wait_for_document();
+  daemon::awaitable<void> wait_for_state(request_facts& facts);
   daemon::awaitable<bool> refuse(refusal refusal);
   daemon::awaitable<bool> deliver_stored_failure();
   /// Nothing where the answer was delivered whole, or its caller is gone.
