--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -109,6 +109,9 @@
   refusal_kind kind = refusal_kind::outcome_unknown;
   /// When the caller may come back; set where the request surely did not run and may yet.
   std::optional<base::duration> retry_after;
+  /// Whose it was, for the log and the metrics; empty where that is not known.
+  std::string route;
+  base::customer_id customer;
 };
 
 /// Give the caller the failure that the endpoint answered with.
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -332,7 +332,8 @@
                            .salt = m_random()};
   auto const* chosen = choose_endpoint(endpoints, terms, now);
   if (chosen == nullptr) {
-    return refuse(request.tried.empty() ? refusal_kind::no_endpoint : refusal_kind::not_run);
+    return refuse(request,
+                  request.tried.empty() ? refusal_kind::no_endpoint : refusal_kind::not_run);
   }
   request.endpoint = chosen->word.id;
   request.version = chosen->word.version;
@@ -395,12 +396,19 @@
   return {.kind = kind, .retry_after = is_recovering ? pause + m_options.recovery_return : pause};
 }
 
+refusal router::refuse(active_request const& request, refusal_kind kind) {
+  auto made = refuse(kind);
+  made.route = request.route->name;
+  made.customer = request.customer.value_or(base::customer_id{});
+  return made;
+}
+
 refusal router::give_up(active_request const& request, base::monotonic_time now) {
   bool const is_over = now + m_options.least_attempt_time > request.deadline;
   if (request.may_have_run) {
-    return refuse(is_over ? refusal_kind::expired : refusal_kind::outcome_unknown);
+    return refuse(request, is_over ? refusal_kind::expired : refusal_kind::outcome_unknown);
   }
-  return refuse(is_over ? refusal_kind::expired_unsent : refusal_kind::not_run);
+  return refuse(request, is_over ? refusal_kind::expired_unsent : refusal_kind::not_run);
 }
 
 void router::note_failure(active_request& request, attempt_failure failure,
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -154,6 +154,8 @@
   /// Reading so many prompt tokens, weighted by the size of the request's model.
   [[nodiscard]] std::uint64_t work_of(active_request const& request, std::uint64_t tokens) const;
   [[nodiscard]] refusal refuse(refusal_kind kind);
+  /// The same for a request whose route and customer are known.
+  [[nodiscard]] refusal refuse(active_request const& request, refusal_kind kind);
   /// The refusal that is true of what is known of the attempts so far.
   [[nodiscard]] refusal give_up(active_request const& request, base::monotonic_time now);
   void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -136,6 +136,9 @@
 }
 
 awaitable<bool> exchange::refuse(refusal refusal) {
+  // A request that was never sent anywhere has these from its refusal only.
+  m_route = std::move(refusal.route);
+  m_customer = std::move(refusal.customer.value);
   if (m_head_sent) {
     // What was sent must not look like a whole answer.
     finish(request_end::cut, name_of(refusal.kind));
@@ -150,7 +153,8 @@
 awaitable<bool> exchange::deliver_stored_failure() {
   if (!m_failure || is_promise(m_failure->header.result_int())) {
     // The endpoint ran the request, so its caller must not read that it did not.
-    refusal const unknown{.kind = refusal_kind::outcome_unknown};
+    refusal const unknown{
+        .kind = refusal_kind::outcome_unknown, .route = m_route, .customer = {m_customer}};
     co_return co_await refuse(unknown);
   }
   finish(request_end::failed_answer, "endpoint_failed");
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -120,6 +120,14 @@
   EXPECT_EQ(m_router.wait_for_state(facts("/nowhere/x"), start + 100ms), std::nullopt);
 }
 
+TEST_F(routers, name_the_route_and_customer_of_a_request_that_was_never_sent) {
+  learn({});
+  auto const made = begin("/once/x");
+  ASSERT_EQ(refusal_of(made), refusal_kind::no_endpoint);
+  EXPECT_EQ(std::get<refusal>(made).route, "/once/");
+  EXPECT_EQ(std::get<refusal>(made).customer, base::customer_id{"ann"});
+}
+
 TEST_F(routers, let_requests_wait_for_a_part_of_their_own_time) {
   std::ignore = m_router.tick(start);
   auto hurried = facts("/once/x");
