--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -187,8 +187,7 @@
     peers[instance.id] = instance.address;
   }
   m_peers = std::make_unique<peer_transport>(
-      m_context,
-      peer_transport::identity{.self = m_settings.id, .incarnation = random_number()},
+      m_context, peer_transport::identity{.self = m_settings.id, .incarnation = random_number()},
       peer_transport::sockets{std::move(listeners.datagrams), std::move(listeners.peers)}, peers,
       [this](base::instance_id const& from, instance::message message) {
         reduce(instance::message_received{from, std::move(message)});
