proxy: Look for what a start lacks only while it lasts

Cause, found by reading the change: each request looked up its route twice and listed its service's endpoints once more, long after the start, only to find that nothing was lacking. The time of the start is compared first now. Comments on the two aliases of envelopes; a function moved beside what it serves.

--- a/libraries/instance/message.h
+++ b/libraries/instance/message.h
@@ -28,6 +28,7 @@
                  operators::message, membership::message, routing::message, claims::message,
                  limits::message, rollouts::message, sessions::message>;
 
+/// A message as it travels, with the format of this protocol.
 using envelope = base::envelope<message, 3>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -38,16 +38,6 @@
   settle(now, out);
 }
 
-void control::note_heard(base::instance_id const& from, base::monotonic_time now) {
-  if (m_heard.size() >= m_options.most_heard) {
-    std::erase_if(m_heard,
-                  [&](auto const& item) { return now >= item.second + m_options.voter_patience; });
-  }
-  if (m_heard.contains(from) || m_heard.size() < m_options.most_heard) {
-    m_heard[from] = now;
-  }
-}
-
 void control::receive(call_number number, call_request const& request, base::monotonic_time now,
                       control_effects& out) {
   auto const answer = [&](call_reply reply) { out.answers.push_back({number, std::move(reply)}); };
@@ -117,6 +107,16 @@
 
 // Messages.
 
+void control::note_heard(base::instance_id const& from, base::monotonic_time now) {
+  if (m_heard.size() >= m_options.most_heard) {
+    std::erase_if(m_heard,
+                  [&](auto const& item) { return now >= item.second + m_options.voter_patience; });
+  }
+  if (m_heard.contains(from) || m_heard.size() < m_options.most_heard) {
+    m_heard[from] = now;
+  }
+}
+
 void control::handle(base::instance_id const& from, consensus::message const& message,
                      base::monotonic_time now, control_effects& out) {
   if (auto const* join = std::get_if<consensus::join_request>(&message)) {
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -112,6 +112,7 @@
 
 using message = std::variant<consensus::message, subscription, update, referral, last_known_state>;
 
+/// A message as it travels, with the format of this protocol.
 using envelope = base::envelope<message, 0x43505802>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -42,7 +42,8 @@
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
-  if (!m_started_at || !lacks_state_for(facts)) {
+  bool const is_starting = m_started_at && now < *m_started_at + m_options.start_patience;
+  if (!is_starting || !lacks_state_for(facts)) {
     return std::nullopt;
   }
   auto const patience = facts.patience.value_or(m_options.longest_patience);
