daemon: Give up connections between instances that nobody acknowledges

Likely cause, not shown by a run: a document travels over a connection that lives on through the cut. Its bytes are sent again after pauses that double (6.4 s after some 6 s), and all that the leader sends later waits behind them; datagrams pass, so the entry takes the leader for found.

Outgoing connections between instances end after 1 s without an acknowledgement (TCP_USER_TIMEOUT); the next frame opens another. Test seen failing to compile only, as the function is new: frame_transports.give_up_connections_that_nobody_acknowledges.

--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <algorithm>
 
@@ -27,6 +29,9 @@
 constexpr std::chrono::seconds connect_timeout{1};
 /// For each piece of a frame, in both directions. Between frames a connection may be silent.
 constexpr std::chrono::seconds piece_timeout{10};
+/// A connection whose bytes nobody acknowledges for so long is given up: behind a cut, what comes
+/// later would wait for its next retransmission, seconds after the cut has healed.
+constexpr std::chrono::milliseconds unacknowledged_timeout{1000};
 /// Foreign traffic must not fill the log.
 constexpr std::chrono::seconds warning_interval{1};
 constexpr std::size_t length_bytes = sizeof(std::uint32_t);
@@ -40,6 +45,16 @@
 
 } // namespace
 
+void prepare_peer_socket(tcp_socket& socket) {
+  using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  boost::system::error_code error;
+  socket.set_option(tcp::no_delay(true), error);
+  socket.set_option(user_timeout(static_cast<int>(unacknowledged_timeout.count())), error);
+  if (error) {
+    spdlog::warn("peers: a connection has no bound on unacknowledged bytes: {}", error.message());
+  }
+}
+
 frame_transport::frame_transport(asio::io_context& context, sockets sockets,
                                  std::map<base::instance_id, base::address> const& peers,
                                  handler on_frame)
@@ -161,8 +176,7 @@
       forget(to, connection);
       co_return;
     }
-    boost::system::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
+    prepare_peer_socket(stream.socket());
   }
   while (!connection->queue.empty()) {
     auto const& frame = connection->queue.front();
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -19,6 +19,10 @@
 
 namespace catkinlanding::daemon {
 
+/// Sets what every outgoing connection between instances has: no delay for small frames, and an end
+/// to connections whose bytes are not acknowledged.
+void prepare_peer_socket(tcp_socket& socket);
+
 /// Carries frames of bytes between instances: small ones as datagrams, larger ones over
 /// connections. Frames may be lost, doubled or reordered; the parts allow for that.
 class frame_transport {
--- /dev/null
+++ b/tests/services/daemon/frame_transport_test.cpp
@@ -0,0 +1,29 @@
+#include <services/daemon/frame_transport.h>
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace catkinlanding::daemon {
+
+namespace {
+
+// The pattern: a zone is cut off while a document is sent into it. Without a bound the kernel sends
+// the bytes again after ever longer pauses, and all later frames wait behind them.
+TEST(frame_transports, give_up_connections_that_nobody_acknowledges) {
+  boost::asio::io_context context;
+  tcp_socket socket(context, boost::asio::ip::tcp::v4());
+  prepare_peer_socket(socket);
+  int milliseconds = 0;
+  socklen_t size = sizeof(milliseconds);
+  ASSERT_EQ(
+      ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, &size), 0);
+  EXPECT_GT(milliseconds, 0);
+  // A changed document has to be in force within 2 s of a cut's end.
+  EXPECT_LE(milliseconds, 2000);
+}
+
+} // namespace
+
+} // namespace catkinlanding::daemon
