proxy: Log the states of rollouts that entries take, and the evidence of a decision

Neither the moment from which an entry obeys a state of a rollout nor the counts behind a decision could be read from the logs, so the three hypotheses could not be told apart. Entries now log each rollout of an update with its revision and sender, the leader each state that it proposes with both versions' bad answers, answers and mean time.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -423,6 +423,10 @@
     if (auto const next = m_evaluator.next_state(rollout, now)) {
       advance_rollout const advanced{
           .service = rollout.service, .number = rollout.number, .state = *next};
+      out.events.push_back(
+          {control_event::rollout_decided, rollout.service.value,
+           std::string(name_of(*next)) + "," + m_evaluator.describe_evidence(rollout),
+           rollout.number});
       // If the log accepts no entry, the next tick retries. A duplicate entry has no effect.
       static_cast<void>(m_replica.propose(encode(command{advanced}), now, out.log));
     }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -26,6 +26,8 @@
   leadership_lost,
   document_applied,
   rollout_changed,
+  /// The leader proposes the next state of a rollout; the detail holds the evidence.
+  rollout_decided,
   endpoint_changed,
   voters_changed,
   instance_joined,
--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -27,6 +27,11 @@
   return converted;
 }
 
+std::string describe(version_tally const& tally) {
+  return std::to_string(tally.bad) + "/" + std::to_string(tally.answers) + "/" +
+         std::to_string(static_cast<std::int64_t>(mean_of(tally)));
+}
+
 } // namespace
 
 void rollout_evaluator::note(rollout const& rollout, base::monotonic_time now) {
@@ -87,6 +92,11 @@
   return !rollout.is_running() && known != m_times.end() && now < known->second.changed_at + window;
 }
 
+std::string rollout_evaluator::describe_evidence(rollout const& rollout) const {
+  auto const totals = totals_for(rollout);
+  return "target=" + describe(totals.target) + ",old=" + describe(totals.old);
+}
+
 rollout_evaluator::version_totals rollout_evaluator::totals_for(rollout const& rollout) const {
   version_totals totals;
   for (auto const& [instance, tallies] : m_tallies) {
--- a/libraries/proxy/rollout_evaluator.h
+++ b/libraries/proxy/rollout_evaluator.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -50,6 +51,8 @@
   /// `succeeded`.
   [[nodiscard]] rollout_state reported_state(rollout const& rollout,
                                              base::monotonic_time now) const;
+  /// The statistics of both versions as text, for the log.
+  [[nodiscard]] std::string describe_evidence(rollout const& rollout) const;
   /// Whether the rollout ended less than `window` ago.
   [[nodiscard]] bool ended_within(rollout const& rollout, base::duration window,
                                   base::monotonic_time now) const;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -119,6 +119,10 @@
   auto const revision = m_router.document_revision();
   auto received = m_router.receive(from, message, now());
   send(std::move(received.messages));
+  auto const* received_update = std::get_if<update>(&message);
+  if (received_update != nullptr) {
+    log_rollouts(*received_update, from);
+  }
   if (!received.is_changed) {
     return;
   }
@@ -133,7 +137,7 @@
     spdlog::warn("control isolated revision={} endpoints={} from={}", m_router.document_revision(),
                  m_router.endpoint_count(), from.value);
   }
-  if (auto const* received_update = std::get_if<update>(&message)) {
+  if (received_update != nullptr) {
     for (auto const& record : received_update->endpoints) {
       spdlog::info("control endpoint id={} state={} version={} incarnation={} sequence={}",
                    record.announcement.id.value, name_of(record.state),
@@ -143,6 +147,19 @@
   }
 }
 
+void entry_process::log_rollouts(update const& received, base::instance_id const& from) {
+  if (!received.rollouts) {
+    return;
+  }
+  for (auto const& rollout : *received.rollouts) {
+    spdlog::info("control rollout service={} target={} number={} state={} revision={} term={} "
+                 "from={}",
+                 rollout.service.value, rollout.target.value, rollout.number,
+                 name_of(rollout.state), received.state.rollouts_revision,
+                 received.state.registry_term, from.value);
+  }
+}
+
 void entry_process::on_stop() {
   m_context.is_stopping = true;
   m_stop_deadline = now() + m_process.settings().shutdown_timeout - stop_margin;
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -22,6 +22,7 @@
   void on_tick();
   void send(std::vector<outgoing> messages);
   void on_message(base::instance_id const& from, message const& message);
+  static void log_rollouts(update const& received, base::instance_id const& from);
   void on_stop();
   void stop_when_idle();
 
