proxy: Ignore an update that is older than the state an instance knows

What callers could see: an entry goes on sending the trial's share to a version that was rolled back, or requests to an endpoint that has left. Cause: an update that a cut or a paused leader held up is applied whole, while the known revisions stay at the highest, so the newer state is never asked for again. The class: state from a leader without an order of its own at the receiver. It held for rollouts, endpoint states of one announcement, and the registries of control instances; all three ask is_outdated now.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -176,7 +176,7 @@
 
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
                      control_effects& /*out*/) {
-  if (m_replica.role() == consensus::role::leader) {
+  if (m_replica.role() == consensus::role::leader || m_subscriber.is_outdated(update)) {
     return;
   }
   m_subscriber.note_update(update, from, now);
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -250,6 +250,9 @@
   receive_result result;
   std::visit(base::overloaded{
                  [&](update const& one) {
+                   if (m_subscriber.is_outdated(one)) {
+                     return;
+                   }
                    m_subscriber.note_update(one, from, now);
                    result.is_changed = apply(one);
                  },
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -65,6 +65,15 @@
   return m_upstream;
 }
 
+bool subscriber::is_outdated(update const& update) const {
+  auto const& state = update.state;
+  if (state.registry_term != m_known.registry_term) {
+    return state.registry_term < m_known.registry_term;
+  }
+  return state.registry_revision < m_known.registry_revision ||
+         state.rollouts_revision < m_known.rollouts_revision;
+}
+
 void subscriber::note_update(update const& update, base::instance_id const& from,
                              base::monotonic_time now) {
   m_upstream = from;
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -39,6 +39,9 @@
   /// followed per tick, since two instances may refer to each other.
   [[nodiscard]] std::optional<base::instance_id>
   follow(referral const& referral, base::instance_id const& from, base::monotonic_time now);
+  /// Whether a newer state is known than this update carries. A cut link or a paused leader can
+  /// hold an update back until after later ones.
+  [[nodiscard]] bool is_outdated(update const& update) const;
   /// Records the sender of an update as the leader.
   void note_update(update const& update, base::instance_id const& from, base::monotonic_time now);
   /// Advances the known revisions by an update. Returns whether its registry changes connect to the
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -334,6 +334,54 @@
   EXPECT_EQ(m_router.stall_deadline(number), start + 3900ms);
 }
 
+/// An update of the leader of `term` that holds no document.
+update make_update(std::uint64_t term, std::uint64_t registry_revision,
+                   std::uint64_t rollouts_revision) {
+  update made;
+  made.state = {.document_revision = 1,
+                .registry_term = term,
+                .registry_revision = registry_revision,
+                .rollouts_revision = rollouts_revision};
+  made.base_registry_revision = term == 1 ? 1 : 0;
+  return made;
+}
+
+endpoint_record make_record(endpoint_state state, std::uint64_t revision) {
+  endpoint_announcement const announcement{.id = {"a"},
+                                           .service = {"s"},
+                                           .address = {.ip = "10.0.0.1", .port = 80},
+                                           .zone = {"here"},
+                                           .number = {.incarnation = 1, .sequence = 1}};
+  return {.announcement = announcement, .state = state, .revision = revision};
+}
+
+// Guards against an entry instance that sends a trial's share to a version that was rolled back: an
+// update that was held up behind a cut or in a frozen leader arrives after a newer one.
+TEST_F(routers, keep_the_newest_rollout_state_when_an_older_update_arrives_late) {
+  receive_state({"a"});
+  auto const receive_rollout = [&](update made, rollout_state state) {
+    made.rollouts = {{{.service = {"s"}, .target = {""}, .state = state, .number = 1}}};
+    std::ignore = m_router.receive({"control"}, made, start);
+  };
+  receive_rollout(make_update(1, 1, 3), rollout_state::rolled_back);
+  EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
+  receive_rollout(make_update(1, 1, 2), rollout_state::on_trial);
+  EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
+}
+
+// Guards against requests to an endpoint that has left, after a late update of a former leader.
+TEST_F(routers, keep_the_newest_endpoint_state_when_an_older_update_arrives_late) {
+  receive_state({"a"});
+  auto gone = make_update(2, 1, 0);
+  gone.endpoints = {make_record(endpoint_state::gone, 1)};
+  EXPECT_TRUE(m_router.receive({"leader"}, gone, start).is_changed);
+  EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
+  auto ready = make_update(1, 2, 0);
+  ready.endpoints = {make_record(endpoint_state::ready, 2)};
+  EXPECT_FALSE(m_router.receive({"former"}, ready, start).is_changed);
+  EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
+}
+
 TEST_F(routers, keep_serving_while_control_instances_are_unreachable) {
   receive_state({"a"});
   EXPECT_TRUE(m_router.is_connected(start));
