proxy: Keep requests from a version that an earlier rollout rejected

What callers could see: a version that was rolled back gets requests again as soon as the next rollout of its service starts, while its endpoints still run. Cause: the log kept one rollout a service, and everything but its target counted as old. The rollout now carries the versions that earlier ones rejected, eight at most; naming one as the target again clears it.

--- a/libraries/proxy/replicated_state.cpp
+++ b/libraries/proxy/replicated_state.cpp
@@ -15,6 +15,27 @@
   return std::move(*decoded);
 }
 
+namespace {
+
+/// Number of rolled back versions that are remembered for a service.
+constexpr std::size_t max_rejected_versions = 8;
+
+/// Returns the versions that a rollout which follows this one must leave without requests.
+std::vector<base::version_id> rejected_after(rollout const& previous,
+                                             base::version_id const& target) {
+  auto rejected = previous.rejected;
+  if (previous.state == rollout_state::rolled_back) {
+    rejected.push_back(previous.target);
+  }
+  std::erase(rejected, target);
+  if (rejected.size() > max_rejected_versions) {
+    rejected.erase(rejected.begin());
+  }
+  return rejected;
+}
+
+} // namespace
+
 bool replicated_state::apply(command const& command) {
   return std::visit([this](auto const& one) { return apply_one(one); }, command);
 }
@@ -35,12 +56,13 @@
   if (is_resent) {
     return false;
   }
-  auto const number = known == m_rollouts.end() ? 1 : known->second.number + 1;
+  auto const previous = known == m_rollouts.end() ? rollout{} : known->second;
   m_rollouts[command.service] = {.service = command.service,
                                  .target = command.target,
                                  .duration = command.duration,
                                  .state = rollout_state::prepared,
-                                 .number = number};
+                                 .number = previous.number + 1,
+                                 .rejected = rejected_after(previous, command.target)};
   ++m_rollouts_revision;
   return true;
 }
--- a/libraries/proxy/rollout.cpp
+++ b/libraries/proxy/rollout.cpp
@@ -4,6 +4,11 @@
 
 namespace catkinlanding::proxy {
 
+bool rollout::has_rejected(base::version_id const& version) const {
+  return (version == target && state == rollout_state::rolled_back) ||
+         std::ranges::find(rejected, version) != rejected.end();
+}
+
 answer_statistics& answer_statistics::operator+=(answer_statistics const& other) {
   answers += other.answers;
   bad += other.bad;
--- a/libraries/proxy/rollout.h
+++ b/libraries/proxy/rollout.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace catkinlanding::proxy {
 
@@ -68,9 +69,15 @@
   rollout_state state = rollout_state::prepared;
   /// Increases with each rollout of the service.
   std::uint64_t number = 0;
+  /// Versions that earlier rollouts rolled back. They receive no requests while their endpoints are
+  /// still running.
+  std::vector<base::version_id> rejected;
 
   bool operator==(rollout const&) const = default;
 
+  /// Whether the version was rolled back by this rollout or an earlier one.
+  [[nodiscard]] bool has_rejected(base::version_id const& version) const;
+
   [[nodiscard]] bool is_running() const {
     return state == rollout_state::prepared || is_evaluated();
   }
@@ -81,7 +88,7 @@
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(service, target, duration, state, number);
+    archive(service, target, duration, state, number, rejected);
   }
 };
 
--- a/libraries/proxy/version_policy.cpp
+++ b/libraries/proxy/version_policy.cpp
@@ -49,6 +49,9 @@
     return all;
   }
   auto const& rollout = known->second;
+  std::erase_if(all, [&](known_endpoint const* one) {
+    return rollout.has_rejected(one->announcement.version);
+  });
   auto target = with_version(all, rollout.target, true);
   auto old = with_version(all, rollout.target, false);
   switch (rollout.state) {
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -329,6 +329,32 @@
   EXPECT_EQ(group.node("a").state().find_rollout({"s"})->number, 1U);
 }
 
+// Guards against a version that was rolled back and comes back with the next rollout.
+TEST(control_groups, remember_rejected_versions_in_later_rollouts) {
+  auto group = founded_group();
+  auto const start_and_fail = [&](call_number number, std::string const& version) {
+    group.call("a", number, start_rollout{.service = {"s"}, .target = {version}, .duration = 10s});
+    group.run(6s);
+    version_tally const failing{.service = {"s"},
+                                .version = {version},
+                                .rollout = group.node("a").state().find_rollout({"s"})->number,
+                                .route = "r",
+                                .statistics = {.answers = 20, .bad = 10}};
+    group.send("entry", "a", subscription{.is_entry = true, .tallies = {failing}});
+    group.run(100ms);
+    EXPECT_EQ(group.node("a").state().find_rollout({"s"})->state, rollout_state::rolled_back);
+  };
+  start_and_fail(1, "v2");
+  start_and_fail(2, "v3");
+  group.call("a", 3, start_rollout{.service = {"s"}, .target = {"v2"}, .duration = 10s});
+  auto const* latest = group.node("a").state().find_rollout({"s"});
+  EXPECT_FALSE(latest->has_rejected({"v2"}));
+  EXPECT_TRUE(latest->has_rejected({"v3"}));
+  auto const restored = replicated_state::from_snapshot(group.node("a").state().snapshot());
+  ASSERT_TRUE(restored.has_value());
+  EXPECT_EQ(*restored->find_rollout({"s"}), *latest);
+}
+
 // A restarted entry instance has lost the document that was sent to it just before the restart. It
 // must not wait for the push interval to receive the document again.
 TEST(control_groups, resend_the_document_at_once_to_a_restarted_instance) {
--- a/tests/libraries/proxy/version_policy_test.cpp
+++ b/tests/libraries/proxy/version_policy_test.cpp
@@ -60,6 +60,19 @@
   }
 }
 
+// Guards against a version that was rolled back and gets requests again as soon as the next rollout
+// starts, because its endpoints are still running.
+TEST_F(version_policies, send_nothing_to_a_version_that_an_earlier_rollout_rejected) {
+  m_policy.apply({{.service = {"llm"},
+                   .target = {"v3"},
+                   .state = rollout_state::prepared,
+                   .number = 4,
+                   .rejected = {{"v2"}}}});
+  auto const endpoints = eligible_endpoints("s");
+  EXPECT_EQ(count(endpoints, "v2"), 0U);
+  EXPECT_EQ(count(endpoints, "v1"), 12U);
+}
+
 TEST_F(version_policies, send_a_share_of_sessions_to_few_endpoints_during_the_trial) {
   set_state(rollout_state::on_trial);
   int drawn = 0;
