proxy: Compare the pace and the delay of a version's answers by distribution

Cause: the verdict compared mean times to the first byte of all routes together. The trial's idle endpoints start an answer as fast as the busy old ones, the slow part comes after the first byte, routes with long prompts hide it, and an answer whose caller gave up was not counted. Its class: a measure that the fault does not move. The leader compares how many answers of the target exceed twice (for the first byte of a stream four times) the times that one in 2, 4 or 10 of the old version's answers exceeds, with the confidence and excess that failures need.

--- a/libraries/proxy/rollout.cpp
+++ b/libraries/proxy/rollout.cpp
@@ -12,14 +12,16 @@
 answer_statistics& answer_statistics::operator+=(answer_statistics const& other) {
   answers += other.answers;
   bad += other.bad;
-  milliseconds += other.milliseconds;
+  first_byte += other.first_byte;
+  event_interval += other.event_interval;
   return *this;
 }
 
 answer_statistics& answer_statistics::operator-=(answer_statistics const& earlier) {
   answers -= std::min(answers, earlier.answers);
   bad -= std::min(bad, earlier.bad);
-  milliseconds -= std::min(milliseconds, earlier.milliseconds);
+  first_byte -= earlier.first_byte;
+  event_interval -= earlier.event_interval;
   return *this;
 }
 
--- a/libraries/proxy/rollout.h
+++ b/libraries/proxy/rollout.h
@@ -2,6 +2,7 @@
 
 #include <libraries/base/identifier.h>
 #include <libraries/base/time.h>
+#include <libraries/proxy/time_histogram.h>
 
 #include <cstdint>
 #include <string>
@@ -97,8 +98,10 @@
   std::uint64_t answers = 0;
   /// Failures and interrupted answers.
   std::uint64_t bad = 0;
-  /// Sum of the times to the first byte of the good answers, in milliseconds.
-  std::uint64_t milliseconds = 0;
+  /// Times from an attempt to the first byte of its answer.
+  time_histogram first_byte;
+  /// Mean times between the events of a stream, one value a stream.
+  time_histogram event_interval;
 
   bool operator==(answer_statistics const&) const = default;
 
@@ -108,7 +111,7 @@
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(answers, bad, milliseconds);
+    archive(answers, bad, first_byte, event_interval);
   }
 };
 
--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -16,8 +16,12 @@
 }
 
 std::string describe(answer_statistics const& statistics) {
+  auto const median = [](time_histogram const& histogram) {
+    auto const time = std::chrono::duration_cast<std::chrono::milliseconds>(histogram.median());
+    return std::to_string(time.count());
+  };
   return std::to_string(statistics.bad) + "/" + std::to_string(statistics.answers) + "/" +
-         std::to_string(statistics.milliseconds);
+         median(statistics.first_byte) + "/" + median(statistics.event_interval);
 }
 
 } // namespace
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds min_escalation_time{1500};
 /// How many times longer the largest model takes to process a prompt token than the smallest.
 constexpr std::uint64_t largest_model_weight = 10;
+/// Number of events after the first ones of a stream by which its pace is measured.
+constexpr std::size_t min_timed_events = 3;
 /// Fraction of the retry limit that escalations may not use, so that it is left for failures.
 constexpr double failure_reserve = 0.25;
 
@@ -136,6 +138,29 @@
   }
 }
 
+void router::note_events(request_number number, std::size_t count, base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found == m_requests.end() || count == 0) {
+    return;
+  }
+  auto& request = found->second;
+  request.events += count;
+  if (!request.first_event_at) {
+    request.first_event_at = now;
+    request.first_events = count;
+    return;
+  }
+  auto const later_events = request.events - request.first_events;
+  if (request.is_pace_counted || later_events < min_timed_events) {
+    return;
+  }
+  request.is_pace_counted = true;
+  if (auto* statistics = statistics_for(request)) {
+    auto const time = now - *request.first_event_at;
+    statistics->event_interval.add(time / static_cast<base::duration::rep>(later_events));
+  }
+}
+
 std::optional<base::monotonic_time> router::stall_deadline(request_number number) const {
   auto const found = m_requests.find(number);
   if (found == m_requests.end()) {
@@ -222,12 +247,13 @@
   return final_refusal(request, now);
 }
 
-void router::end(request_number number) {
+void router::end(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end()) {
     return;
   }
   auto& request = found->second;
+  note_unanswered(request, now);
   finish_attempt(request);
   m_requests.erase(found);
 }
@@ -347,6 +373,9 @@
   request.progress_at = now;
   request.is_attempting = true;
   request.has_answer = false;
+  request.first_event_at.reset();
+  request.events = 0;
+  request.is_pace_counted = false;
   attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
                .endpoint = chosen->announcement.id,
                .address = chosen->announcement.address,
@@ -488,8 +517,18 @@
     return;
   }
   ++statistics->answers;
-  auto const took = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.attempt_at);
-  statistics->milliseconds += static_cast<std::uint64_t>(std::max<std::int64_t>(took.count(), 0));
+  statistics->first_byte.add(now - request.attempt_at);
+}
+
+void router::note_unanswered(active_request const& request, base::monotonic_time now) {
+  auto const waited = now - request.attempt_at;
+  bool const is_late =
+      request.is_attempting && !request.has_answer && waited > request.route->target_latency;
+  auto* statistics = is_late ? statistics_for(request) : nullptr;
+  if (statistics != nullptr) {
+    ++statistics->answers;
+    statistics->first_byte.add(waited);
+  }
 }
 
 retry_limiter& router::retry_limiter_for(base::service_id const& service) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -78,6 +78,8 @@
                                  base::monotonic_time now);
   /// Records that more data of the current attempt's response arrived.
   void note_progress(request_number number, base::monotonic_time now);
+  /// Records that this many further events of the current attempt's stream arrived.
+  void note_events(request_number number, std::size_t count, base::monotonic_time now);
   /// Returns when the current attempt is considered stalled if no more data arrives. Returns
   /// nothing if no other attempt could follow it, or while a request without a response may be
   /// queued on a fully loaded endpoint.
@@ -89,7 +91,7 @@
   /// whether the caller has already received a part of the response.
   [[nodiscard]] decision fail(request_number number, attempt_failure failure, bool was_delivered,
                               base::monotonic_time now);
-  void end(request_number number);
+  void end(request_number number, base::monotonic_time now);
 
   // Synchronization with the control instances.
 
@@ -139,6 +141,12 @@
     base::monotonic_time attempt_at{};
     /// When the attempt began or last received data.
     base::monotonic_time progress_at{};
+    /// The events of the current attempt: when the first ones arrived and how many these were, how
+    /// many there are so far, and whether the time between them was counted.
+    std::optional<base::monotonic_time> first_event_at;
+    std::size_t first_events = 0;
+    std::size_t events = 0;
+    bool is_pace_counted = false;
     /// Weighted prompt tokens that the current attempt's endpoint has yet to process.
     std::uint64_t pending_work = 0;
     /// Set while an attempt is in progress.
@@ -176,6 +184,8 @@
   /// Returns where to count an answer to this request while its service has a rollout that is being
   /// evaluated; otherwise nullptr.
   [[nodiscard]] answer_statistics* statistics_for(active_request const& request);
+  /// Counts an attempt that its caller gave up waiting for as a late answer.
+  void note_unanswered(active_request const& request, base::monotonic_time now);
   void tally(active_request const& request, bool is_bad, base::monotonic_time now);
   retry_limiter& retry_limiter_for(base::service_id const& service);
   bool apply(update const& update);
--- a/libraries/proxy/version_comparison.cpp
+++ b/libraries/proxy/version_comparison.cpp
@@ -2,44 +2,123 @@
 #include <libraries/rollouts/judgement.h>
 
 #include <algorithm>
+#include <array>
 
 namespace catkinlanding::proxy {
 
 namespace {
 
+/// An answer of the target counts as slow if it took so many times as long as a threshold at which
+/// the old version's answers count as slow. The time to a stream's first byte also grows with
+/// prompts that are not cached yet; the pace of a stream does not.
+constexpr std::size_t slow_buckets = 1 * time_histogram::buckets_per_doubling;
+constexpr std::size_t slow_stream_start_buckets = 2 * time_histogram::buckets_per_doubling;
+/// The thresholds are the times that one in so many of the old version's answers exceeds. A version
+/// of which few answers are slow differs at the high ones, one that is slow throughout at the low
+/// ones.
+constexpr std::array<std::uint64_t, 3> threshold_divisors{2, 4, 10};
 constexpr double permille = 0.001;
 
-rollouts::tally as_tally(answer_statistics const& statistics) {
+/// Numbers of slow answers of both versions.
+struct slow_counts {
+  rollouts::tally target;
+  rollouts::tally old;
+};
+
+rollouts::tally as_tally(std::uint64_t bad, std::uint64_t answers) {
   rollouts::tally converted;
-  converted.answers = statistics.answers;
-  converted.bad = statistics.bad;
+  converted.answers = answers;
+  converted.bad = bad;
   return converted;
 }
 
-bool fails_more(version_comparison const& comparison, comparison_bounds const& bounds) {
+bool exceeds(rollouts::tally const& target, rollouts::tally const& old,
+             comparison_bounds const& bounds) {
   catalogue::rollout_bounds converted;
   converted.least_bad_answers =
       static_cast<decltype(converted.least_bad_answers)>(bounds.min_bad_answers);
   converted.abort_excess_permille = bounds.excess_permille;
-  return rollouts::is_worse(as_tally(comparison.target), as_tally(comparison.old), converted);
+  return rollouts::is_worse(target, old, converted);
 }
 
-double mean_of(answer_statistics const& statistics) {
-  auto const good = statistics.answers - std::min(statistics.answers, statistics.bad);
-  return good == 0 ? 0.0 : static_cast<double>(statistics.milliseconds) / static_cast<double>(good);
+/// Like exceeds(), without confidence: a single comparison of the shares.
+bool may_exceed(rollouts::tally const& target, rollouts::tally const& old,
+                comparison_bounds const& bounds) {
+  auto const share = [](rollouts::tally const& tally) {
+    return tally.answers == 0 ? 0.0
+                              : static_cast<double>(tally.bad) / static_cast<double>(tally.answers);
+  };
+  return share(target) > share(old) + bounds.excess_permille * permille;
 }
 
-bool is_slower(version_comparison const& comparison, comparison_bounds const& bounds) {
+slow_counts count_slow(time_histogram const& target, time_histogram const& old,
+                       std::uint64_t divisor, std::size_t slow_buckets) {
+  std::size_t bucket = 0;
+  while (old.count_from(bucket) * divisor > old.count()) {
+    ++bucket;
+  }
+  return {.target = as_tally(target.count_from(bucket + slow_buckets), target.count()),
+          .old = as_tally(old.count_from(bucket), old.count())};
+}
+
+/// A property by which the versions are compared on one route.
+using measure = slow_counts (*)(version_comparison const&, std::uint64_t divisor,
+                                comparison_bounds const&);
+
+slow_counts count_failures(version_comparison const& comparison, std::uint64_t /*divisor*/,
+                           comparison_bounds const& /*bounds*/) {
   auto const& [target, old] = comparison;
-  bool const is_timed =
-      target.answers >= bounds.min_baseline_answers && old.answers >= bounds.min_baseline_answers;
-  return is_timed && mean_of(target) > bounds.max_latency_ratio * mean_of(old);
+  return {.target = as_tally(target.bad, target.answers), .old = as_tally(old.bad, old.answers)};
+}
+
+slow_counts count_slow_streams(version_comparison const& comparison, std::uint64_t divisor,
+                               comparison_bounds const& bounds) {
+  auto const& target = comparison.target.event_interval;
+  auto const& old = comparison.old.event_interval;
+  bool const has_baseline = old.count() >= bounds.min_baseline_answers;
+  return has_baseline ? count_slow(target, old, divisor, slow_buckets) : slow_counts{};
+}
+
+slow_counts count_late_answers(version_comparison const& comparison, std::uint64_t divisor,
+                               comparison_bounds const& bounds) {
+  auto const& target = comparison.target.first_byte;
+  auto const& old = comparison.old.first_byte;
+  if (old.count() < bounds.min_baseline_answers) {
+    return {};
+  }
+  bool const is_stream = comparison.old.event_interval.count() > 0;
+  return count_slow(target, old, divisor, is_stream ? slow_stream_start_buckets : slow_buckets);
+}
+
+constexpr std::array<measure, 3> measures{count_failures, count_slow_streams, count_late_answers};
+
+using criterion = bool (*)(rollouts::tally const& target, rollouts::tally const& old,
+                           comparison_bounds const& bounds);
+
+/// Whether the criterion holds for the measure, on one of the routes or on all of them together.
+bool holds(route_comparisons const& routes, measure count, std::uint64_t divisor, criterion applies,
+           bool is_each_route, comparison_bounds const& bounds) {
+  slow_counts sum;
+  for (auto const& [route, comparison] : routes) {
+    auto const counts = count(comparison, divisor, bounds);
+    if (is_each_route && applies(counts.target, counts.old, bounds)) {
+      return true;
+    }
+    sum.target.answers += counts.target.answers;
+    sum.target.bad += counts.target.bad;
+    sum.old.answers += counts.old.answers;
+    sum.old.bad += counts.old.bad;
+  }
+  return applies(sum.target, sum.old, bounds);
 }
 
-double bad_share(answer_statistics const& statistics) {
-  return statistics.answers == 0
-             ? 0.0
-             : static_cast<double>(statistics.bad) / static_cast<double>(statistics.answers);
+bool holds_for_any_measure(route_comparisons const& routes, criterion applies, bool is_each_route,
+                           comparison_bounds const& bounds) {
+  return std::ranges::any_of(measures, [&](measure count) {
+    return std::ranges::any_of(threshold_divisors, [&](std::uint64_t divisor) {
+      return holds(routes, count, divisor, applies, is_each_route, bounds);
+    });
+  });
 }
 
 } // namespace
@@ -64,15 +143,12 @@
 }
 
 bool is_target_sound(route_comparisons const& routes, comparison_bounds const& bounds) {
-  auto const sum = pool(routes);
-  return bad_share(sum.target) <= bad_share(sum.old) + bounds.excess_permille * permille;
+  // A single route has too few answers for a comparison without confidence.
+  return !holds_for_any_measure(routes, may_exceed, false, bounds);
 }
 
 bool is_target_worse(route_comparisons const& routes, comparison_bounds const& bounds) {
-  auto const sum = pool(routes);
-  return fails_more(sum, bounds) || is_slower(sum, bounds) ||
-         std::ranges::any_of(routes,
-                             [&](auto const& item) { return fails_more(item.second, bounds); });
+  return holds_for_any_measure(routes, exceeds, true, bounds);
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/version_comparison.h
+++ b/libraries/proxy/version_comparison.h
@@ -6,15 +6,13 @@
 
 /// When the target of a rollout counts as worse than the old version.
 struct comparison_bounds {
-  /// Number of bad answers before the target can count as worse.
+  /// Number of bad or slow answers before the target can count as worse.
   std::uint64_t min_bad_answers = 5;
-  /// By how much the target's share of bad answers must exceed the old version's with
+  /// By how much the target's share of bad or slow answers must exceed the old version's with
   /// statistical confidence, in thousandths.
   std::uint32_t excess_permille = 80;
   /// Number of answers of the old version on a route by which the target can be judged.
   std::uint64_t min_baseline_answers = 12;
-  /// How many times higher than the old version's the target's mean latency may be.
-  double max_latency_ratio = 3.0;
 };
 
 /// The sum over all routes.
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -357,10 +357,12 @@
     if (!piece) {
       co_return forward_result::broken;
     }
+    auto const events_before = m_events.events();
     auto events = m_events.take(*piece);
     if (events.empty()) {
       continue;
     }
+    m_context.router.note_events(m_number, m_events.events() - events_before, now());
     auto bytes = serialize_chunk(events);
     if (!m_is_header_sent) {
       // The header is sent with the first event, so that an attempt without events can be replaced.
@@ -508,7 +510,7 @@
   boost::system::error_code ignored;
   // Cancels the disconnect watch, the only operation still pending on the caller's socket.
   m_caller.socket().cancel(ignored);
-  m_context.router.end(m_number);
+  m_context.router.end(m_number, now());
   auto const took = now() - m_started_at;
   m_context.metrics.observe_request(m_customer, m_route, end, reason, took);
   if (auto const first = m_stream_timing.first_event()) {
--- a/tests/libraries/proxy/rollout_evaluator_test.cpp
+++ b/tests/libraries/proxy/rollout_evaluator_test.cpp
@@ -23,11 +23,25 @@
           .statistics = {.answers = answers, .bad = bad}};
 }
 
-/// Good answers with this mean time to their first byte.
-version_tally timed_tally(std::string version, std::uint64_t answers,
-                          std::chrono::milliseconds first_byte) {
+void add_times(time_histogram& histogram, std::size_t count, base::duration time) {
+  for (std::size_t i = 0; i < count; ++i) {
+    histogram.add(time);
+  }
+}
+
+/// Good answers with this time to their first byte.
+version_tally timed_tally(std::string version, std::uint64_t answers, base::duration first_byte) {
   auto made = tally(std::move(version), answers, 0);
-  made.statistics.milliseconds = answers * static_cast<std::uint64_t>(first_byte.count());
+  add_times(made.statistics.first_byte, answers, first_byte);
+  return made;
+}
+
+/// Good streams with this time between their events, of which a part runs at the slow pace.
+version_tally paced_tally(std::string version, std::uint64_t streams, base::duration interval,
+                          std::uint64_t slow_streams = 0, base::duration slow_interval = {}) {
+  auto made = timed_tally(std::move(version), streams, 100ms);
+  add_times(made.statistics.event_interval, streams - slow_streams, interval);
+  add_times(made.statistics.event_interval, slow_streams, slow_interval);
   return made;
 }
 
@@ -127,6 +141,30 @@
   EXPECT_EQ(m_evaluator.next_state(trial, start + 6s), rollout_state::rolled_back);
 }
 
+// Guards against a version whose streams run several times slower and that is kept because its idle
+// endpoints start their answers as fast as the busy ones of the old version.
+TEST_F(rollout_evaluators, roll_back_a_version_whose_streams_run_slowly) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_evaluator.report({"a"}, {paced_tally("v1", 100, 50ms), paced_tally("v2", 12, 180ms)},
+                     start + 6s);
+  EXPECT_EQ(m_evaluator.next_state(trial, start + 6s), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_evaluators, roll_back_a_version_of_which_half_of_the_streams_run_slowly) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_evaluator.report(
+      {"a"}, {paced_tally("v1", 100, 50ms, 10, 90ms), paced_tally("v2", 20, 50ms, 10, 400ms)},
+      start + 6s);
+  EXPECT_EQ(m_evaluator.next_state(trial, start + 6s), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_evaluators, keep_a_version_that_is_a_little_slower) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_evaluator.report({"a"}, {paced_tally("v1", 100, 50ms, 10, 90ms), paced_tally("v2", 40, 65ms)},
+                     start + 6s);
+  EXPECT_EQ(m_evaluator.next_state(trial, start + 6s), std::nullopt);
+}
+
 TEST_F(rollout_evaluators, ignore_reports_about_an_earlier_rollout) {
   auto old = tally("v2", 20, 20);
   old.rollout = 0;
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -193,7 +193,7 @@
     EXPECT_EQ(refusal_of(made), refusal_kind::outcome_unknown);
     // The request may have been executed, so the refusal must not suggest a retry.
     EXPECT_FALSE(std::get<refusal>(made).retry_after.has_value());
-    m_router.end(number);
+    m_router.end(number, start);
   }
 }
 
@@ -205,7 +205,7 @@
     ASSERT_TRUE(is_attempt(first));
     auto const second = fail(failure);
     ASSERT_TRUE(is_attempt(second)) << name_of(failure);
-    m_router.end(number);
+    m_router.end(number, start);
   }
 }
 
@@ -224,7 +224,7 @@
   ASSERT_TRUE(is_attempt(begin("/once/x")));
   ASSERT_TRUE(is_attempt(fail(attempt_failure::not_executed)));
   EXPECT_EQ(refusal_of(fail(attempt_failure::not_executed)), refusal_kind::not_run);
-  m_router.end(number);
+  m_router.end(number, start);
   ASSERT_TRUE(is_attempt(begin("/again/x")));
   ASSERT_TRUE(is_attempt(fail(attempt_failure::broken)));
   EXPECT_EQ(refusal_of(fail(attempt_failure::not_executed)), refusal_kind::outcome_unknown);
@@ -243,7 +243,7 @@
   receive_state({"a", "b"});
   ASSERT_TRUE(is_attempt(begin("/resume/x")));
   EXPECT_TRUE(is_attempt(fail(attempt_failure::broken, true)));
-  m_router.end(number);
+  m_router.end(number, start);
   ASSERT_TRUE(is_attempt(begin("/stream/x")));
   EXPECT_EQ(refusal_of(fail(attempt_failure::broken, true)), refusal_kind::outcome_unknown);
 }
@@ -252,7 +252,7 @@
   receive_state({"a", "b"});
   ASSERT_TRUE(is_attempt(begin("/again/x")));
   EXPECT_EQ(refusal_of(fail(attempt_failure::broken, false, 990ms)), refusal_kind::expired);
-  m_router.end(number);
+  m_router.end(number, start);
   ASSERT_TRUE(is_attempt(begin("/once/x")));
   EXPECT_EQ(refusal_of(fail(attempt_failure::unreachable, false, 990ms)),
             refusal_kind::expired_unsent);
@@ -262,7 +262,7 @@
   receive_state({"a"});
   auto const made = begin("/once/x");
   EXPECT_EQ(std::get<attempt>(made).deadline, start + 1s);
-  m_router.end(number);
+  m_router.end(number, start);
   auto long_request = facts("/once/x");
   long_request.caller_timeout = 30s;
   long_request.caller_timeout = 60s;
@@ -317,7 +317,7 @@
   receive_state({"a", "b"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
   EXPECT_EQ(m_router.stall_deadline(number), std::nullopt);
-  m_router.end(number);
+  m_router.end(number, start);
   ASSERT_TRUE(is_attempt(begin("/stream/x")));
   EXPECT_EQ(m_router.stall_deadline(number), std::nullopt);
 }
@@ -387,6 +387,46 @@
   EXPECT_EQ(tallies.front().statistics.bad, 1U);
 }
 
+// Guards against a slow version that is kept: the pace of its streams has to reach the leader while
+// they run.
+TEST_F(routers, report_the_pace_of_a_stream_before_it_ends) {
+  receive_state({"a"});
+  auto on_trial = make_update(1, 1, 3);
+  on_trial.rollouts = {
+      {{.service = {"s"}, .target = {""}, .state = rollout_state::on_trial, .number = 1}}};
+  std::ignore = m_router.receive({"control"}, on_trial, start);
+  ASSERT_TRUE(is_attempt(begin("/stream/x")));
+  std::ignore = m_router.note_answer(number, std::nullopt, start + 100ms);
+  m_router.note_events(number, 2, start + 100ms);
+  m_router.note_events(number, 1, start + 300ms);
+  m_router.note_events(number, 2, start + 700ms);
+  m_router.note_events(number, 1, start + 30s);
+  auto const sent = m_router.tick(start + 1s);
+  ASSERT_EQ(sent.size(), 1U);
+  auto const& tallies = std::get<subscription>(sent.front().message).tallies;
+  ASSERT_EQ(tallies.size(), 1U);
+  auto const& interval = tallies.front().statistics.event_interval;
+  EXPECT_EQ(interval.count(), 1U);
+  EXPECT_GE(interval.median(), 200ms);
+  EXPECT_LT(interval.median(), 300ms);
+}
+
+// Guards against a slow version that is kept because its callers leave before its answers come.
+TEST_F(routers, count_an_answer_that_its_caller_gave_up_waiting_for) {
+  receive_state({"a"});
+  auto on_trial = make_update(1, 1, 3);
+  on_trial.rollouts = {
+      {{.service = {"s"}, .target = {""}, .state = rollout_state::on_trial, .number = 1}}};
+  std::ignore = m_router.receive({"control"}, on_trial, start);
+  ASSERT_TRUE(is_attempt(begin("/stream/x")));
+  m_router.end(number, start + 900ms);
+  auto const sent = m_router.tick(start + 1s);
+  ASSERT_EQ(sent.size(), 1U);
+  auto const& tallies = std::get<subscription>(sent.front().message).tallies;
+  ASSERT_EQ(tallies.size(), 1U);
+  EXPECT_EQ(tallies.front().statistics.first_byte.count(), 1U);
+}
+
 // Guards against requests to an endpoint that has left, after a late update of a former leader.
 TEST_F(routers, keep_the_newest_endpoint_state_when_an_older_update_arrives_late) {
   receive_state({"a"});
