--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -101,7 +101,8 @@
   received_request request{.method = std::string(message.method_string()),
                            .target = std::string(message.target()),
                            .body = message.body(),
-                           .headers = {}};
+                           .headers = {},
+                           .arrived_at = std::chrono::steady_clock::now()};
   for (auto const& field : message) {
     request.headers[std::string(field.name_string())] = std::string(field.value());
   }
@@ -144,6 +145,16 @@
   return m_executed_requests;
 }
 
+void platform_endpoint::add_to_answers(std::string header_lines) {
+  std::scoped_lock const lock(m_mutex);
+  m_added_lines = std::move(header_lines);
+}
+
+std::string platform_endpoint::added_lines() const {
+  std::scoped_lock const lock(m_mutex);
+  return m_added_lines;
+}
+
 void platform_endpoint::accept() {
   while (!m_is_stopping) {
     pollfd waiting{.fd = m_listener, .events = POLLIN, .revents = 0};
@@ -174,16 +185,18 @@
         socket, with_body("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + m_id + "\r\n", ""));
   }
   if (behaviour == "shed") {
-    return send_all(socket,
-                    with_body("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n", ""));
+    return send_all(
+        socket,
+        with_body("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + added_lines(), ""));
   }
   {
     std::scoped_lock const lock(m_mutex);
     m_executed_requests.push_back(request);
   }
   if (behaviour == "fail") {
-    return send_all(socket,
-                    with_body(response_head(request, "500 Internal Server Error"), "failed"));
+    return send_all(
+        socket,
+        with_body(response_head(request, "500 Internal Server Error") + added_lines(), "failed"));
   }
   if (behaviour == "cut") {
     send_all(socket, response_head(request, "200 OK") + "Content-Length: 100\r\n\r\nonly a part");
@@ -209,7 +222,8 @@
   if (behaviour.find("stream") != std::string::npos) {
     return stream(socket, request, behaviour);
   }
-  return send_all(socket, with_body(response_head(request, "200 OK"), "echo " + request.body));
+  return send_all(
+      socket, with_body(response_head(request, "200 OK") + added_lines(), "echo " + request.body));
 }
 
 bool platform_endpoint::stream(int socket, received_request const& request,
@@ -217,7 +231,7 @@
   auto const from = header(request, "Last-Event-Id");
   int const first = from.empty() ? 1 : std::stoi(from) + 1;
   if (!send_all(socket,
-                response_head(request, "200 OK") +
+                response_head(request, "200 OK") + added_lines() +
                     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
     return false;
   }
--- a/tests/stand_ins/platform_endpoint.h
+++ b/tests/stand_ins/platform_endpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <string>
@@ -15,6 +16,7 @@
   std::string target;
   std::string body;
   std::map<std::string, std::string> headers;
+  std::chrono::steady_clock::time_point arrived_at{};
 };
 
 /// A test double for an endpoint behind the proxy, which runs in threads of the test. The last
@@ -43,10 +45,13 @@
   [[nodiscard]] std::string address() const { return m_ip + ":" + std::to_string(m_port); }
   /// Whether a client closed the connection during a `hang` request.
   [[nodiscard]] bool saw_cancellation() const { return m_saw_cancellation; }
+  /// Adds these header lines, each with its line end, to all later answers and rejections.
+  void add_to_answers(std::string header_lines);
   /// Lets all `slow-stream` answers continue.
   void release() { m_is_released = true; }
 
 private:
+  [[nodiscard]] std::string added_lines() const;
   void accept();
   void serve(int socket);
   [[nodiscard]] bool answer(int socket, received_request const& request);
@@ -59,6 +64,7 @@
   int m_listener = -1;
   mutable std::mutex m_mutex;
   std::vector<received_request> m_executed_requests;
+  std::string m_added_lines;
   std::vector<std::thread> m_threads;
   std::thread m_acceptor;
   std::atomic<bool> m_is_stopping = false;
