proxy: Keep all instances together within the rate that an endpoint names

Cause: nothing read the rate (hypothesis 1), and what an endpoint says to one instance reached no other (hypothesis 2). Its class: a limit for all that each instance would know and obey alone. Change: platform/ decodes the header once (malformed values are ignored with a line and a counter); entries report statements with their age to the leader, which divides the rate among a few of them and tells all others to leave the endpoint alone. Requests keep a distance and save nothing up. It holds for every attempt, since all come from one place in the router. If all endpoints of a service are used up, callers get a refusal at once with the time until the next request is accepted.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -28,7 +28,7 @@
       m_registry(m_options.registry), m_subscriber({.self = m_options.replica.self.instance,
                                                     .seeds = upstream_candidates(m_options.replica),
                                                     .seed = m_options.replica.seed}),
-      m_evaluator(m_options.evaluator) {
+      m_evaluator(m_options.evaluator), m_rates(m_options.rates) {
   restore(recovered.snapshot);
 }
 
@@ -77,6 +77,7 @@
     manage_voters(now, out);
     advance_rollouts(now, out);
     drop_silent_downstreams(now, out);
+    m_rates.tick(now);
     if (now >= m_leader_since + m_options.registry_warmup) {
       m_registry.tick(now);
     }
@@ -153,6 +154,7 @@
   downstream.last_request_at = now;
   downstream.loads = subscription.loads;
   m_evaluator.report(from, subscription.tallies, now);
+  m_rates.report(from, subscription.rate_notices, now);
   push_to(from, downstream, true, now, out);
 }
 
@@ -320,6 +322,7 @@
   if (is_leader) {
     m_leader_since = now;
     m_registry.reset_silence_timers(now);
+    m_rates.begin_term(now);
   } else {
     m_downstreams.clear();
   }
@@ -435,6 +438,7 @@
   std::erase_if(m_downstreams, [&](auto const& item) {
     bool const is_silent = now >= item.second.last_request_at + m_options.subscriber_timeout;
     if (is_silent) {
+      m_rates.release(item.first);
       out.events.push_back(
           {control_event::instance_lost, item.first.value, {}, m_downstreams.size()});
     }
@@ -486,6 +490,9 @@
   sent.is_registry_complete = now >= m_leader_since + m_options.registry_warmup;
   sent.entry_instances = static_cast<std::uint32_t>(
       std::ranges::count_if(m_downstreams, [](auto const& item) { return item.second.is_entry; }));
+  if (downstream.is_entry) {
+    sent.rate_grants = m_rates.grants_for(to, now);
+  }
   if (with_loads && downstream.is_entry) {
     sent.loads = loads_without(to);
   }
--- a/libraries/proxy/endpoint_table.h
+++ b/libraries/proxy/endpoint_table.h
@@ -27,6 +27,9 @@
   /// Until then the endpoint is used only if there is no other.
   base::monotonic_time backoff_until{};
 
+  [[nodiscard]] endpoint_incarnation incarnation() const {
+    return {announcement.id, announcement.number.incarnation};
+  }
   [[nodiscard]] std::uint32_t load() const { return own_outstanding + other_outstanding; }
   [[nodiscard]] std::uint64_t pending_work() const { return own_pending_work + other_pending_work; }
 };
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -4,6 +4,7 @@
 #include <libraries/consensus/message.h>
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/endpoint.h>
+#include <libraries/proxy/endpoint_rate.h>
 #include <libraries/proxy/rollout.h>
 
 #include <tl/expected.hpp>
@@ -55,10 +56,12 @@
   bool is_entry = false;
   std::vector<version_tally> tallies;
   std::vector<endpoint_load> loads;
+  /// Rates of requests that endpoints stated to the sender.
+  std::vector<rate_notice> rate_notices;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads);
+    archive(known, is_entry, tallies, loads, rate_notices);
   }
 };
 
@@ -78,13 +81,15 @@
   std::uint32_t entry_instances = 1;
   /// Requests in flight at each endpoint from all other instances.
   std::vector<endpoint_load> loads;
+  /// The receiver's shares of the rates that endpoints state, which replace the shares before.
+  std::vector<rate_grant> rate_grants;
   /// Control instances to contact if the leader is lost.
   std::vector<base::instance_id> control_instances;
 
   template<class Archive>
   void serialize(Archive& archive) {
     archive(state, document, base_registry_revision, endpoints, is_registry_complete, rollouts,
-            entry_instances, loads, control_instances);
+            entry_instances, loads, rate_grants, control_instances);
   }
 };
 
--- /dev/null
+++ b/libraries/proxy/rate_coordinator.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <libraries/proxy/endpoint_rate.h>
+
+#include <map>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// Divides the rates that endpoints state among the entry instances. Run by the leader.
+///
+/// A few instances, those that reported the endpoint first, share its rate; the others leave it
+/// alone. With few holders each can send often enough to use its share, and the requests that all
+/// of them may have saved up by their distance stay few.
+class rate_coordinator {
+public:
+  struct options {
+    /// Number of instances that share an endpoint: this many, and one more for each request a
+    /// second.
+    std::size_t min_holders = 2;
+    /// An endpoint that states a lower rate gets this many requests a second.
+    double min_rate = 0.2;
+    /// A statement that no instance saw again for this long no longer applies.
+    base::duration notice_lifetime = std::chrono::seconds(30);
+    /// No shares are granted for this long after an election, until the former leader's grants have
+    /// ended.
+    base::duration handover_time = std::chrono::seconds(2);
+  };
+
+  explicit rate_coordinator(options options) : m_options(options) {}
+
+  /// Forgets the shares granted in an earlier term.
+  void begin_term(base::monotonic_time now);
+  void report(base::instance_id const& from, std::vector<rate_notice> const& notices,
+              base::monotonic_time now);
+  /// Takes back the shares of an instance whose grants have ended because it lost contact.
+  void release(base::instance_id const& instance);
+  /// The instance's shares of all rates that are stated now.
+  [[nodiscard]] std::vector<rate_grant> grants_for(base::instance_id const& instance,
+                                                   base::monotonic_time now) const;
+  /// Forgets statements that no longer apply.
+  void tick(base::monotonic_time now);
+
+private:
+  struct stated_rate {
+    std::uint64_t incarnation = 0;
+    /// Requests a second; empty if the endpoint no longer states a rate.
+    std::optional<double> rate;
+    base::monotonic_time stated_at{};
+    std::vector<base::instance_id> holders;
+  };
+
+  void take(base::instance_id const& from, rate_notice const& notice, base::monotonic_time now);
+  [[nodiscard]] std::size_t max_holders(double rate) const;
+
+  options m_options;
+  base::monotonic_time m_granting_from{};
+  std::map<base::endpoint_id, stated_rate> m_rates;
+};
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/rate_limiter.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <libraries/base/random.h>
+#include <libraries/proxy/endpoint_rate.h>
+
+#include <map>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// Keeps one entry instance's requests to each endpoint within the rate that the endpoint accepts
+/// from all instances together.
+///
+/// The leader divides the rate and grants shares. Between an answer that states a rate and the next
+/// grant nothing is sent; an instance without a leader uses a part that is safe for all. Requests
+/// keep a distance and save nothing up, so many instances that were idle can't all send at once.
+class rate_limiter {
+public:
+  struct options {
+    /// An endpoint's own statement overrides grants that do not include it yet for this long.
+    base::duration notice_precedence = std::chrono::seconds(2);
+    /// An endpoint that states a lower rate gets this many requests a second, by which instances
+    /// learn that the limit has ended.
+    double min_rate = 0.2;
+    /// A statement that was not seen again for this long no longer applies.
+    base::duration notice_lifetime = std::chrono::seconds(30);
+    std::uint64_t seed = 0;
+  };
+
+  /// How a statement changed what the instance knows, for the log.
+  enum class change : std::uint8_t { none, limited, lifted };
+
+  explicit rate_limiter(options options) : m_options(options), m_random(options.seed) {}
+
+  void set_instances(std::uint32_t count) { m_instances = count; }
+  /// Records the rate that an answer states, or that it states none. `sent_at` is when its request
+  /// was sent: an answer to an older request does not end a limit.
+  [[nodiscard]] change note_answer(endpoint_incarnation const& source, std::optional<double> rate,
+                                   base::monotonic_time sent_at, base::monotonic_time now);
+  /// Replaces the shares that the leader grants.
+  void apply(std::vector<rate_grant> const& grants, base::monotonic_time now);
+
+  /// Returns when the next request may be sent to the endpoint; a time in the past or present if it
+  /// may be sent now. `is_connected` tells whether the leader's grants are current.
+  [[nodiscard]] base::monotonic_time next_send_at(endpoint_incarnation const& source,
+                                                  bool is_connected,
+                                                  base::monotonic_time now) const;
+  void note_sent(endpoint_incarnation const& source, base::monotonic_time now);
+  /// What the endpoints stated to this instance, for the leader.
+  [[nodiscard]] std::vector<rate_notice> notices(base::monotonic_time now) const;
+  /// Whether a statement waits for the leader's answer.
+  [[nodiscard]] bool awaits_grant(base::monotonic_time now) const;
+  /// Forgets statements that no longer apply.
+  void sweep(base::monotonic_time now);
+
+private:
+  struct limit {
+    /// The rate that the endpoint stated to this instance, and when; empty if it ended.
+    std::optional<double> stated_rate;
+    std::optional<base::monotonic_time> stated_at;
+    std::optional<rate_grant> grant;
+    base::monotonic_time learned_at{};
+    /// When the last request was sent, or when the limit was learned.
+    base::monotonic_time last_sent_at{};
+    /// Random part of the distance between requests while the instance has no leader, so that
+    /// instances which lose it together don't send together.
+    double phase = 0.0;
+  };
+
+  [[nodiscard]] double random_phase();
+  [[nodiscard]] bool awaits_grant(limit const& known, base::monotonic_time now) const;
+  [[nodiscard]] limit& limit_for(endpoint_incarnation const& source, base::monotonic_time now);
+  [[nodiscard]] base::monotonic_time next_with_grant(limit const& known) const;
+  [[nodiscard]] base::monotonic_time next_without_leader(limit const& known) const;
+
+  options m_options;
+  base::random_generator m_random;
+  std::uint32_t m_instances = 1;
+  /// When the leader's grants last arrived.
+  base::monotonic_time m_granted_at{};
+  std::map<endpoint_incarnation, limit> m_limits;
+};
+
+[[nodiscard]] constexpr char const* name_of(rate_limiter::change change) {
+  switch (change) {
+  case rate_limiter::change::none:
+    return "none";
+  case rate_limiter::change::limited:
+    return "limited";
+  case rate_limiter::change::lifted:
+    return "lifted";
+  }
+  return "unknown";
+}
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -74,6 +74,8 @@
   no_document,
   /// No endpoint of the service accepts requests.
   no_endpoint,
+  /// Every endpoint of the service states a rate of requests that is used up.
+  rate_limited,
   /// No endpoint executed the request.
   not_run,
   /// The deadline passed, and no endpoint executed the request.
@@ -94,6 +96,8 @@
     return "no_document";
   case refusal_kind::no_endpoint:
     return "no_endpoint";
+  case refusal_kind::rate_limited:
+    return "rate_limited";
   case refusal_kind::not_run:
     return "not_run";
   case refusal_kind::expired_unsent:
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -40,7 +40,7 @@
 
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
-      m_endpoints(m_options.endpoints), m_versions(m_options.versions) {}
+      m_endpoints(m_options.endpoints), m_versions(m_options.versions), m_rates(m_options.rates) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
@@ -130,6 +130,17 @@
   }
 }
 
+rate_limiter::change router::note_rate(request_number number, std::optional<double> rate,
+                                       base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found == m_requests.end() || !found->second.is_attempting) {
+    return rate_limiter::change::none;
+  }
+  auto const& request = found->second;
+  return m_rates.note_answer({request.endpoint, request.incarnation}, rate, request.attempt_at,
+                             now);
+}
+
 void router::note_progress(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found != m_requests.end()) {
@@ -260,15 +271,19 @@
 
 std::vector<outgoing> router::tick(base::monotonic_time now) {
   m_started_at = m_started_at.value_or(now);
-  auto const upstream = m_subscriber.tick(now, m_versions.has_promoted_rollout());
-  return upstream ? std::vector{make_subscription(*upstream)} : std::vector<outgoing>{};
+  m_rates.sweep(now);
+  bool const is_urgent = m_versions.has_promoted_rollout() || m_rates.awaits_grant(now);
+  auto const upstream = m_subscriber.tick(now, is_urgent);
+  return upstream ? std::vector{make_subscription(*upstream, now)} : std::vector<outgoing>{};
 }
 
-outgoing router::make_subscription(base::instance_id const& upstream) const {
+outgoing router::make_subscription(base::instance_id const& upstream,
+                                   base::monotonic_time now) const {
   return {upstream, subscription{.known = m_subscriber.known(),
                                  .is_entry = true,
                                  .tallies = m_tallies,
-                                 .loads = m_endpoints.own_loads()}};
+                                 .loads = m_endpoints.own_loads(),
+                                 .rate_notices = m_rates.notices(now)}};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
@@ -280,11 +295,11 @@
                      return;
                    }
                    m_subscriber.note_update(one, from, now);
-                   result.is_changed = apply(one);
+                   result.is_changed = apply(one, now);
                  },
                  [&](referral const& one) {
                    if (auto const upstream = m_subscriber.follow(one, from, now)) {
-                     result.messages.push_back(make_subscription(*upstream));
+                     result.messages.push_back(make_subscription(*upstream, now));
                    }
                  },
                  [&](last_known_state const& one) { result.is_changed = apply(one, now); },
@@ -309,7 +324,7 @@
   return true;
 }
 
-bool router::apply(update const& update) {
+bool router::apply(update const& update, base::monotonic_time now) {
   bool is_changed = false;
   if (update.document && update.document->revision > m_routes->revision()) {
     m_routes = std::make_shared<route_table const>(*update.document);
@@ -330,6 +345,8 @@
     m_endpoints.apply_loads(update.loads);
   }
   m_entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
+  m_rates.set_instances(m_entry_instances);
+  m_rates.apply(update.rate_grants, now);
   for (auto& [service, retries] : m_retry_limiters) {
     retries.set_instances(m_entry_instances);
   }
@@ -347,7 +364,8 @@
     return std::ranges::find(request.tried, id) != request.tried.end() ||
            std::ranges::find(request.unreached, id) != request.unreached.end();
   });
-  endpoints = m_versions.eligible_endpoints(std::move(endpoints), request.service, request.facts);
+  auto const eligible = m_versions.eligible_endpoints(endpoints, request.service, request.facts);
+  auto const sendable = sendable_endpoints(eligible, endpoints, request, now);
   auto const& models = request.route->models;
   if (!request.model && !request.facts.model && !models.empty()) {
     request.model = models.front();
@@ -361,13 +379,14 @@
                                  .shared_work = prompt_work(request, shared_tokens),
                                  .slots = service == nullptr ? 0 : service->slots,
                                  .salt = m_random()};
-  auto const* chosen = choose_endpoint(endpoints, criteria, now);
+  auto const* chosen = choose_endpoint(sendable, criteria, now);
   if (chosen == nullptr) {
-    return refuse(request,
-                  request.tried.empty() ? refusal_kind::no_endpoint : refusal_kind::not_run);
+    return refuse_unsent(request, eligible, now);
   }
   request.endpoint = chosen->announcement.id;
   request.version = chosen->announcement.version;
+  request.incarnation = chosen->announcement.number.incarnation;
+  m_rates.note_sent({request.endpoint, request.incarnation}, now);
   request.tried.push_back(chosen->announcement.id);
   request.attempt_at = now;
   request.progress_at = now;
@@ -394,6 +413,51 @@
   return made;
 }
 
+std::vector<known_endpoint const*>
+router::sendable_endpoints(std::vector<known_endpoint const*> const& eligible,
+                           std::vector<known_endpoint const*> const& all,
+                           active_request const& request, base::monotonic_time now) const {
+  auto sendable = within_rate(eligible, now);
+  if (!sendable.empty() || eligible.empty()) {
+    return sendable;
+  }
+  // A trial uses few endpoints of its version; others can take their place.
+  auto const& version = eligible.front()->announcement.version;
+  sendable = m_versions.eligible_endpoints(within_rate(all, now), request.service, request.facts);
+  std::erase_if(sendable,
+                [&](known_endpoint const* one) { return one->announcement.version != version; });
+  return sendable;
+}
+
+std::vector<known_endpoint const*> router::within_rate(std::vector<known_endpoint const*> endpoints,
+                                                       base::monotonic_time now) const {
+  bool const is_connected = m_subscriber.is_connected(now);
+  std::erase_if(endpoints, [&](known_endpoint const* one) {
+    return m_rates.next_send_at(one->incarnation(), is_connected, now) > now;
+  });
+  return endpoints;
+}
+
+refusal router::refuse_unsent(active_request const& request,
+                              std::vector<known_endpoint const*> const& endpoints,
+                              base::monotonic_time now) {
+  if (!request.tried.empty()) {
+    return refuse(request, refusal_kind::not_run);
+  }
+  if (endpoints.empty()) {
+    return refuse(request, refusal_kind::no_endpoint);
+  }
+  auto refused = refuse(request, refusal_kind::rate_limited);
+  bool const is_connected = m_subscriber.is_connected(now);
+  auto next = base::monotonic_time::max();
+  for (auto const* one : endpoints) {
+    next = std::min(next, m_rates.next_send_at(one->incarnation(), is_connected, now));
+  }
+  auto const wait = next == base::monotonic_time::max() ? base::duration::zero() : next - now;
+  *refused.retry_after += std::clamp(wait, base::duration::zero(), m_options.max_rate_wait);
+  return refused;
+}
+
 base::service_id const& router::service_for(route const& route, request_facts const& facts) const {
   std::uint64_t total = 0;
   for (auto const& share : route.shares) {
@@ -418,7 +482,8 @@
 
 refusal router::refuse(refusal_kind kind) {
   bool const may_retry = kind == refusal_kind::no_document || kind == refusal_kind::no_endpoint ||
-                         kind == refusal_kind::not_run || kind == refusal_kind::expired_unsent;
+                         kind == refusal_kind::not_run || kind == refusal_kind::rate_limited ||
+                         kind == refusal_kind::expired_unsent;
   if (!may_retry) {
     return {.kind = kind};
   }
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -3,6 +3,7 @@
 #include <libraries/base/random.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/escalation_policy.h>
+#include <libraries/proxy/rate_limiter.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/retry_limiter.h>
 #include <libraries/proxy/route_table.h>
@@ -28,6 +29,7 @@
     proxy::subscriber::options subscriber;
     endpoint_table::options endpoints;
     version_policy::options versions;
+    rate_limiter::options rates;
     /// Applied to each service separately.
     retry_limiter::options retries;
     /// Timeout of a request whose caller specifies none.
@@ -49,6 +51,9 @@
     /// Added to the retry delay before the first document arrives, since the control instances may
     /// still have to elect a leader.
     base::duration recovery_retry_delay = std::chrono::milliseconds(600);
+    /// The longest that the suggested retry delay grows because endpoints accept no request
+    /// earlier.
+    base::duration max_rate_wait = std::chrono::seconds(2);
     /// An instance that has found no leader by this time after its start accepts the last known
     /// state of a control instance. Longer than an election takes.
     base::duration isolation_timeout = std::chrono::milliseconds(1000);
@@ -76,6 +81,10 @@
   /// called with attempt_failure::low_confidence.
   [[nodiscard]] bool note_answer(request_number number, std::optional<double> confidence,
                                  base::monotonic_time now);
+  /// Records the rate that the header of an answer from the current attempt's endpoint states, or
+  /// that it states none.
+  [[nodiscard]] rate_limiter::change note_rate(request_number number, std::optional<double> rate,
+                                               base::monotonic_time now);
   /// Records that more data of the current attempt's response arrived.
   void note_progress(request_number number, base::monotonic_time now);
   /// Records that this many further events of the current attempt's stream arrived.
@@ -135,6 +144,7 @@
     std::vector<base::endpoint_id> unreached;
     base::endpoint_id endpoint;
     base::version_id version;
+    std::uint64_t incarnation = 0;
     /// The model chosen by the system, fixed at the first attempt because another model could not
     /// continue the same answer. Changes only when a low-confidence answer is escalated.
     std::optional<base::model_id> model;
@@ -159,10 +169,24 @@
 
   /// Creates a subscription that requests missing state from `upstream` and reports this instance's
   /// measurements.
-  [[nodiscard]] outgoing make_subscription(base::instance_id const& upstream) const;
+  [[nodiscard]] outgoing make_subscription(base::instance_id const& upstream,
+                                           base::monotonic_time now) const;
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
+  /// Returns those of the eligible endpoints whose rate allows a request now. If there are none,
+  /// others of the same version may take their place.
+  [[nodiscard]] std::vector<known_endpoint const*>
+  sendable_endpoints(std::vector<known_endpoint const*> const& eligible,
+                     std::vector<known_endpoint const*> const& all, active_request const& request,
+                     base::monotonic_time now) const;
+  [[nodiscard]] std::vector<known_endpoint const*>
+  within_rate(std::vector<known_endpoint const*> endpoints, base::monotonic_time now) const;
+  /// The refusal of a request for which no endpoint can be chosen. Suggests a retry when the first
+  /// of the endpoints accepts requests again, if their rates are why.
+  [[nodiscard]] refusal refuse_unsent(active_request const& request,
+                                      std::vector<known_endpoint const*> const& endpoints,
+                                      base::monotonic_time now);
   [[nodiscard]] base::service_id const& service_for(route const& route,
                                                     request_facts const& facts) const;
   /// Whether the largest model should answer instead of the current one. If so, a retry has already
@@ -188,7 +212,7 @@
   void note_unanswered(active_request const& request, base::monotonic_time now);
   void tally(active_request const& request, bool is_bad, base::monotonic_time now);
   retry_limiter& retry_limiter_for(base::service_id const& service);
-  bool apply(update const& update);
+  bool apply(update const& update, base::monotonic_time now);
   bool apply(last_known_state const& state, base::monotonic_time now);
 
   options m_options;
@@ -197,6 +221,7 @@
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
   endpoint_table m_endpoints;
   version_policy m_versions;
+  rate_limiter m_rates;
   std::optional<base::monotonic_time> m_started_at;
   std::map<base::service_id, retry_limiter> m_retry_limiters;
   std::map<base::service_id, escalation_policy> m_escalation_policies;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -261,6 +261,7 @@
     }
     auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
     if (metadata.matches_request) {
+      take_notices(metadata, attempt);
       co_return std::nullopt;
     }
     // This is a late answer to an earlier request; discard it and read the next one.
@@ -532,6 +533,29 @@
       attempt.load, to_milliseconds(attempt.deadline - now()));
 }
 
+void exchange::take_notices(answer_metadata const& metadata, attempt const& attempt) {
+  if (metadata.is_wrong_endpoint) {
+    return;
+  }
+  if (metadata.has_malformed_rate) {
+    m_context.metrics.count_notice("malformed");
+    spdlog::warn("entry notice_ignored request={} endpoint={} reason=malformed_rate", m_id.value,
+                 attempt.endpoint.value);
+    return;
+  }
+  // A rejection need not repeat the rate, so its absence there means nothing.
+  if (!metadata.rate && !metadata.is_sealed) {
+    return;
+  }
+  auto const change = m_context.router.note_rate(m_number, metadata.rate, now());
+  if (change == rate_limiter::change::none) {
+    return;
+  }
+  m_context.metrics.count_notice(name_of(change));
+  spdlog::info("entry endpoint_rate request={} endpoint={} change={} rate={}", m_id.value,
+               attempt.endpoint.value, name_of(change), metadata.rate.value_or(0.0));
+}
+
 void exchange::log_failure(attempt_failure failure) const {
   spdlog::warn("entry attempt_failed request={} number={} failure={} events={}", m_id.value,
                m_attempts, name_of(failure), m_events.events());
--- a/services/proxy/metrics.cpp
+++ b/services/proxy/metrics.cpp
@@ -63,6 +63,11 @@
           .Help("Connections opened to endpoints")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Counter>& endpoint_notices =
+      prometheus::BuildCounter()
+          .Name("catkinlanding_proxy_endpoint_notices_total")
+          .Help("Changes of what endpoints state about themselves in their answers, by kind")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                       .Name("catkinlanding_proxy_state")
                                                       .Help("State of this process")
@@ -100,6 +105,10 @@
   m_implementation->endpoint_connections.Increment();
 }
 
+void metrics::count_notice(std::string_view kind) {
+  m_implementation->endpoint_notices.Add({{"kind", std::string(kind)}}).Increment();
+}
+
 void metrics::set_gauge(std::string const& name, double value) {
   m_implementation->gauges.Add({{"name", name}}).Set(value);
 }
--- a/services/proxy/metrics.h
+++ b/services/proxy/metrics.h
@@ -25,6 +25,8 @@
                       base::duration first_event, base::duration longest_pause);
   /// Counts a connection opened to an endpoint.
   void count_connection();
+  /// Counts a change of what an endpoint states about itself in its answers.
+  void count_notice(std::string_view kind);
   /// Sets the gauge of the process state with this name.
   void set_gauge(std::string const& name, double value);
 
--- a/services/proxy/protocol_adapter.h
+++ b/services/proxy/protocol_adapter.h
@@ -40,6 +40,11 @@
   bool is_not_executed = false;
   /// Whether a different endpoint than the intended one answered.
   bool is_wrong_endpoint = false;
+  /// Requests a second that the endpoint accepts from all instances together; empty if it states
+  /// none.
+  std::optional<double> rate;
+  /// Whether the stated rate could not be read; it is ignored.
+  bool has_malformed_rate = false;
   /// The model's confidence in its answer, from 0 to 1; empty if it reports none.
   std::optional<double> confidence;
 };
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -355,6 +355,31 @@
   EXPECT_EQ(*restored->find_rollout({"s"}), *latest);
 }
 
+// Guards against instances that each use the whole rate of an endpoint (LIMIT).
+TEST(control_groups, divide_the_rate_of_an_endpoint_among_the_entry_instances) {
+  auto group = founded_group();
+  group.run(3s);
+  subscription told{.is_entry = true};
+  told.rate_notices = {{.source = {{"e"}, 1}, .rate = 4.0}};
+  group.send("first", "a", told);
+  group.send("second", "a", told);
+  group.send("third", "a", subscription{.is_entry = true});
+  auto const share_of = [&](std::string const& id) {
+    auto const& grants = group.updates(id).back().rate_grants;
+    return grants.empty() ? -1.0 : grants.front().share;
+  };
+  group.send("first", "a", told);
+  EXPECT_DOUBLE_EQ(share_of("first"), 2.0);
+  EXPECT_DOUBLE_EQ(share_of("second"), 2.0);
+  EXPECT_DOUBLE_EQ(share_of("third"), 0.0);
+  // The second one is lost; its share goes back to the first.
+  for (int i = 0; i < 5; ++i) {
+    group.run(1s);
+    group.send("first", "a", told);
+  }
+  EXPECT_DOUBLE_EQ(share_of("first"), 4.0);
+}
+
 // A restarted entry instance has lost the document that was sent to it just before the restart. It
 // must not wait for the push interval to receive the document again.
 TEST(control_groups, resend_the_document_at_once_to_a_restarted_instance) {
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -440,6 +440,39 @@
   EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
 }
 
+// Guards against requests beyond the rate that an endpoint states (LIMIT), whatever sends them: a
+// new request, a retry, or one of a caller that comes back.
+TEST_F(routers, send_nothing_beyond_the_rate_that_an_endpoint_states) {
+  receive_state({"a", "b"});
+  auto limited = make_update(1, 1, 0);
+  limited.rate_grants = {{.source = {{"a"}, 1}, .rate = 4.0, .share = 1.0},
+                         {.source = {{"b"}, 1}, .rate = 4.0, .share = 0.0}};
+  std::ignore = m_router.receive({"control"}, limited, start);
+  auto const refused = begin("/once/x");
+  ASSERT_EQ(refusal_of(refused), refusal_kind::rate_limited);
+  ASSERT_TRUE(std::get<refusal>(refused).retry_after.has_value());
+  EXPECT_GE(*std::get<refusal>(refused).retry_after, 1s);
+  auto const later = start + 1s;
+  auto const sent = m_router.begin(number, facts("/again/x"), later);
+  ASSERT_TRUE(is_attempt(sent));
+  EXPECT_EQ(std::get<attempt>(sent).endpoint, base::endpoint_id{"a"});
+  EXPECT_FALSE(is_attempt(m_router.fail(number, attempt_failure::not_executed, false, later)));
+  EXPECT_FALSE(is_attempt(m_router.begin(number + 1, facts("/once/x"), later)));
+}
+
+TEST_F(routers, report_the_rate_that_an_endpoint_states) {
+  receive_state({"a"});
+  ASSERT_TRUE(is_attempt(begin("/once/x")));
+  EXPECT_EQ(m_router.note_rate(number, 1.5, start), rate_limiter::change::limited);
+  EXPECT_EQ(refusal_of(m_router.begin(number + 1, facts("/once/x"), start)),
+            refusal_kind::rate_limited);
+  auto const sent = m_router.tick(start + 10ms);
+  ASSERT_EQ(sent.size(), 1U);
+  auto const& notices = std::get<subscription>(sent.front().message).rate_notices;
+  ASSERT_EQ(notices.size(), 1U);
+  EXPECT_EQ(notices.front().rate, 1.5);
+}
+
 TEST_F(routers, keep_serving_while_control_instances_are_unreachable) {
   receive_state({"a"});
   EXPECT_TRUE(m_router.is_connected(start));
--- a/tests/platform/http_protocol_adapter_test.cpp
+++ b/tests/platform/http_protocol_adapter_test.cpp
@@ -248,6 +248,26 @@
   EXPECT_TRUE(facts(misdirected).is_wrong_endpoint);
 }
 
+TEST(read_answer, reads_the_rate_that_an_endpoint_states_and_ignores_malformed_ones) {
+  http_protocol_adapter const protocol_adapter;
+  auto const read = [&](std::vector<std::string> const& values) {
+    proxy::http_response answer(proxy::http::status::ok, 11);
+    for (auto const& value : values) {
+      answer.insert("Server-Limit", value);
+    }
+    return protocol_adapter.read_answer(answer.base(), {"a"}, {"e"});
+  };
+  EXPECT_FALSE(read({}).rate.has_value());
+  EXPECT_FALSE(read({}).has_malformed_rate);
+  EXPECT_DOUBLE_EQ(read({"2.5"}).rate.value_or(-1.0), 2.5);
+  EXPECT_DOUBLE_EQ(read({"0"}).rate.value_or(-1.0), 0.0);
+  for (auto const* malformed : {"-1", "nan", "inf", "", "x", "2.5 a", "1e300", "2,5"}) {
+    EXPECT_FALSE(read({malformed}).rate.has_value()) << malformed;
+    EXPECT_TRUE(read({malformed}).has_malformed_rate) << malformed;
+  }
+  EXPECT_TRUE(read({"1", "2"}).has_malformed_rate);
+}
+
 } // namespace
 
 } // namespace catkinlanding::platform
