proxy: Give the tallies, stalls, filters and logs of requests their own modules

The state of a socket was read in two places and is read in one; connecting belongs to the connection.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -1,21 +1,13 @@
 #include <libraries/base/overloaded.h>
 #include <libraries/base/verify.h>
 #include <libraries/proxy/control.h>
+#include <libraries/proxy/load_sum.h>
+#include <libraries/proxy/voter_policy.h>
 
 #include <algorithm>
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-/// The instances that a non-leader may subscribe to. With no peers this is the instance itself, to
-/// which nothing is ever sent.
-std::vector<base::instance_id> upstream_candidates(consensus::replica::options const& options) {
-  return options.peers.empty() ? std::vector{options.self.instance} : options.peers;
-}
-
-} // namespace
-
 control control::create(options options, consensus::recovered_state const& recovered,
                         base::monotonic_time now) {
   return control(std::move(options), recovered, now);
@@ -28,13 +20,13 @@
       m_registry(m_options.registry), m_subscriber({.self = m_options.replica.self.instance,
                                                     .seeds = upstream_candidates(m_options.replica),
                                                     .seed = m_options.replica.seed}),
-      m_evaluator(m_options.evaluator), m_rates(m_options.rates) {
+      m_evaluator(m_options.evaluator), m_rates(m_options.rates), m_contacts(m_options.contacts) {
   restore(recovered.snapshot);
 }
 
 void control::receive(base::instance_id const& from, message const& message,
                       base::monotonic_time now, control_effects& out) {
-  note_sender(from, now);
+  m_contacts.note(from, now);
   std::visit([&](auto const& one) { handle(from, one, now, out); }, message);
   process_replica_output(now, out);
 }
@@ -109,17 +101,6 @@
 
 // Messages from other instances.
 
-void control::note_sender(base::instance_id const& from, base::monotonic_time now) {
-  if (m_last_message_at.size() >= m_options.max_tracked_senders) {
-    std::erase_if(m_last_message_at,
-                  [&](auto const& item) { return now >= item.second + m_options.voter_timeout; });
-  }
-  if (m_last_message_at.contains(from) ||
-      m_last_message_at.size() < m_options.max_tracked_senders) {
-    m_last_message_at[from] = now;
-  }
-}
-
 void control::handle(base::instance_id const& from, consensus::message const& message,
                      base::monotonic_time now, control_effects& out) {
   if (auto const* join = std::get_if<consensus::join_request>(&message)) {
@@ -336,11 +317,7 @@
     return;
   }
   m_noted_voters = voters;
-  std::string names;
-  for (auto const& voter : voters) {
-    names += (names.empty() ? "" : ",") + voter.instance.value;
-  }
-  out.events.push_back({control_event::voters_changed, names, {}, voters.size()});
+  out.events.push_back({control_event::voters_changed, names_of(voters), {}, voters.size()});
 }
 
 void control::apply(consensus::log_entry const& entry, base::monotonic_time now,
@@ -393,25 +370,18 @@
   if (m_applicants.empty()) {
     return;
   }
-  auto desired_voters = configuration.desired_voters;
-  auto const silent = std::ranges::find_if(desired_voters, [&](base::instance_id const& id) {
-    if (id == m_replica.self().instance) {
-      return false;
-    }
-    auto const last_message = m_last_message_at.find(id);
-    auto const last_message_at =
-        last_message == m_last_message_at.end() ? m_leader_since : last_message->second;
-    return now >= std::max(last_message_at, m_leader_since) + m_options.voter_timeout;
-  });
-  if (silent != desired_voters.end()) {
-    *silent = m_applicants.begin()->first;
-  } else if (desired_voters.size() < m_options.max_voters) {
-    desired_voters.push_back(m_applicants.begin()->first);
-  } else {
+  auto const is_silent = [&](base::instance_id const& id) {
+    auto const last_contact =
+        std::max(m_contacts.last(id).value_or(m_leader_since), m_leader_since);
+    return id != m_replica.self().instance && now >= last_contact + m_options.voter_timeout;
+  };
+  auto desired_voters = admit_voter(configuration.desired_voters, m_applicants.begin()->first,
+                                    is_silent, m_options.max_voters);
+  if (!desired_voters) {
     return;
   }
   // Fails while another configuration change is in progress; retried on the next tick.
-  static_cast<void>(m_replica.propose_desired_voters(std::move(desired_voters), now, out.log));
+  static_cast<void>(m_replica.propose_desired_voters(std::move(*desired_voters), now, out.log));
 }
 
 // Rollouts and subscribed instances.
@@ -503,22 +473,13 @@
 }
 
 std::vector<endpoint_load> control::loads_without(base::instance_id const& instance) const {
-  std::map<base::endpoint_id, endpoint_load> sums;
+  load_sum sum;
   for (auto const& [id, downstream] : m_downstreams) {
     if (id != instance) {
-      for (auto const& load : downstream.loads) {
-        sums[load.endpoint].outstanding += load.outstanding;
-        sums[load.endpoint].pending_work += load.pending_work;
-      }
+      sum.add(downstream.loads);
     }
   }
-  std::vector<endpoint_load> loads;
-  loads.reserve(sums.size());
-  for (auto& [endpoint, sum] : sums) {
-    sum.endpoint = endpoint;
-    loads.push_back(std::move(sum));
-  }
-  return loads;
+  return sum.take();
 }
 
 void control::note_endpoint(base::endpoint_id const& id, control_effects& out) const {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -2,6 +2,7 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/call.h>
+#include <libraries/proxy/contact_times.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/rate_coordinator.h>
 #include <libraries/proxy/rollout_evaluator.h>
@@ -81,8 +82,7 @@
     /// A voter that has been silent for this long may be replaced by an instance that asks to join.
     base::duration voter_timeout = std::chrono::seconds(5);
     std::size_t max_voters = 7;
-    /// Bounds the memory that messages with forged senders can take up.
-    std::size_t max_tracked_senders = 4096;
+    contact_times::options contacts;
     /// Shortest interval between two transmissions of the same document to one instance.
     base::duration push_interval = std::chrono::milliseconds(500);
     /// A request to start a rollout that ended less than this long ago is treated as a duplicate.
@@ -162,7 +162,6 @@
   [[nodiscard]] bool is_serving_leader(base::monotonic_time now) const;
   /// Returns the known leader, unless it is this instance.
   [[nodiscard]] std::optional<base::instance_id> other_leader() const;
-  void note_sender(base::instance_id const& from, base::monotonic_time now);
   /// Processes the results of replica operations: role changes, committed entries and snapshots.
   void process_replica_output(base::monotonic_time now, control_effects& out);
   void note_role(base::monotonic_time now, control_effects& out);
@@ -195,7 +194,7 @@
   std::map<consensus::log_index, pending_call> m_pending_calls;
   /// Control instances that asked to join the group of voters, with the time of the request.
   std::map<base::instance_id, base::monotonic_time> m_applicants;
-  std::map<base::instance_id, base::monotonic_time> m_last_message_at;
+  contact_times m_contacts;
   /// The state that was last pushed to all subscribed instances.
   known_state m_last_pushed;
 };
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -172,6 +172,24 @@
   return "unknown";
 }
 
+/// Whether an endpoint may have executed the request.
+[[nodiscard]] constexpr bool may_have_run_after(attempt_failure failure) {
+  switch (failure) {
+  case attempt_failure::unreachable:
+  case attempt_failure::not_executed:
+  case attempt_failure::wrong_endpoint:
+    return false;
+  case attempt_failure::failed_answer:
+  case attempt_failure::broken:
+  case attempt_failure::malformed:
+  case attempt_failure::expired:
+  case attempt_failure::stalled:
+  case attempt_failure::low_confidence:
+    return true;
+  }
+  return true;
+}
+
 /// How a request ended: with a complete answer, with an error response of the endpoint, with a
 /// refusal, with an answer that was interrupted, or because the caller disconnected.
 enum class request_end : std::uint8_t {
--- a/libraries/proxy/route_table.cpp
+++ b/libraries/proxy/route_table.cpp
@@ -1,3 +1,5 @@
+#include <libraries/base/hash.h>
+#include <libraries/base/verify.h>
 #include <libraries/proxy/route_table.h>
 
 namespace catkinlanding::proxy {
@@ -46,4 +48,20 @@
   return found == m_services.end() ? nullptr : &m_document.services[found->second];
 }
 
+base::service_id const& select_service(route const& route, base::request_id const& request) {
+  std::uint64_t total = 0;
+  for (auto const& share : route.shares) {
+    total += share.weight;
+  }
+  CATKINLANDING_VERIFY(total > 0);
+  auto place = base::stable_hash(request.value) % total;
+  for (auto const& share : route.shares) {
+    if (place < share.weight) {
+      return share.service;
+    }
+    place -= share.weight;
+  }
+  return route.shares.back().service;
+}
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/route_table.h
+++ b/libraries/proxy/route_table.h
@@ -40,4 +40,8 @@
   std::unordered_map<base::service_id, std::size_t> m_services;
 };
 
+/// Selects the service for a request by the weights of the route; the same for each attempt.
+[[nodiscard]] base::service_id const& select_service(route const& route,
+                                                     base::request_id const& request);
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -14,28 +14,9 @@
 constexpr std::chrono::milliseconds min_escalation_time{1500};
 /// How many times longer the largest model takes to process a prompt token than the smallest.
 constexpr std::uint64_t largest_model_weight = 10;
-/// Number of events after the first ones of a stream by which its pace is measured.
-constexpr std::size_t min_timed_events = 3;
 /// Fraction of the retry limit that escalations may not use, so that it is left for failures.
 constexpr double failure_reserve = 0.25;
 
-bool may_have_run_after(attempt_failure failure) {
-  switch (failure) {
-  case attempt_failure::unreachable:
-  case attempt_failure::not_executed:
-  case attempt_failure::wrong_endpoint:
-    return false;
-  case attempt_failure::failed_answer:
-  case attempt_failure::broken:
-  case attempt_failure::malformed:
-  case attempt_failure::expired:
-  case attempt_failure::stalled:
-  case attempt_failure::low_confidence:
-    return true;
-  }
-  return true;
-}
-
 } // namespace
 
 router::router(options options)
@@ -60,7 +41,7 @@
     return true;
   }
   auto const* route = m_routes->find(facts.host, facts.path);
-  return route != nullptr && m_endpoints.ready(service_for(*route, facts)).empty();
+  return route != nullptr && m_endpoints.ready(select_service(*route, facts.id)).empty();
 }
 
 decision router::begin(request_number number, request_facts facts, base::monotonic_time now) {
@@ -85,7 +66,7 @@
       std::min(facts.caller_timeout.value_or(m_options.default_timeout), route->timeout);
   request.routes = m_routes;
   request.route = route;
-  request.service = service_for(*route, facts);
+  request.service = select_service(*route, facts.id);
   request.began_at = now - facts.waited;
   request.deadline = request.began_at + caller_timeout;
   request.facts = std::move(facts);
@@ -105,7 +86,7 @@
   request.has_answer = true;
   m_endpoints.note_success(request.endpoint);
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
-  tally(request, false, now);
+  tally_answer(request, now);
   note_first_token(request, now);
   return !should_escalate(request, confidence, now);
 }
@@ -151,24 +132,14 @@
 
 void router::note_events(request_number number, std::size_t count, base::monotonic_time now) {
   auto const found = m_requests.find(number);
-  if (found == m_requests.end() || count == 0) {
+  if (found == m_requests.end()) {
     return;
   }
   auto& request = found->second;
-  request.events += count;
-  if (!request.first_event_at) {
-    request.first_event_at = now;
-    request.first_events = count;
-    return;
-  }
-  auto const later_events = request.events - request.first_events;
-  if (request.is_pace_counted || later_events < min_timed_events) {
-    return;
-  }
-  request.is_pace_counted = true;
-  if (auto* statistics = statistics_for(request)) {
-    auto const time = now - *request.first_event_at;
-    statistics->event_interval.add(time / static_cast<base::duration::rep>(later_events));
+  auto const interval = request.pace.note_events(count, now);
+  auto const* evaluated = m_versions.evaluated_rollout(request.service);
+  if (interval && evaluated != nullptr) {
+    m_tallies.add_event_interval(subject_of(request), *evaluated, *interval);
   }
 }
 
@@ -183,31 +154,11 @@
   if (!may_repeat || !request.is_attempting) {
     return std::nullopt;
   }
-  auto const times = [](base::duration duration, double factor) {
-    return std::chrono::duration_cast<base::duration>(duration * factor);
-  };
-  if (!route.is_stream()) {
-    bool const has_target = route.target_latency > base::duration::zero() && !request.has_answer;
-    return has_target ? std::optional(request.attempt_at +
-                                      times(route.target_latency, m_options.stall_latency_factor))
-                      : std::nullopt;
-  }
-  if (request.has_answer) {
-    auto const pause = times(route.target_pause, m_options.stall_pause_factor);
-    return request.progress_at + std::max(pause, m_options.min_stall_timeout);
-  }
-  // A busy endpoint still sends events on other requests while this prompt is queued; a failed one
-  // sends none.
-  auto const* endpoint = m_endpoints.find(request.endpoint);
-  bool const is_full = endpoint != nullptr && endpoint->announcement.slots != 0 &&
-                       endpoint->load() > endpoint->announcement.slots;
-  if (is_full) {
-    return std::nullopt;
-  }
-  auto const last_activity_at =
-      endpoint == nullptr ? request.attempt_at : endpoint->last_activity_at;
-  auto const due = request.attempt_at + std::max(route.target_latency, m_options.min_stall_timeout);
-  return std::max(due, last_activity_at + m_options.min_stall_timeout);
+  return m_options.stalls.deadline(route,
+                                   {.attempt_at = request.attempt_at,
+                                    .progress_at = request.progress_at,
+                                    .has_answer = request.has_answer},
+                                   m_endpoints.find(request.endpoint));
 }
 
 bool router::try_abandon_stalled(request_number number, base::monotonic_time now) {
@@ -281,7 +232,7 @@
                                    base::monotonic_time now) const {
   return {upstream, subscription{.known = m_subscriber.known(),
                                  .is_entry = true,
-                                 .tallies = m_tallies,
+                                 .tallies = m_tallies.tallies(),
                                  .loads = m_endpoints.own_loads(),
                                  .rate_notices = m_rates.notices(now)}};
 }
@@ -336,10 +287,9 @@
   }
   if (update.rollouts) {
     m_versions.apply(*update.rollouts);
-    std::erase_if(m_tallies, [&](version_tally const& tally) {
-      auto const* running = m_versions.evaluated_rollout(tally.service);
-      return running == nullptr || running->number != tally.rollout;
-    });
+    for (auto const& rollout : *update.rollouts) {
+      m_tallies.keep_only(rollout.service, m_versions.evaluated_rollout(rollout.service));
+    }
   }
   if (!update.loads.empty()) {
     m_endpoints.apply_loads(update.loads);
@@ -364,8 +314,12 @@
     return std::ranges::find(request.tried, id) != request.tried.end() ||
            std::ranges::find(request.unreached, id) != request.unreached.end();
   });
-  auto const eligible = m_versions.eligible_endpoints(endpoints, request.service, request.facts);
-  auto const sendable = sendable_endpoints(eligible, endpoints, request, now);
+  endpoint_filter const filter({.versions = m_versions,
+                                .rates = m_rates,
+                                .is_connected = m_subscriber.is_connected(now),
+                                .now = now});
+  auto const eligible = filter.eligible(endpoints, request.service, request.facts);
+  auto const sendable = filter.sendable(eligible, endpoints, request.service, request.facts);
   auto const& models = request.route->models;
   if (!request.model && !request.facts.model && !models.empty()) {
     request.model = models.front();
@@ -381,7 +335,8 @@
                                  .salt = m_random()};
   auto const* chosen = choose_endpoint(sendable, criteria, now);
   if (chosen == nullptr) {
-    return refuse_unsent(request, eligible, now);
+    auto const wait = eligible.empty() ? base::duration::zero() : filter.wait_for(eligible);
+    return refuse_unsent(request, wait);
   }
   request.endpoint = chosen->announcement.id;
   request.version = chosen->announcement.version;
@@ -392,9 +347,7 @@
   request.progress_at = now;
   request.is_attempting = true;
   request.has_answer = false;
-  request.first_event_at.reset();
-  request.events = 0;
-  request.is_pace_counted = false;
+  request.pace = {};
   attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
                .endpoint = chosen->announcement.id,
                .address = chosen->announcement.address,
@@ -413,67 +366,18 @@
   return made;
 }
 
-std::vector<known_endpoint const*>
-router::sendable_endpoints(std::vector<known_endpoint const*> const& eligible,
-                           std::vector<known_endpoint const*> const& all,
-                           active_request const& request, base::monotonic_time now) const {
-  auto sendable = within_rate(eligible, now);
-  if (!sendable.empty() || eligible.empty()) {
-    return sendable;
-  }
-  // A trial uses few endpoints of its version; others can take their place.
-  auto const& version = eligible.front()->announcement.version;
-  sendable = m_versions.eligible_endpoints(within_rate(all, now), request.service, request.facts);
-  std::erase_if(sendable,
-                [&](known_endpoint const* one) { return one->announcement.version != version; });
-  return sendable;
-}
-
-std::vector<known_endpoint const*> router::within_rate(std::vector<known_endpoint const*> endpoints,
-                                                       base::monotonic_time now) const {
-  bool const is_connected = m_subscriber.is_connected(now);
-  std::erase_if(endpoints, [&](known_endpoint const* one) {
-    return m_rates.next_send_at(one->incarnation(), is_connected, now) > now;
-  });
-  return endpoints;
-}
-
-refusal router::refuse_unsent(active_request const& request,
-                              std::vector<known_endpoint const*> const& endpoints,
-                              base::monotonic_time now) {
+refusal router::refuse_unsent(active_request const& request, base::duration wait) {
   if (!request.tried.empty()) {
     return refuse(request, refusal_kind::not_run);
   }
-  if (endpoints.empty()) {
+  if (wait == base::duration::zero()) {
     return refuse(request, refusal_kind::no_endpoint);
   }
   auto refused = refuse(request, refusal_kind::rate_limited);
-  bool const is_connected = m_subscriber.is_connected(now);
-  auto next = base::monotonic_time::max();
-  for (auto const* one : endpoints) {
-    next = std::min(next, m_rates.next_send_at(one->incarnation(), is_connected, now));
-  }
-  auto const wait = next == base::monotonic_time::max() ? base::duration::zero() : next - now;
-  *refused.retry_after += std::clamp(wait, base::duration::zero(), m_options.max_rate_wait);
+  *refused.retry_after += std::min(wait, m_options.max_rate_wait);
   return refused;
 }
 
-base::service_id const& router::service_for(route const& route, request_facts const& facts) const {
-  std::uint64_t total = 0;
-  for (auto const& share : route.shares) {
-    total += share.weight;
-  }
-  CATKINLANDING_VERIFY(total > 0);
-  auto place = base::stable_hash(facts.id.value) % total;
-  for (auto const& share : route.shares) {
-    if (place < share.weight) {
-      return share.service;
-    }
-    place -= share.weight;
-  }
-  return route.shares.back().service;
-}
-
 std::uint64_t router::prompt_work(active_request const& request, std::uint64_t tokens) const {
   auto const& models = request.route->models;
   bool const is_largest = models.size() > 1 && request.model == models.back();
@@ -527,14 +431,14 @@
   case attempt_failure::malformed:
   case attempt_failure::stalled:
     m_endpoints.note_failure(request.endpoint, now);
-    tally(request, true, now);
+    tally_failure(request);
     return;
   case attempt_failure::expired:
     note_first_token(request, now);
-    tally(request, true, now);
+    tally_failure(request);
     return;
   case attempt_failure::failed_answer:
-    tally(request, true, now);
+    tally_failure(request);
     return;
   case attempt_failure::low_confidence:
     // Not an endpoint failure. The next attempt uses the largest model.
@@ -551,48 +455,27 @@
   }
 }
 
-answer_statistics* router::statistics_for(active_request const& request) {
-  auto const* rollout = m_versions.evaluated_rollout(request.service);
-  if (rollout == nullptr) {
-    return nullptr;
-  }
-  auto found = std::ranges::find_if(m_tallies, [&](version_tally const& one) {
-    return one.service == request.service && one.version == request.version &&
-           one.route == request.route->name;
-  });
-  if (found == m_tallies.end()) {
-    m_tallies.push_back({.service = request.service,
-                         .version = request.version,
-                         .rollout = rollout->number,
-                         .route = request.route->name,
-                         .statistics = {}});
-    found = std::prev(m_tallies.end());
-  }
-  return &found->statistics;
+tally_recorder::subject router::subject_of(active_request const& request) {
+  return {.service = request.service, .version = request.version, .route = request.route->name};
 }
 
-void router::tally(active_request const& request, bool is_bad, base::monotonic_time now) {
-  auto* statistics = statistics_for(request);
-  if (statistics == nullptr) {
-    return;
+void router::tally_answer(active_request const& request, base::monotonic_time now) {
+  if (auto const* evaluated = m_versions.evaluated_rollout(request.service)) {
+    m_tallies.add_answer(subject_of(request), *evaluated, now - request.attempt_at);
   }
-  if (is_bad) {
-    ++statistics->bad;
-    statistics->answers += request.has_answer ? 0 : 1;
-    return;
+}
+
+void router::tally_failure(active_request const& request) {
+  if (auto const* evaluated = m_versions.evaluated_rollout(request.service)) {
+    m_tallies.add_failure(subject_of(request), *evaluated, request.has_answer);
   }
-  ++statistics->answers;
-  statistics->first_byte.add(now - request.attempt_at);
 }
 
 void router::note_unanswered(active_request const& request, base::monotonic_time now) {
-  auto const waited = now - request.attempt_at;
-  bool const is_late =
-      request.is_attempting && !request.has_answer && waited > request.route->target_latency;
-  auto* statistics = is_late ? statistics_for(request) : nullptr;
-  if (statistics != nullptr) {
-    ++statistics->answers;
-    statistics->first_byte.add(waited);
+  bool const is_late = request.is_attempting && !request.has_answer &&
+                       now - request.attempt_at > request.route->target_latency;
+  if (is_late) {
+    tally_answer(request, now);
   }
 }
 
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -2,12 +2,15 @@
 
 #include <libraries/base/random.h>
 #include <libraries/proxy/endpoint_choice.h>
+#include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/escalation_policy.h>
 #include <libraries/proxy/rate_limiter.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/retry_limiter.h>
 #include <libraries/proxy/route_table.h>
+#include <libraries/proxy/stall_policy.h>
 #include <libraries/proxy/subscriber.h>
+#include <libraries/proxy/tally_recorder.h>
 #include <libraries/proxy/version_policy.h>
 
 #include <map>
@@ -36,14 +39,7 @@
     base::duration default_timeout = std::chrono::seconds(60);
     /// No attempt is started with less time than this left before the deadline.
     base::duration min_attempt_time = std::chrono::milliseconds(30);
-    /// A stream attempt is considered stalled after a pause of this many times the route's target
-    /// pause, and never before min_stall_timeout. The same minimum applies to an attempt whose
-    /// first event is missing, while its endpoint sends nothing on other requests either.
-    double stall_pause_factor = 2.5;
-    base::duration min_stall_timeout = std::chrono::seconds(2);
-    /// An idempotent request is considered stalled after this many times the route's target
-    /// latency.
-    double stall_latency_factor = 1.3;
+    stall_policy stalls;
     /// Range of the randomized retry delay that is suggested to callers whose request was not
     /// executed.
     base::duration min_retry_after = std::chrono::milliseconds(250);
@@ -151,12 +147,8 @@
     base::monotonic_time attempt_at{};
     /// When the attempt began or last received data.
     base::monotonic_time progress_at{};
-    /// The events of the current attempt: when the first ones arrived and how many these were, how
-    /// many there are so far, and whether the time between them was counted.
-    std::optional<base::monotonic_time> first_event_at;
-    std::size_t first_events = 0;
-    std::size_t events = 0;
-    bool is_pace_counted = false;
+    /// The pace of the current attempt's stream.
+    stream_pace pace;
     /// Weighted prompt tokens that the current attempt's endpoint has yet to process.
     std::uint64_t pending_work = 0;
     /// Set while an attempt is in progress.
@@ -174,21 +166,9 @@
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
-  /// Returns those of the eligible endpoints whose rate allows a request now. If there are none,
-  /// others of the same version may take their place.
-  [[nodiscard]] std::vector<known_endpoint const*>
-  sendable_endpoints(std::vector<known_endpoint const*> const& eligible,
-                     std::vector<known_endpoint const*> const& all, active_request const& request,
-                     base::monotonic_time now) const;
-  [[nodiscard]] std::vector<known_endpoint const*>
-  within_rate(std::vector<known_endpoint const*> endpoints, base::monotonic_time now) const;
-  /// The refusal of a request for which no endpoint can be chosen. Suggests a retry when the first
-  /// of the endpoints accepts requests again, if their rates are why.
-  [[nodiscard]] refusal refuse_unsent(active_request const& request,
-                                      std::vector<known_endpoint const*> const& endpoints,
-                                      base::monotonic_time now);
-  [[nodiscard]] base::service_id const& service_for(route const& route,
-                                                    request_facts const& facts) const;
+  /// The refusal of a request for which no endpoint can be chosen. `wait` is how long until an
+  /// endpoint may receive a request by its rate; zero if there is no endpoint.
+  [[nodiscard]] refusal refuse_unsent(active_request const& request, base::duration wait);
   /// Whether the largest model should answer instead of the current one. If so, a retry has already
   /// been taken from the retry limit.
   [[nodiscard]] bool should_escalate(active_request const& request,
@@ -205,12 +185,12 @@
   [[nodiscard]] refusal final_refusal(active_request const& request, base::monotonic_time now);
   void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
   void finish_attempt(active_request& request);
-  /// Returns where to count an answer to this request while its service has a rollout that is being
-  /// evaluated; otherwise nullptr.
-  [[nodiscard]] answer_statistics* statistics_for(active_request const& request);
+  [[nodiscard]] static tally_recorder::subject subject_of(active_request const& request);
+  /// Count the answer to the current attempt while its service has a rollout that is evaluated.
+  void tally_answer(active_request const& request, base::monotonic_time now);
+  void tally_failure(active_request const& request);
   /// Counts an attempt that its caller gave up waiting for as a late answer.
   void note_unanswered(active_request const& request, base::monotonic_time now);
-  void tally(active_request const& request, bool is_bad, base::monotonic_time now);
   retry_limiter& retry_limiter_for(base::service_id const& service);
   bool apply(update const& update, base::monotonic_time now);
   bool apply(last_known_state const& state, base::monotonic_time now);
@@ -227,7 +207,7 @@
   std::map<base::service_id, escalation_policy> m_escalation_policies;
   std::uint32_t m_entry_instances = 1;
   std::unordered_map<request_number, active_request> m_requests;
-  std::vector<version_tally> m_tallies;
+  tally_recorder m_tallies;
 };
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -1,14 +1,13 @@
+#include <services/proxy/answer_header.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/exchange.h>
+#include <services/proxy/request_log.h>
+#include <services/proxy/socket_state.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <spdlog/spdlog.h>
-#include <sys/socket.h>
-
-#include <cerrno>
-#include <charconv>
 
 namespace catkinlanding::proxy {
 
@@ -31,42 +30,6 @@
 constexpr std::uint32_t max_answer_header_bytes = 32 * 1024;
 /// Number of late answers to earlier requests that are skipped before the attempt fails.
 constexpr int max_stale_answers = 2;
-constexpr unsigned first_success = 200;
-constexpr unsigned first_redirect = 300;
-constexpr unsigned first_server_error = 500;
-
-bool is_success(unsigned status) {
-  return status >= first_success && status < first_redirect;
-}
-
-/// Whether the status tells a caller that its request was not executed.
-bool implies_not_executed(unsigned status) {
-  constexpr unsigned request_timeout = 408;
-  constexpr unsigned misdirected = 421;
-  constexpr unsigned too_many = 429;
-  constexpr unsigned unavailable = 503;
-  return status == request_timeout || status == misdirected || status == too_many ||
-         status == unavailable;
-}
-
-std::int64_t to_milliseconds(base::duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-/// The idle timeout that the endpoint announces in the Keep-Alive header; zero if it announces
-/// none.
-base::duration keep_alive_timeout(http_response_header const& header) {
-  constexpr std::string_view parameter = "timeout=";
-  std::string_view const value = header[http::field::keep_alive];
-  auto const position = value.find(parameter);
-  if (position == std::string_view::npos) {
-    return base::duration::zero();
-  }
-  std::int64_t seconds = 0;
-  auto const digits = value.substr(position + parameter.size());
-  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  return std::chrono::seconds(seconds);
-}
 
 } // namespace
 
@@ -111,7 +74,7 @@
       finish(request_end::answered, "whole");
       co_return m_keep_alive && !m_context.is_stopping;
     }
-    log_failure(*failure);
+    request_log::attempt_failed(m_id, m_attempts, *failure, m_events.events());
     decision = m_context.router.fail(m_number, *failure, m_is_header_sent, now());
   }
 }
@@ -131,9 +94,7 @@
     facts.waited = now() - m_started_at;
   }
   if (has_waited) {
-    spdlog::info("entry waited request={} revision={} endpoints={} waited_ms={}", m_id.value,
-                 m_context.router.document_revision(), m_context.router.endpoint_count(),
-                 to_milliseconds(facts.waited));
+    request_log::waited(m_id, m_context.router, facts.waited);
   }
 }
 
@@ -176,7 +137,7 @@
   m_is_stalled = false;
   start_deadline_timer(attempt.deadline);
   start_stall_timer();
-  log_attempt(attempt);
+  request_log::attempt_started(m_id, m_session, attempt, now());
   m_upstream = m_context.pool.acquire(attempt.endpoint, attempt.address, now());
   if (!m_upstream && !co_await connect(attempt)) {
     m_upstream.reset();
@@ -202,21 +163,9 @@
   m_upstream = std::make_unique<upstream_connection>(m_context.io);
   m_upstream->endpoint = attempt.endpoint;
   m_upstream->address = attempt.address;
-  boost::system::error_code error;
-  auto const ip = asio::ip::make_address(attempt.address.ip, error);
-  if (error) {
-    co_return false;
-  }
   m_context.metrics.count_connection();
-  m_upstream->stream.expires_after(connect_timeout);
-  asio::ip::tcp::endpoint const target{ip, attempt.address.port};
-  auto const [failed] = co_await m_upstream->stream.async_connect(target, completion);
-  if (failed || m_is_expired || m_is_caller_gone) {
-    co_return false;
-  }
-  m_upstream->stream.expires_never();
-  m_upstream->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-  co_return true;
+  bool const is_open = co_await m_upstream->open(connect_timeout);
+  co_return is_open && !m_is_expired && !m_is_caller_gone;
 }
 
 awaitable<std::optional<attempt_failure>> exchange::send_request(attempt const& attempt) {
@@ -255,7 +204,7 @@
       co_return is_connection_lost ? attempt_failure::broken : attempt_failure::malformed;
     }
     auto const& header = m_parser->get().base();
-    if (header.result_int() < first_success) {
+    if (is_interim(header.result_int())) {
       --stale_answers;
       continue;
     }
@@ -283,7 +232,7 @@
     co_return metadata.is_wrong_endpoint ? attempt_failure::wrong_endpoint
                                          : attempt_failure::not_executed;
   }
-  if (status >= first_server_error || implies_not_executed(status)) {
+  if (is_server_error(status) || implies_not_executed(status)) {
     auto body = co_await read_body(max_buffered_answer_bytes);
     if (!body) {
       co_return attempt_failure::broken;
@@ -445,21 +394,16 @@
 }
 
 void exchange::watch_for_caller_disconnect() {
-  m_caller.socket().async_wait(
-      daemon::tcp_socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
-        if (error || self->m_is_done) {
-          return;
-        }
-        char byte = 0;
-        auto const received = ::recv(self->m_caller.socket().native_handle(), &byte, sizeof(byte),
-                                     MSG_PEEK | MSG_DONTWAIT);
-        bool const has_left =
-            received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        if (has_left) {
-          self->m_is_caller_gone = true;
-          self->close_upstream();
-        }
-      });
+  m_caller.socket().async_wait(daemon::tcp_socket::wait_read,
+                               [self = shared_from_this()](boost::system::error_code error) {
+                                 if (error || self->m_is_done) {
+                                   return;
+                                 }
+                                 if (state_of(self->m_caller.socket()) == socket_state::closed) {
+                                   self->m_is_caller_gone = true;
+                                   self->close_upstream();
+                                 }
+                               });
 }
 
 void exchange::start_deadline_timer(base::monotonic_time deadline) {
@@ -517,20 +461,16 @@
   if (auto const first = m_stream_timing.first_event()) {
     m_context.metrics.observe_stream(m_customer, m_route, *first, m_stream_timing.longest_pause());
   }
-  spdlog::info("entry ended request={} outcome={} reason={} route={} customer={} attempts={} "
-               "events={} first_event_ms={} longest_pause_ms={} took_ms={}",
-               m_id.value, name_of(end), reason, m_route, m_customer, m_attempts, m_events.events(),
-               to_milliseconds(m_stream_timing.first_event().value_or(base::duration::zero())),
-               to_milliseconds(m_stream_timing.longest_pause()), to_milliseconds(took));
-}
-
-void exchange::log_attempt(attempt const& attempt) const {
-  spdlog::info(
-      "entry attempt request={} session={} number={} endpoint={} version={} model={} route={} "
-      "revision={} load={} left_ms={}",
-      m_id.value, m_session, attempt.number, attempt.endpoint.value, attempt.version.value,
-      attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
-      attempt.load, to_milliseconds(attempt.deadline - now()));
+  request_log::ended({.id = m_id,
+                      .end = end,
+                      .reason = reason,
+                      .route = m_route,
+                      .customer = m_customer,
+                      .attempts = m_attempts,
+                      .events = m_events.events(),
+                      .first_event = m_stream_timing.first_event(),
+                      .longest_pause = m_stream_timing.longest_pause(),
+                      .took = took});
 }
 
 void exchange::take_notices(answer_metadata const& metadata, attempt const& attempt) {
@@ -539,8 +479,7 @@
   }
   if (metadata.has_malformed_rate) {
     m_context.metrics.count_notice("malformed");
-    spdlog::warn("entry notice_ignored request={} endpoint={} reason=malformed_rate", m_id.value,
-                 attempt.endpoint.value);
+    request_log::notice_ignored(m_id, attempt.endpoint);
     return;
   }
   // A rejection need not repeat the rate, so its absence there means nothing.
@@ -552,13 +491,7 @@
     return;
   }
   m_context.metrics.count_notice(name_of(change));
-  spdlog::info("entry endpoint_rate request={} endpoint={} change={} rate={}", m_id.value,
-               attempt.endpoint.value, name_of(change), metadata.rate.value_or(0.0));
-}
-
-void exchange::log_failure(attempt_failure failure) const {
-  spdlog::warn("entry attempt_failed request={} number={} failure={} events={}", m_id.value,
-               m_attempts, name_of(failure), m_events.events());
+  request_log::rate_changed(m_id, attempt.endpoint, change, metadata.rate);
 }
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -89,10 +89,8 @@
   void start_stall_timer();
   void close_upstream();
   void finish(request_end end, std::string_view reason);
-  void log_attempt(attempt const& attempt) const;
   /// Passes on what the endpoint states about itself in its answer.
   void take_notices(answer_metadata const& metadata, attempt const& attempt);
-  void log_failure(attempt_failure failure) const;
 
   entry_context& m_context;
   daemon::tcp_stream& m_caller;
--- /dev/null
+++ b/services/proxy/request_log.cpp
@@ -0,0 +1,56 @@
+#include <services/proxy/request_log.h>
+
+#include <spdlog/spdlog.h>
+
+namespace catkinlanding::proxy::request_log {
+
+namespace {
+
+std::int64_t to_milliseconds(base::duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+void ended(ended_request const& request) {
+  spdlog::info("entry ended request={} outcome={} reason={} route={} customer={} attempts={} "
+               "events={} first_event_ms={} longest_pause_ms={} took_ms={}",
+               request.id.value, name_of(request.end), request.reason, request.route,
+               request.customer, request.attempts, request.events,
+               to_milliseconds(request.first_event.value_or(base::duration::zero())),
+               to_milliseconds(request.longest_pause), to_milliseconds(request.took));
+}
+
+void waited(base::request_id const& id, router const& router, base::duration time) {
+  spdlog::info("entry waited request={} revision={} endpoints={} waited_ms={}", id.value,
+               router.document_revision(), router.endpoint_count(), to_milliseconds(time));
+}
+
+void attempt_started(base::request_id const& id, std::string_view session, attempt const& attempt,
+                     base::monotonic_time now) {
+  spdlog::info(
+      "entry attempt request={} session={} number={} endpoint={} version={} model={} route={} "
+      "revision={} load={} left_ms={}",
+      id.value, session, attempt.number, attempt.endpoint.value, attempt.version.value,
+      attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
+      attempt.load, to_milliseconds(attempt.deadline - now));
+}
+
+void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
+                    std::size_t events) {
+  spdlog::warn("entry attempt_failed request={} number={} failure={} events={}", id.value, number,
+               name_of(failure), events);
+}
+
+void rate_changed(base::request_id const& id, base::endpoint_id const& endpoint,
+                  rate_limiter::change change, std::optional<double> rate) {
+  spdlog::info("entry endpoint_rate request={} endpoint={} change={} rate={}", id.value,
+               endpoint.value, name_of(change), rate.value_or(0.0));
+}
+
+void notice_ignored(base::request_id const& id, base::endpoint_id const& endpoint) {
+  spdlog::warn("entry notice_ignored request={} endpoint={} reason=malformed_rate", id.value,
+               endpoint.value);
+}
+
+} // namespace catkinlanding::proxy::request_log
--- /dev/null
+++ b/services/proxy/request_log.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <libraries/proxy/router.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// The structured log lines about callers' requests, from which the cause of a failed one can be
+/// found; see docs/OPERATIONS.md.
+namespace catkinlanding::proxy::request_log {
+
+/// A finished request.
+struct ended_request {
+  base::request_id const& id;
+  request_end end = request_end::answered;
+  std::string_view reason;
+  std::string_view route;
+  std::string_view customer;
+  std::uint32_t attempts = 0;
+  /// Events of a stream that the caller received.
+  std::size_t events = 0;
+  std::optional<base::duration> first_event;
+  base::duration longest_pause{};
+  base::duration took{};
+};
+
+void ended(ended_request const& request);
+/// A request waited for state that was missing after the start.
+void waited(base::request_id const& id, router const& router, base::duration time);
+void attempt_started(base::request_id const& id, std::string_view session, attempt const& attempt,
+                     base::monotonic_time now);
+void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
+                    std::size_t events);
+/// An endpoint began or ceased to state a rate.
+void rate_changed(base::request_id const& id, base::endpoint_id const& endpoint,
+                  rate_limiter::change change, std::optional<double> rate);
+/// What an endpoint states about itself could not be read.
+void notice_ignored(base::request_id const& id, base::endpoint_id const& endpoint);
+
+} // namespace catkinlanding::proxy::request_log
--- /dev/null
+++ b/services/proxy/socket_state.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <services/daemon/coroutine.h>
+
+namespace catkinlanding::proxy {
+
+enum class socket_state { open_without_input, has_input, closed };
+
+/// The state of a connection, found without reading from it or waiting.
+[[nodiscard]] socket_state state_of(daemon::tcp_socket& socket);
+
+} // namespace catkinlanding::proxy
--- a/services/proxy/upstream_pool.cpp
+++ b/services/proxy/upstream_pool.cpp
@@ -1,24 +1,28 @@
+#include <services/proxy/socket_state.h>
 #include <services/proxy/upstream_pool.h>
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cerrno>
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-/// Whether the connection is open and has no unread data.
-bool is_open_without_input(upstream_connection& connection) {
-  char byte = 0;
-  auto const received = ::recv(connection.stream.socket().native_handle(), &byte, sizeof(byte),
-                               MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+daemon::awaitable<bool> upstream_connection::open(base::duration timeout) {
+  namespace asio = boost::asio;
+  boost::system::error_code error;
+  auto const ip = asio::ip::make_address(address.ip, error);
+  if (error) {
+    co_return false;
+  }
+  stream.expires_after(timeout);
+  asio::ip::tcp::endpoint const target{ip, address.port};
+  auto const [failed] = co_await stream.async_connect(target, daemon::completion);
+  if (failed) {
+    co_return false;
+  }
+  stream.expires_never();
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return true;
 }
 
-} // namespace
-
 std::unique_ptr<upstream_connection> upstream_pool::acquire(base::endpoint_id const& endpoint,
                                                             base::address const& address,
                                                             base::monotonic_time now) {
@@ -31,7 +35,8 @@
     // The most recently used connection is the least likely to be closed by the endpoint.
     auto candidate = std::move(connections.back());
     connections.pop_back();
-    if (now < candidate.expires_at && is_open_without_input(*candidate.connection)) {
+    if (now < candidate.expires_at &&
+        state_of((*candidate.connection).stream.socket()) == socket_state::open_without_input) {
       return std::move(candidate.connection);
     }
   }
--- a/services/proxy/upstream_pool.h
+++ b/services/proxy/upstream_pool.h
@@ -18,6 +18,9 @@
 struct upstream_connection {
   explicit upstream_connection(boost::asio::io_context& context) : stream(context) {}
 
+  /// Connects to the address. Returns false if that fails or takes longer than the timeout.
+  daemon::awaitable<bool> open(base::duration timeout);
+
   daemon::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   base::endpoint_id endpoint;
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -346,6 +346,12 @@
   return made;
 }
 
+/// Delivers the update with a rollout of the only version, which is in this state.
+void receive_rollout(router& router, update made, rollout_state state) {
+  made.rollouts = {{{.service = {"s"}, .target = {""}, .state = state, .number = 1}}};
+  std::ignore = router.receive({"control"}, made, start);
+}
+
 endpoint_record make_record(endpoint_state state, std::uint64_t revision) {
   endpoint_announcement const announcement{.id = {"a"},
                                            .service = {"s"},
@@ -359,13 +365,9 @@
 // update that was held up behind a cut or in a frozen leader arrives after a newer one.
 TEST_F(routers, keep_the_newest_rollout_state_when_an_older_update_arrives_late) {
   receive_state({"a"});
-  auto const receive_rollout = [&](update made, rollout_state state) {
-    made.rollouts = {{{.service = {"s"}, .target = {""}, .state = state, .number = 1}}};
-    std::ignore = m_router.receive({"control"}, made, start);
-  };
-  receive_rollout(make_update(1, 1, 3), rollout_state::rolled_back);
+  receive_rollout(m_router, make_update(1, 1, 3), rollout_state::rolled_back);
   EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
-  receive_rollout(make_update(1, 1, 2), rollout_state::on_trial);
+  receive_rollout(m_router, make_update(1, 1, 2), rollout_state::on_trial);
   EXPECT_EQ(refusal_of(begin("/once/x")), refusal_kind::no_endpoint);
 }
 
@@ -373,10 +375,7 @@
 // still be seen.
 TEST_F(routers, report_the_answers_of_a_promoted_version) {
   receive_state({"a"});
-  auto promoted = make_update(1, 1, 3);
-  promoted.rollouts = {
-      {{.service = {"s"}, .target = {""}, .state = rollout_state::promoted, .number = 1}}};
-  std::ignore = m_router.receive({"control"}, promoted, start);
+  receive_rollout(m_router, make_update(1, 1, 3), rollout_state::promoted);
   ASSERT_TRUE(is_attempt(begin("/once/x")));
   std::ignore = fail(attempt_failure::failed_answer);
   auto const sent = m_router.tick(start + 1s);
@@ -391,10 +390,7 @@
 // they run.
 TEST_F(routers, report_the_pace_of_a_stream_before_it_ends) {
   receive_state({"a"});
-  auto on_trial = make_update(1, 1, 3);
-  on_trial.rollouts = {
-      {{.service = {"s"}, .target = {""}, .state = rollout_state::on_trial, .number = 1}}};
-  std::ignore = m_router.receive({"control"}, on_trial, start);
+  receive_rollout(m_router, make_update(1, 1, 3), rollout_state::on_trial);
   ASSERT_TRUE(is_attempt(begin("/stream/x")));
   std::ignore = m_router.note_answer(number, std::nullopt, start + 100ms);
   m_router.note_events(number, 2, start + 100ms);
@@ -414,10 +410,7 @@
 // Guards against a slow version that is kept because its callers leave before its answers come.
 TEST_F(routers, count_an_answer_that_its_caller_gave_up_waiting_for) {
   receive_state({"a"});
-  auto on_trial = make_update(1, 1, 3);
-  on_trial.rollouts = {
-      {{.service = {"s"}, .target = {""}, .state = rollout_state::on_trial, .number = 1}}};
-  std::ignore = m_router.receive({"control"}, on_trial, start);
+  receive_rollout(m_router, make_update(1, 1, 3), rollout_state::on_trial);
   ASSERT_TRUE(is_attempt(begin("/stream/x")));
   m_router.end(number, start + 900ms);
   auto const sent = m_router.tick(start + 1s);
