proxy: Count only the first attempt of a request for a rollout's verdict

Cause: some requests fail wherever they run, and each of their attempts counted, so three of them looked like six independent failures. Only first attempts count now. The new test failed before (2 bad answers in place of 1).

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -459,14 +459,19 @@
   return {.service = request.service, .version = request.version, .route = request.route->name};
 }
 
+rollout const* router::counted_rollout(active_request const& request) const {
+  // Some requests fail wherever they run, so further attempts are no independent evidence.
+  return request.tried.size() == 1 ? m_versions.evaluated_rollout(request.service) : nullptr;
+}
+
 void router::tally_answer(active_request const& request, base::monotonic_time now) {
-  if (auto const* evaluated = m_versions.evaluated_rollout(request.service)) {
+  if (auto const* evaluated = counted_rollout(request)) {
     m_tallies.add_answer(subject_of(request), *evaluated, now - request.attempt_at);
   }
 }
 
 void router::tally_failure(active_request const& request) {
-  if (auto const* evaluated = m_versions.evaluated_rollout(request.service)) {
+  if (auto const* evaluated = counted_rollout(request)) {
     m_tallies.add_failure(subject_of(request), *evaluated, request.has_answer);
   }
 }
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -186,6 +186,8 @@
   void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
   void finish_attempt(active_request& request);
   [[nodiscard]] static tally_recorder::subject subject_of(active_request const& request);
+  /// Returns the rollout that the current attempt is evidence for; nullptr if there is none.
+  [[nodiscard]] rollout const* counted_rollout(active_request const& request) const;
   /// Count the answer to the current attempt while its service has a rollout that is evaluated.
   void tally_answer(active_request const& request, base::monotonic_time now);
   void tally_failure(active_request const& request);
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -386,6 +386,22 @@
   EXPECT_EQ(tallies.front().statistics.bad, 1U);
 }
 
+// Guards against a good version that is rolled back because a few requests which fail everywhere
+// are counted once for each attempt.
+TEST_F(routers, count_only_the_first_attempt_of_a_request) {
+  receive_state({"a", "b"});
+  receive_rollout(m_router, make_update(1, 1, 3), rollout_state::promoted);
+  ASSERT_TRUE(is_attempt(begin("/again/x")));
+  ASSERT_TRUE(is_attempt(fail(attempt_failure::failed_answer)));
+  std::ignore = fail(attempt_failure::failed_answer);
+  auto const sent = m_router.tick(start + 1s);
+  ASSERT_EQ(sent.size(), 1U);
+  auto const& tallies = std::get<subscription>(sent.front().message).tallies;
+  ASSERT_EQ(tallies.size(), 1U);
+  EXPECT_EQ(tallies.front().statistics.bad, 1U);
+  EXPECT_EQ(tallies.front().statistics.answers, 1U);
+}
+
 // Guards against a slow version that is kept: the pace of its streams has to reach the leader while
 // they run.
 TEST_F(routers, report_the_pace_of_a_stream_before_it_ends) {
