proxy: Name what the comparison of versions counts

answer_counts holds failures as well as slow answers, a parameter hid a constant of the same name, and two functions said too little of what they do. The compiled code is the same, byte for byte.

--- a/libraries/proxy/version_comparison.cpp
+++ b/libraries/proxy/version_comparison.cpp
@@ -19,8 +19,8 @@
 constexpr std::array<std::uint64_t, 3> threshold_divisors{2, 4, 10};
 constexpr double permille = 0.001;
 
-/// Numbers of slow answers of both versions.
-struct slow_counts {
+/// The answers of both versions, and how many of them are bad or slow.
+struct answer_counts {
   rollouts::tally target;
   rollouts::tally old;
 };
@@ -51,36 +51,38 @@
   return share(target) > share(old) + bounds.excess_permille * permille;
 }
 
-slow_counts count_slow(time_histogram const& target, time_histogram const& old,
-                       std::uint64_t divisor, std::size_t slow_buckets) {
+/// Counts the answers above the threshold that one in `divisor` of the old version's exceeds; for
+/// the target, above the threshold moved up by `buckets_above`.
+answer_counts count_slow(time_histogram const& target, time_histogram const& old,
+                         std::uint64_t divisor, std::size_t buckets_above) {
   std::size_t bucket = 0;
   while (old.count_from(bucket) * divisor > old.count()) {
     ++bucket;
   }
-  return {.target = as_tally(target.count_from(bucket + slow_buckets), target.count()),
+  return {.target = as_tally(target.count_from(bucket + buckets_above), target.count()),
           .old = as_tally(old.count_from(bucket), old.count())};
 }
 
 /// A property by which the versions are compared on one route.
-using measure = slow_counts (*)(version_comparison const&, std::uint64_t divisor,
-                                comparison_bounds const&);
+using measure = answer_counts (*)(version_comparison const&, std::uint64_t divisor,
+                                  comparison_bounds const&);
 
-slow_counts count_failures(version_comparison const& comparison, std::uint64_t /*divisor*/,
-                           comparison_bounds const& /*bounds*/) {
+answer_counts count_failures(version_comparison const& comparison, std::uint64_t /*divisor*/,
+                             comparison_bounds const& /*bounds*/) {
   auto const& [target, old] = comparison;
   return {.target = as_tally(target.bad, target.answers), .old = as_tally(old.bad, old.answers)};
 }
 
-slow_counts count_slow_streams(version_comparison const& comparison, std::uint64_t divisor,
-                               comparison_bounds const& bounds) {
+answer_counts count_slow_streams(version_comparison const& comparison, std::uint64_t divisor,
+                                 comparison_bounds const& bounds) {
   auto const& target = comparison.target.event_interval;
   auto const& old = comparison.old.event_interval;
   bool const has_baseline = old.count() >= bounds.min_baseline_answers;
-  return has_baseline ? count_slow(target, old, divisor, slow_buckets) : slow_counts{};
+  return has_baseline ? count_slow(target, old, divisor, slow_buckets) : answer_counts{};
 }
 
-slow_counts count_late_answers(version_comparison const& comparison, std::uint64_t divisor,
-                               comparison_bounds const& bounds) {
+answer_counts count_late_answers(version_comparison const& comparison, std::uint64_t divisor,
+                                 comparison_bounds const& bounds) {
   auto const& target = comparison.target.first_byte;
   auto const& old = comparison.old.first_byte;
   if (old.count() < bounds.min_baseline_answers) {
@@ -95,10 +97,11 @@
 using criterion = bool (*)(rollouts::tally const& target, rollouts::tally const& old,
                            comparison_bounds const& bounds);
 
-/// Whether the criterion holds for the measure, on one of the routes or on all of them together.
+/// Whether the criterion holds for the measure on all routes together or, with `is_each_route`, on
+/// one of them.
 bool holds(route_comparisons const& routes, measure count, std::uint64_t divisor, criterion applies,
            bool is_each_route, comparison_bounds const& bounds) {
-  slow_counts sum;
+  answer_counts sum;
   for (auto const& [route, comparison] : routes) {
     auto const counts = count(comparison, divisor, bounds);
     if (is_each_route && applies(counts.target, counts.old, bounds)) {
