--- a/tests/libraries/proxy/rollout_evaluator_test.cpp
+++ b/tests/libraries/proxy/rollout_evaluator_test.cpp
@@ -91,6 +91,7 @@
   EXPECT_EQ(m_evaluator.next_state(trial, start + 6s), rollout_state::rolled_back);
 }
 
+// Guards against a bad version that is kept because instances lose their counts when they restart.
 TEST_F(rollout_evaluators, keep_the_evidence_of_an_instance_that_restarts) {
   auto const trial = make_rollout(rollout_state::on_trial);
   m_evaluator.report({"a"}, {tally("v1", 200, 4), tally("v2", 5, 3)}, start + 6s);
@@ -150,6 +151,7 @@
   EXPECT_EQ(m_evaluator.next_state(trial, start + 6s), rollout_state::rolled_back);
 }
 
+// Guards against a slow version that is kept because the other half of its answers lowers the mean.
 TEST_F(rollout_evaluators, roll_back_a_version_of_which_half_of_the_streams_run_slowly) {
   auto const trial = make_rollout(rollout_state::on_trial);
   m_evaluator.report(
