routing: Take the outcomes of a peer's report in one step

Cause: a version's breaker keeps a cumulative sum that can't fall below zero. A peer's report of one second, which has no order, was taken as all good ratings followed by all poor ones (and all failures before all successes), so the good ones were lost at zero and the bad ones counted as a row. The more a peer sees in a second, the surer a healthy version is suspended, then for half a minute or more.

Change: breaker::observe takes the batch as one step.

--- a/libraries/routing/breaker.cpp
+++ b/libraries/routing/breaker.cpp
@@ -14,27 +14,41 @@
 
 } // namespace
 
-void breaker::observe(health_signal signal, bool is_bad, double baseline,
+void breaker::observe(health_signal signal, outcome_batch outcomes, double baseline,
                       base::monotonic_time now) {
+  if (outcomes.good == 0 && outcomes.bad == 0) {
+    return;
+  }
   auto const index = static_cast<std::size_t>(signal);
   double const healthy = std::clamp(baseline, min_baseline, max_baseline);
-  double const bad = healthy + degradation_margins.at(index);
-  double const ratio = is_bad ? std::log(bad / healthy) : std::log((1.0 - bad) / (1.0 - healthy));
-  m_degradation_score.at(index) = std::max(0.0, m_degradation_score.at(index) + ratio);
+  double const degraded = healthy + degradation_margins.at(index);
+  double const bad_evidence = outcomes.bad * std::log(degraded / healthy);
+  double const good_evidence = outcomes.good * std::log((1.0 - degraded) / (1.0 - healthy));
+  // One step for the whole batch: taken one after the other, with all bad outcomes in a row, the
+  // outcomes of a healthy version would open the breaker.
+  auto& score = m_degradation_score.at(index);
+  score = std::max(0.0, score + bad_evidence + good_evidence);
   if (!m_is_open) {
-    if (m_degradation_score.at(index) >= m_options.opening_threshold) {
+    if (score >= m_options.opening_threshold) {
       open(index, now);
     }
     return;
   }
-  if (is_bad || now >= m_opened_at + m_options.settling_period) {
-    m_recovery_score.at(index) = std::max(0.0, m_recovery_score.at(index) - ratio);
-  }
-  if (m_degradation_score.at(index) >= m_options.additional_signal_threshold) {
-    m_has_triggered.at(index) = true;
+  bool const is_settled = now >= m_opened_at + m_options.settling_period;
+  observe_while_open(index, outcomes, -bad_evidence - (is_settled ? good_evidence : 0.0), now);
+}
+
+void breaker::observe_while_open(std::size_t signal, outcome_batch outcomes, double recovery,
+                                 base::monotonic_time now) {
+  m_recovery_score.at(signal) = std::max(0.0, m_recovery_score.at(signal) + recovery);
+  if (m_degradation_score.at(signal) >= m_options.additional_signal_threshold) {
+    m_has_triggered.at(signal) = true;
   }
-  if (is_bad) {
+  for (std::uint32_t i = 0; i < outcomes.bad && m_probe_interval < m_options.max_probe_interval;
+       ++i) {
     m_probe_interval = std::min(m_probe_interval * 2, m_options.max_probe_interval);
+  }
+  if (outcomes.bad > 0) {
     m_next_probe = std::max(m_next_probe, now + m_probe_interval);
   }
   for (std::size_t i = 0; i < health_signal_count; ++i) {
--- a/libraries/routing/breaker.h
+++ b/libraries/routing/breaker.h
@@ -12,6 +12,12 @@
 enum class health_signal : std::uint8_t { failure, empty_answer, slowness, poor_rating };
 constexpr std::size_t health_signal_count = 4;
 
+/// Outcomes that are reported together, in an order that nobody knows.
+struct outcome_batch {
+  std::uint32_t good = 0;
+  std::uint32_t bad = 0;
+};
+
 /// Circuit breaker for one version: it cuts the version off when the evidence of degradation is
 /// strong, and restores its traffic gradually.
 ///
@@ -43,8 +49,9 @@
 
   explicit breaker(options options) : m_options(options) {}
 
-  /// Records one outcome. `baseline` is the rate of bad outcomes of a healthy version.
-  void observe(health_signal signal, bool is_bad, double baseline, base::monotonic_time now);
+  /// Records outcomes. `baseline` is the rate of bad outcomes of a healthy version.
+  void observe(health_signal signal, outcome_batch outcomes, double baseline,
+               base::monotonic_time now);
 
   /// Whether one more request may go to the version now. While the breaker is open, an allowed
   /// request is a probe and schedules the next one.
@@ -53,6 +60,8 @@
   [[nodiscard]] bool is_open() const { return m_is_open; }
 
 private:
+  void observe_while_open(std::size_t signal, outcome_batch outcomes, double recovery,
+                          base::monotonic_time now);
   void open(std::size_t signal, base::monotonic_time now);
   void close(base::monotonic_time now);
 
--- a/libraries/routing/chooser.cpp
+++ b/libraries/routing/chooser.cpp
@@ -301,7 +301,8 @@
   // errors.
   double const pass_rate =
       m_pass_rates.mean({model, request_class, {version, {}}}, m_options.judge_accuracy_prior, now);
-  state.breaker.observe(health_signal::poor_rating, is_poor, 1.0 - pass_rate, now);
+  outcome_batch const outcome{.good = is_poor ? 0U : 1U, .bad = is_poor ? 1U : 0U};
+  state.breaker.observe(health_signal::poor_rating, outcome, 1.0 - pass_rate, now);
 }
 
 void chooser::receive(message const& message, base::monotonic_time now) {
@@ -374,12 +375,8 @@
   auto& state = state_of({counts.model, counts.first});
   if (counts.second.is_empty()) {
     double const baseline = 1.0 - m_quality.mean(key, state.prior, now);
-    for (std::uint32_t i = 0; i < counts.good; ++i) {
-      state.breaker.observe(health_signal::poor_rating, false, baseline, now);
-    }
-    for (std::uint32_t i = 0; i < counts.poor; ++i) {
-      state.breaker.observe(health_signal::poor_rating, true, baseline, now);
-    }
+    state.breaker.observe(health_signal::poor_rating, {.good = counts.good, .bad = counts.poor},
+                          baseline, now);
   }
   m_quality.add(key, counts.good, counts.poor, now);
 }
@@ -387,9 +384,8 @@
 void chooser::apply(outcome_counts const& counts, base::monotonic_time now) {
   auto& breaker = state_of({counts.model, counts.version}).breaker;
   auto const observe = [&](health_signal signal, std::uint32_t bad, double baseline) {
-    for (std::uint32_t i = 0; i < counts.attempts; ++i) {
-      breaker.observe(signal, i < bad, baseline, now);
-    }
+    auto const good = counts.attempts - std::min(bad, counts.attempts);
+    breaker.observe(signal, {.good = good, .bad = counts.attempts - good}, baseline, now);
   };
   observe(health_signal::failure, counts.failed, baseline_failure_rate);
   observe(health_signal::empty_answer, counts.empty, baseline_empty_rate);
--- a/tests/libraries/routing/breaker_test.cpp
+++ b/tests/libraries/routing/breaker_test.cpp
@@ -21,7 +21,8 @@
   }
 
   void observe(bool is_bad, base::monotonic_time now) {
-    m_breaker.observe(health_signal::failure, is_bad, baseline_failure_rate, now);
+    m_breaker.observe(health_signal::failure, {.good = is_bad ? 0U : 1U, .bad = is_bad ? 1U : 0U},
+                      baseline_failure_rate, now);
   }
 
   base::monotonic_time const m_opened_at{seconds(1000)};
