proxy: Give refusals their own module, and tell the two rate limiters apart

Change: refusal_policy takes the delays that refused callers are asked to wait, with their options; proxy::rate_limiter is endpoint_rate_limiter. No change of behaviour.

--- a/libraries/proxy/endpoint_filter.h
+++ b/libraries/proxy/endpoint_filter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <libraries/proxy/rate_limiter.h>
+#include <libraries/proxy/endpoint_rate_limiter.h>
 #include <libraries/proxy/version_policy.h>
 
 #include <vector>
@@ -15,7 +15,7 @@
 
   struct options {
     version_policy const& versions;
-    rate_limiter const& rates;
+    endpoint_rate_limiter const& rates;
     /// Whether the leader's grants are current.
     bool is_connected = false;
     base::monotonic_time now{};
--- a/libraries/proxy/rate_limiter.cpp
+++ b/libraries/proxy/endpoint_rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include <libraries/proxy/rate_limiter.h>
+#include <libraries/proxy/endpoint_rate_limiter.h>
 
 #include <algorithm>
 #include <tuple>
@@ -19,10 +19,10 @@
 
 } // namespace
 
-rate_limiter::change rate_limiter::note_answer(endpoint_incarnation const& source,
-                                               std::optional<double> rate,
-                                               base::monotonic_time sent_at,
-                                               base::monotonic_time now) {
+endpoint_rate_limiter::change endpoint_rate_limiter::note_answer(endpoint_incarnation const& source,
+                                                                 std::optional<double> rate,
+                                                                 base::monotonic_time sent_at,
+                                                                 base::monotonic_time now) {
   auto const found = m_limits.find(source);
   if (!rate) {
     bool const is_end = found != m_limits.end() && sent_at > found->second.learned_at &&
@@ -43,7 +43,7 @@
   return is_new ? change::limited : change::none;
 }
 
-void rate_limiter::apply(std::vector<rate_grant> const& grants, base::monotonic_time now) {
+void endpoint_rate_limiter::apply(std::vector<rate_grant> const& grants, base::monotonic_time now) {
   m_granted_at = now;
   std::map<endpoint_incarnation, rate_grant> granted;
   for (auto const& grant : grants) {
@@ -62,8 +62,9 @@
   }
 }
 
-base::monotonic_time rate_limiter::next_send_at(endpoint_incarnation const& source,
-                                                bool is_connected, base::monotonic_time now) const {
+base::monotonic_time endpoint_rate_limiter::next_send_at(endpoint_incarnation const& source,
+                                                         bool is_connected,
+                                                         base::monotonic_time now) const {
   auto const found = m_limits.find(source);
   if (found == m_limits.end()) {
     return now;
@@ -78,12 +79,12 @@
   return known.stated_rate || known.grant ? next_without_leader(known) : now;
 }
 
-base::monotonic_time rate_limiter::next_with_grant(limit const& known) const {
+base::monotonic_time endpoint_rate_limiter::next_with_grant(limit const& known) const {
   auto const share = known.grant->share;
   return share > 0.0 ? known.last_sent_at + interval_at(share) : base::monotonic_time::max();
 }
 
-base::monotonic_time rate_limiter::next_without_leader(limit const& known) const {
+base::monotonic_time endpoint_rate_limiter::next_without_leader(limit const& known) const {
   auto const rate = known.stated_rate ? *known.stated_rate : known.grant->rate;
   auto const share = std::max(rate, m_options.min_rate) * isolated_share / m_instances;
   auto const interval = interval_at(share);
@@ -94,7 +95,8 @@
                   m_granted_at + part_of_interval(known.phase));
 }
 
-void rate_limiter::note_sent(endpoint_incarnation const& source, base::monotonic_time now) {
+void endpoint_rate_limiter::note_sent(endpoint_incarnation const& source,
+                                      base::monotonic_time now) {
   auto const found = m_limits.find(source);
   if (found != m_limits.end()) {
     found->second.last_sent_at = now;
@@ -102,7 +104,7 @@
   }
 }
 
-std::vector<rate_notice> rate_limiter::notices(base::monotonic_time now) const {
+std::vector<rate_notice> endpoint_rate_limiter::notices(base::monotonic_time now) const {
   std::vector<rate_notice> notices;
   for (auto const& [source, known] : m_limits) {
     if (known.stated_at) {
@@ -113,12 +115,12 @@
   return notices;
 }
 
-bool rate_limiter::awaits_grant(base::monotonic_time now) const {
+bool endpoint_rate_limiter::awaits_grant(base::monotonic_time now) const {
   return std::ranges::any_of(m_limits,
                              [&](auto const& item) { return awaits_grant(item.second, now); });
 }
 
-void rate_limiter::sweep(base::monotonic_time now) {
+void endpoint_rate_limiter::sweep(base::monotonic_time now) {
   std::erase_if(m_limits, [&](auto const& item) {
     auto const& known = item.second;
     auto const lifetime =
@@ -127,16 +129,16 @@
   });
 }
 
-double rate_limiter::random_phase() {
+double endpoint_rate_limiter::random_phase() {
   return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
 }
 
-bool rate_limiter::awaits_grant(limit const& known, base::monotonic_time now) const {
+bool endpoint_rate_limiter::awaits_grant(limit const& known, base::monotonic_time now) const {
   return known.stated_rate && !known.grant && now < *known.stated_at + m_options.notice_precedence;
 }
 
-rate_limiter::limit& rate_limiter::limit_for(endpoint_incarnation const& source,
-                                             base::monotonic_time now) {
+endpoint_rate_limiter::limit& endpoint_rate_limiter::limit_for(endpoint_incarnation const& source,
+                                                               base::monotonic_time now) {
   auto const [entry, is_new] = m_limits.try_emplace(source);
   if (is_new) {
     entry->second.learned_at = now;
--- a/libraries/proxy/rate_limiter.h
+++ b/libraries/proxy/endpoint_rate_limiter.h
@@ -14,7 +14,7 @@
 /// The leader divides the rate and grants shares. Between an answer that states a rate and the next
 /// grant nothing is sent; an instance without a leader uses a part that is safe for all. Requests
 /// keep a distance and save nothing up, so many instances that were idle can't all send at once.
-class rate_limiter {
+class endpoint_rate_limiter {
 public:
   struct options {
     /// An endpoint's own statement overrides grants that do not include it yet for this long.
@@ -30,7 +30,7 @@
   /// How a statement changed what the instance knows, for the log.
   enum class change : std::uint8_t { none, limited, lifted };
 
-  explicit rate_limiter(options options) : m_options(options), m_random(options.seed) {}
+  explicit endpoint_rate_limiter(options options) : m_options(options), m_random(options.seed) {}
 
   void set_instances(std::uint32_t count) { m_instances = count; }
   /// Records the rate that an answer states, or that it states none. `sent_at` is when its request
@@ -81,13 +81,13 @@
   std::map<endpoint_incarnation, limit> m_limits;
 };
 
-[[nodiscard]] constexpr char const* name_of(rate_limiter::change change) {
+[[nodiscard]] constexpr char const* name_of(endpoint_rate_limiter::change change) {
   switch (change) {
-  case rate_limiter::change::none:
+  case endpoint_rate_limiter::change::none:
     return "none";
-  case rate_limiter::change::limited:
+  case endpoint_rate_limiter::change::limited:
     return "limited";
-  case rate_limiter::change::lifted:
+  case endpoint_rate_limiter::change::lifted:
     return "lifted";
   }
   return "unknown";
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -21,7 +21,8 @@
 
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
-      m_endpoints(m_options.endpoints), m_versions(m_options.versions), m_rates(m_options.rates) {}
+      m_endpoints(m_options.endpoints), m_versions(m_options.versions), m_rates(m_options.rates),
+      m_refusals(m_options.refusals) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
@@ -111,11 +112,11 @@
   }
 }
 
-rate_limiter::change router::note_rate(request_number number, std::optional<double> rate,
-                                       base::monotonic_time now) {
+endpoint_rate_limiter::change router::note_rate(request_number number, std::optional<double> rate,
+                                                base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end() || !found->second.is_attempting) {
-    return rate_limiter::change::none;
+    return endpoint_rate_limiter::change::none;
   }
   auto const& request = found->second;
   return m_rates.note_answer({request.endpoint, request.incarnation}, rate, request.attempt_at,
@@ -385,19 +386,7 @@
 }
 
 refusal router::refuse(refusal_kind kind) {
-  bool const may_retry = kind == refusal_kind::no_document || kind == refusal_kind::no_endpoint ||
-                         kind == refusal_kind::not_run || kind == refusal_kind::rate_limited ||
-                         kind == refusal_kind::expired_unsent;
-  if (!may_retry) {
-    return {.kind = kind};
-  }
-  // Randomized so that callers refused at the same time don't all retry at the same time.
-  std::uniform_int_distribution<base::duration::rep> distribution(
-      m_options.min_retry_after.count(), m_options.max_retry_after.count());
-  auto const pause = base::duration(distribution(m_random));
-  bool const is_recovering = kind == refusal_kind::no_document;
-  return {.kind = kind,
-          .retry_after = is_recovering ? pause + m_options.recovery_retry_delay : pause};
+  return m_refusals.make(kind, m_random);
 }
 
 refusal router::refuse(active_request const& request, refusal_kind kind) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -3,8 +3,9 @@
 #include <libraries/base/random.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
+#include <libraries/proxy/endpoint_rate_limiter.h>
 #include <libraries/proxy/escalation_policy.h>
-#include <libraries/proxy/rate_limiter.h>
+#include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/retry_limiter.h>
 #include <libraries/proxy/route_table.h>
@@ -32,7 +33,7 @@
     proxy::subscriber::options subscriber;
     endpoint_table::options endpoints;
     version_policy::options versions;
-    rate_limiter::options rates;
+    endpoint_rate_limiter::options rates;
     /// Applied to each service separately.
     retry_limiter::options retries;
     /// Timeout of a request whose caller specifies none.
@@ -40,13 +41,7 @@
     /// No attempt is started with less time than this left before the deadline.
     base::duration min_attempt_time = std::chrono::milliseconds(30);
     stall_policy stalls;
-    /// Range of the randomized retry delay that is suggested to callers whose request was not
-    /// executed.
-    base::duration min_retry_after = std::chrono::milliseconds(250);
-    base::duration max_retry_after = std::chrono::milliseconds(750);
-    /// Added to the retry delay before the first document arrives, since the control instances may
-    /// still have to elect a leader.
-    base::duration recovery_retry_delay = std::chrono::milliseconds(600);
+    refusal_policy::options refusals;
     /// The longest that the suggested retry delay grows because endpoints accept no request
     /// earlier.
     base::duration max_rate_wait = std::chrono::seconds(2);
@@ -79,8 +74,8 @@
                                  base::monotonic_time now);
   /// Records the rate that the header of an answer from the current attempt's endpoint states, or
   /// that it states none.
-  [[nodiscard]] rate_limiter::change note_rate(request_number number, std::optional<double> rate,
-                                               base::monotonic_time now);
+  [[nodiscard]] endpoint_rate_limiter::change
+  note_rate(request_number number, std::optional<double> rate, base::monotonic_time now);
   /// Records that more data of the current attempt's response arrived.
   void note_progress(request_number number, base::monotonic_time now);
   /// Records that this many further events of the current attempt's stream arrived.
@@ -203,7 +198,8 @@
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
   endpoint_table m_endpoints;
   version_policy m_versions;
-  rate_limiter m_rates;
+  endpoint_rate_limiter m_rates;
+  refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
   std::map<base::service_id, retry_limiter> m_retry_limiters;
   std::map<base::service_id, escalation_policy> m_escalation_policies;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -487,7 +487,7 @@
     return;
   }
   auto const change = m_context.router.note_rate(m_number, metadata.rate, now());
-  if (change == rate_limiter::change::none) {
+  if (change == endpoint_rate_limiter::change::none) {
     return;
   }
   m_context.metrics.count_notice(name_of(change));
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -43,7 +43,7 @@
 }
 
 void rate_changed(base::request_id const& id, base::endpoint_id const& endpoint,
-                  rate_limiter::change change, std::optional<double> rate) {
+                  endpoint_rate_limiter::change change, std::optional<double> rate) {
   spdlog::info("entry endpoint_rate request={} endpoint={} change={} rate={}", id.value,
                endpoint.value, name_of(change), rate.value_or(0.0));
 }
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -34,7 +34,7 @@
                     std::size_t events);
 /// An endpoint began or ceased to state a rate.
 void rate_changed(base::request_id const& id, base::endpoint_id const& endpoint,
-                  rate_limiter::change change, std::optional<double> rate);
+                  endpoint_rate_limiter::change change, std::optional<double> rate);
 /// What an endpoint states about itself could not be read.
 void notice_ignored(base::request_id const& id, base::endpoint_id const& endpoint);
 
--- a/tests/libraries/proxy/rate_limiter_test.cpp
+++ b/tests/libraries/proxy/endpoint_rate_limiter_test.cpp
@@ -1,5 +1,5 @@
+#include <libraries/proxy/endpoint_rate_limiter.h>
 #include <libraries/proxy/rate_coordinator.h>
-#include <libraries/proxy/rate_limiter.h>
 
 #include <gtest/gtest.h>
 
@@ -18,12 +18,13 @@
     return m_limiter.next_send_at(source, is_connected, now) <= now;
   }
 
-  rate_limiter m_limiter{{}};
+  endpoint_rate_limiter m_limiter{{}};
 };
 
 TEST_F(rate_limiters, send_nothing_between_a_statement_and_the_grant) {
   EXPECT_TRUE(may_send(start));
-  EXPECT_EQ(m_limiter.note_answer(source, 2.0, start, start), rate_limiter::change::limited);
+  EXPECT_EQ(m_limiter.note_answer(source, 2.0, start, start),
+            endpoint_rate_limiter::change::limited);
   EXPECT_TRUE(m_limiter.awaits_grant(start));
   EXPECT_FALSE(may_send(start + 300ms));
   m_limiter.apply({{.source = source, .rate = 2.0, .share = 1.0}}, start + 300ms);
@@ -59,12 +60,13 @@
 }
 
 TEST_F(rate_limiters, tell_the_leader_when_an_endpoint_states_no_rate_any_more) {
-  EXPECT_EQ(m_limiter.note_answer(source, 2.0, start, start + 1s), rate_limiter::change::limited);
+  EXPECT_EQ(m_limiter.note_answer(source, 2.0, start, start + 1s),
+            endpoint_rate_limiter::change::limited);
   // The answer to a request that was sent before says nothing.
   EXPECT_EQ(m_limiter.note_answer(source, std::nullopt, start + 500ms, start + 2s),
-            rate_limiter::change::none);
+            endpoint_rate_limiter::change::none);
   EXPECT_EQ(m_limiter.note_answer(source, std::nullopt, start + 2s, start + 3s),
-            rate_limiter::change::lifted);
+            endpoint_rate_limiter::change::lifted);
   auto const notices = m_limiter.notices(start + 4s);
   ASSERT_EQ(notices.size(), 1U);
   EXPECT_FALSE(notices.front().rate.has_value());
--- a/tests/libraries/proxy/endpoint_rate_property.cpp
+++ b/tests/libraries/proxy/endpoint_rate_property.cpp
@@ -1,5 +1,5 @@
+#include <libraries/proxy/endpoint_rate_limiter.h>
 #include <libraries/proxy/rate_coordinator.h>
-#include <libraries/proxy/rate_limiter.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -72,7 +72,7 @@
   struct instance {
     explicit instance(std::uint64_t seed) : limiter({.seed = seed}) {}
 
-    rate_limiter limiter;
+    endpoint_rate_limiter limiter;
     std::optional<base::monotonic_time> told_at;
     base::monotonic_time last_contact = start;
     base::monotonic_time last_report = start;
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -472,7 +472,7 @@
 TEST_F(routers, report_the_rate_that_an_endpoint_states) {
   receive_state({"a"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
-  EXPECT_EQ(m_router.note_rate(number, 1.5, start), rate_limiter::change::limited);
+  EXPECT_EQ(m_router.note_rate(number, 1.5, start), endpoint_rate_limiter::change::limited);
   EXPECT_EQ(refusal_of(m_router.begin(number + 1, facts("/once/x"), start)),
             refusal_kind::rate_limited);
   auto const sent = m_router.tick(start + 10ms);
