proxy: Obey what an endpoint says of itself: leaving, and when to come back

Cause: of an answer's header only the rate was decoded, by a path of its own; nothing carried the other two statements to the choice of an endpoint.

Change: one typed endpoint_notice, decoded once in platform/, kept by endpoint_notices for one start of an endpoint and applied in endpoint_filter, which every attempt passes. Leaving endpoints are told to the leader. A refusal while all endpoints want requests later is `deferred` and says when the first accepts one. A rejection with a pause is no evidence against a version; requests of a trial whose endpoints pause go to the old version. Malformed values are ignored, logged and counted.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -136,6 +136,11 @@
   downstream.loads = subscription.loads;
   m_evaluator.report(from, subscription.tallies, now);
   m_rates.report(from, subscription.rate_notices, now);
+  for (auto const& source : subscription.leaving_endpoints) {
+    if (m_registry.note_leaving(source)) {
+      note_endpoint(source.endpoint, out);
+    }
+  }
   push_to(from, downstream, true, now, out);
 }
 
--- a/libraries/proxy/endpoint_filter.cpp
+++ b/libraries/proxy/endpoint_filter.cpp
@@ -14,32 +14,39 @@
                                                      endpoints const& all,
                                                      base::service_id const& service,
                                                      request_facts const& facts) const {
-  auto found = within_rate(eligible_endpoints);
+  auto found = without_wait(eligible_endpoints);
   if (!found.empty() || eligible_endpoints.empty()) {
     return found;
   }
+  auto const others = without_wait(all);
   // A trial uses few endpoints of its version; others can take their place.
   auto const& version = eligible_endpoints.front()->announcement.version;
-  found = eligible(within_rate(all), service, facts);
+  found = eligible(others, service, facts);
   std::erase_if(found,
                 [&](known_endpoint const* one) { return one->announcement.version != version; });
-  return found;
+  return found.empty() ? m_options.versions.old_endpoints(others, service) : found;
 }
 
-base::duration endpoint_filter::wait_for(endpoints const& endpoints) const {
-  auto next = base::monotonic_time::max();
+std::optional<deferral> endpoint_filter::shortest_wait(endpoints const& endpoints) const {
+  std::optional<deferral> shortest;
   for (auto const* one : endpoints) {
-    next = std::min(next, m_options.rates.next_send_at(one->incarnation(), m_options.is_connected,
-                                                       m_options.now));
+    auto const wait = wait_for(*one);
+    if (!wait) {
+      return std::nullopt;
+    }
+    if (!shortest || wait->wait < shortest->wait) {
+      shortest = wait;
+    }
   }
-  return next == base::monotonic_time::max() ? base::duration::max() : next - m_options.now;
+  return shortest;
 }
 
-endpoint_filter::endpoints endpoint_filter::within_rate(endpoints endpoints) const {
-  std::erase_if(endpoints, [&](known_endpoint const* one) {
-    return m_options.rates.next_send_at(one->incarnation(), m_options.is_connected, m_options.now) >
-           m_options.now;
-  });
+std::optional<deferral> endpoint_filter::wait_for(known_endpoint const& endpoint) const {
+  return m_options.notices.wait_for(endpoint.incarnation(), m_options.is_connected, m_options.now);
+}
+
+endpoint_filter::endpoints endpoint_filter::without_wait(endpoints endpoints) const {
+  std::erase_if(endpoints, [&](known_endpoint const* one) { return wait_for(*one).has_value(); });
   return endpoints;
 }
 
--- /dev/null
+++ b/libraries/proxy/endpoint_notices.cpp
@@ -0,0 +1,72 @@
+#include <libraries/proxy/endpoint_notices.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+std::vector<notice_change> endpoint_notices::note(endpoint_incarnation const& source,
+                                                  endpoint_notice const& notice,
+                                                  base::monotonic_time sent_at,
+                                                  base::monotonic_time now) {
+  std::vector<notice_change> changes;
+  if (notice.is_leaving && m_pauses.note_leaving(source, now)) {
+    changes.push_back({.kind = notice_kind::leaving});
+  }
+  if (notice.pause && m_pauses.note_pause(source, *notice.pause, now)) {
+    changes.push_back({.kind = notice_kind::paused, .pause = notice.pause});
+  }
+  if (!notice.rate && !notice.is_rate_known) {
+    return changes;
+  }
+  switch (m_rates.note_answer(source, notice.rate, sent_at, now)) {
+  case endpoint_rate_limiter::change::none:
+    break;
+  case endpoint_rate_limiter::change::limited:
+    changes.push_back({.kind = notice_kind::rate_limited, .rate = notice.rate});
+    break;
+  case endpoint_rate_limiter::change::lifted:
+    changes.push_back({.kind = notice_kind::rate_unlimited});
+    break;
+  }
+  return changes;
+}
+
+std::optional<deferral> endpoint_notices::wait_for(endpoint_incarnation const& source,
+                                                   bool is_connected,
+                                                   base::monotonic_time now) const {
+  std::optional<deferral> found;
+  auto const next_by_rate = m_rates.next_send_at(source, is_connected, now);
+  if (next_by_rate > now) {
+    auto const is_beyond = next_by_rate >= now + m_options.max_rate_wait;
+    found = deferral{.source = source,
+                     .kind = notice_kind::rate_limited,
+                     .wait = is_beyond ? m_options.max_rate_wait : next_by_rate - now,
+                     .age = now - m_rates.learned_at(source).value_or(now)};
+  }
+  auto const pause = m_pauses.pause_of(source, now);
+  if (pause && (!found || pause->until - now > found->wait)) {
+    found = deferral{.source = source,
+                     .kind = notice_kind::paused,
+                     .wait = pause->until - now,
+                     .age = now - pause->stated_at};
+  }
+  return found;
+}
+
+std::vector<endpoint_incarnation>
+endpoint_notices::unknown_leaving(endpoint_table const& endpoints) const {
+  auto sources = m_pauses.leaving();
+  std::erase_if(sources, [&](endpoint_incarnation const& source) {
+    auto const* known = endpoints.find(source.endpoint);
+    return known == nullptr || known->incarnation() != source ||
+           known->state != endpoint_state::ready;
+  });
+  return sources;
+}
+
+void endpoint_notices::sweep(endpoint_table const& endpoints, base::monotonic_time now) {
+  m_rates.sweep(now);
+  m_pauses.sweep(endpoints, now);
+}
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/endpoint_rate_limiter.cpp
+++ b/libraries/proxy/endpoint_rate_limiter.cpp
@@ -95,6 +95,12 @@
                   m_granted_at + part_of_interval(known.phase));
 }
 
+std::optional<base::monotonic_time>
+endpoint_rate_limiter::learned_at(endpoint_incarnation const& source) const {
+  auto const found = m_limits.find(source);
+  return found == m_limits.end() ? std::nullopt : std::optional(found->second.learned_at);
+}
+
 void endpoint_rate_limiter::note_sent(endpoint_incarnation const& source,
                                       base::monotonic_time now) {
   auto const found = m_limits.find(source);
--- a/libraries/proxy/endpoint_rate_limiter.h
+++ b/libraries/proxy/endpoint_rate_limiter.h
@@ -27,7 +27,7 @@
     std::uint64_t seed = 0;
   };
 
-  /// How a statement changed what the instance knows, for the log.
+  /// How a statement changed what the instance knows.
   enum class change : std::uint8_t { none, limited, lifted };
 
   explicit endpoint_rate_limiter(options options) : m_options(options), m_random(options.seed) {}
@@ -45,6 +45,9 @@
   [[nodiscard]] base::monotonic_time next_send_at(endpoint_incarnation const& source,
                                                   bool is_connected,
                                                   base::monotonic_time now) const;
+  /// When this instance first learned of the endpoint's limit; empty if it knows of none.
+  [[nodiscard]] std::optional<base::monotonic_time>
+  learned_at(endpoint_incarnation const& source) const;
   void note_sent(endpoint_incarnation const& source, base::monotonic_time now);
   /// What the endpoints stated to this instance, for the leader.
   [[nodiscard]] std::vector<rate_notice> notices(base::monotonic_time now) const;
@@ -81,16 +84,4 @@
   std::map<endpoint_incarnation, limit> m_limits;
 };
 
-[[nodiscard]] constexpr char const* name_of(endpoint_rate_limiter::change change) {
-  switch (change) {
-  case endpoint_rate_limiter::change::none:
-    return "none";
-  case endpoint_rate_limiter::change::limited:
-    return "limited";
-  case endpoint_rate_limiter::change::lifted:
-    return "lifted";
-  }
-  return "unknown";
-}
-
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/endpoint_registry.cpp
+++ b/libraries/proxy/endpoint_registry.cpp
@@ -72,6 +72,20 @@
   return announcement_outcome::changed;
 }
 
+bool endpoint_registry::note_leaving(endpoint_incarnation const& source) {
+  auto const found = m_endpoints.find(source.endpoint);
+  if (found == m_endpoints.end()) {
+    return false;
+  }
+  auto& known = found->second;
+  bool const is_new = known.record.announcement.number.incarnation == source.incarnation &&
+                      known.record.state == endpoint_state::ready;
+  if (is_new) {
+    set_state(known, endpoint_state::leaving);
+  }
+  return is_new;
+}
+
 void endpoint_registry::adopt(endpoint_record const& record, base::monotonic_time now) {
   auto& known = m_endpoints[record.announcement.id];
   if (known.record.announcement.number > record.announcement.number) {
--- a/libraries/proxy/endpoint_registry.h
+++ b/libraries/proxy/endpoint_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/proxy/endpoint.h>
+#include <libraries/proxy/endpoint_rate.h>
 
 #include <map>
 #include <vector>
@@ -57,6 +58,8 @@
                                 base::monotonic_time now);
   /// Marks the endpoint as gone. A later incarnation with the same id is treated as a new endpoint.
   announcement_outcome withdraw(base::endpoint_id const& id, base::monotonic_time now);
+  /// Marks the endpoint as leaving because it said so to an instance. Returns whether that is new.
+  bool note_leaving(endpoint_incarnation const& source);
   /// Copies a record from the registry of another control instance, unless a newer one is known.
   void adopt(endpoint_record const& record, base::monotonic_time now);
   /// Marks silent endpoints and forgets those that ended long ago. Returns whether any record
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -58,10 +58,12 @@
   std::vector<endpoint_load> loads;
   /// Rates of requests that endpoints stated to the sender.
   std::vector<rate_notice> rate_notices;
+  /// Endpoints that stated to the sender that they are leaving, and that the leader calls ready.
+  std::vector<endpoint_incarnation> leaving_endpoints;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads, rate_notices);
+    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints);
   }
 };
 
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -3,6 +3,7 @@
 #include <libraries/base/address.h>
 #include <libraries/base/identifier.h>
 #include <libraries/base/time.h>
+#include <libraries/proxy/endpoint_notice.h>
 
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,7 @@
   /// 1 for the first endpoint that the request is sent to.
   std::uint32_t number = 1;
   base::endpoint_id endpoint;
+  std::uint64_t incarnation = 0;
   base::address address;
   base::version_id version;
   /// Set if the system chooses the model.
@@ -74,8 +76,9 @@
   no_document,
   /// No endpoint of the service accepts requests.
   no_endpoint,
-  /// Every endpoint of the service states a rate of requests that is used up.
-  rate_limited,
+  /// Every endpoint of the service has stated that it wants requests later: its rate is used up, or
+  /// it pauses.
+  deferred,
   /// No endpoint executed the request.
   not_run,
   /// The deadline passed, and no endpoint executed the request.
@@ -96,8 +99,8 @@
     return "no_document";
   case refusal_kind::no_endpoint:
     return "no_endpoint";
-  case refusal_kind::rate_limited:
-    return "rate_limited";
+  case refusal_kind::deferred:
+    return "deferred";
   case refusal_kind::not_run:
     return "not_run";
   case refusal_kind::expired_unsent:
@@ -115,6 +118,8 @@
   /// Suggested delay before the caller retries. Set only if the request was certainly not executed
   /// and a retry may succeed.
   std::optional<base::duration> retry_after;
+  /// The endpoint that will be the first to accept a request, if all of them want requests later.
+  std::optional<proxy::deferral> deferral;
   /// The request's route and customer, for logs and metrics; empty if unknown.
   std::string route;
   base::customer_id customer;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -21,8 +21,8 @@
 
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
-      m_endpoints(m_options.endpoints), m_versions(m_options.versions), m_rates(m_options.rates),
-      m_refusals(m_options.refusals) {}
+      m_endpoints(m_options.endpoints), m_versions(m_options.versions),
+      m_notices(m_options.notices), m_refusals(m_options.refusals) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
@@ -112,15 +112,14 @@
   }
 }
 
-endpoint_rate_limiter::change router::note_rate(request_number number, std::optional<double> rate,
-                                                base::monotonic_time now) {
+std::vector<notice_change> router::note_notice(request_number number, endpoint_notice const& notice,
+                                               base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end() || !found->second.is_attempting) {
-    return endpoint_rate_limiter::change::none;
+    return {};
   }
   auto const& request = found->second;
-  return m_rates.note_answer({request.endpoint, request.incarnation}, rate, request.attempt_at,
-                             now);
+  return m_notices.note({request.endpoint, request.incarnation}, notice, request.attempt_at, now);
 }
 
 void router::note_progress(request_number number, base::monotonic_time now) {
@@ -200,7 +199,7 @@
   if (may_repeat && may_continue && has_attempts &&
       (is_retry_prepaid || retry_limiter_for(request.service).try_spend(now))) {
     auto next = attempt_next(request, now);
-    if (std::holds_alternative<attempt>(next)) {
+    if (std::holds_alternative<attempt>(next) || !request.may_have_run) {
       return next;
     }
   }
@@ -223,8 +222,8 @@
 
 std::vector<outgoing> router::tick(base::monotonic_time now) {
   m_started_at = m_started_at.value_or(now);
-  m_rates.sweep(now);
-  bool const is_urgent = m_versions.has_promoted_rollout() || m_rates.awaits_grant(now);
+  m_notices.sweep(m_endpoints, now);
+  bool const is_urgent = m_versions.has_promoted_rollout() || m_notices.rates().awaits_grant(now);
   auto const upstream = m_subscriber.tick(now, is_urgent);
   return upstream ? std::vector{make_subscription(*upstream, now)} : std::vector<outgoing>{};
 }
@@ -235,7 +234,8 @@
                                  .is_entry = true,
                                  .tallies = m_tallies.tallies(),
                                  .loads = m_endpoints.own_loads(),
-                                 .rate_notices = m_rates.notices(now)}};
+                                 .rate_notices = m_notices.rates().notices(now),
+                                 .leaving_endpoints = m_notices.unknown_leaving(m_endpoints)}};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
@@ -296,8 +296,8 @@
     m_endpoints.apply_loads(update.loads);
   }
   m_entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
-  m_rates.set_instances(m_entry_instances);
-  m_rates.apply(update.rate_grants, now);
+  m_notices.rates().set_instances(m_entry_instances);
+  m_notices.rates().apply(update.rate_grants, now);
   for (auto& [service, retries] : m_retry_limiters) {
     retries.set_instances(m_entry_instances);
   }
@@ -309,14 +309,14 @@
 }
 
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
-  auto endpoints = m_endpoints.ready(request.service);
+  auto endpoints = accepting_endpoints(request);
   std::erase_if(endpoints, [&](known_endpoint const* one) {
     auto const& id = one->announcement.id;
     return std::ranges::find(request.tried, id) != request.tried.end() ||
            std::ranges::find(request.unreached, id) != request.unreached.end();
   });
   endpoint_filter const filter({.versions = m_versions,
-                                .rates = m_rates,
+                                .notices = m_notices,
                                 .is_connected = m_subscriber.is_connected(now),
                                 .now = now});
   auto const eligible = filter.eligible(endpoints, request.service, request.facts);
@@ -336,13 +336,12 @@
                                  .salt = m_random()};
   auto const* chosen = choose_endpoint(sendable, criteria, now);
   if (chosen == nullptr) {
-    auto const wait = eligible.empty() ? base::duration::zero() : filter.wait_for(eligible);
-    return refuse_unsent(request, wait);
+    return refuse_unsent(request, filter);
   }
   request.endpoint = chosen->announcement.id;
   request.version = chosen->announcement.version;
   request.incarnation = chosen->announcement.number.incarnation;
-  m_rates.note_sent({request.endpoint, request.incarnation}, now);
+  m_notices.rates().note_sent({request.endpoint, request.incarnation}, now);
   request.tried.push_back(chosen->announcement.id);
   request.attempt_at = now;
   request.progress_at = now;
@@ -351,6 +350,7 @@
   request.pace = {};
   attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
                .endpoint = chosen->announcement.id,
+               .incarnation = request.incarnation,
                .address = chosen->announcement.address,
                .version = chosen->announcement.version,
                .model = request.model,
@@ -367,15 +367,26 @@
   return made;
 }
 
-refusal router::refuse_unsent(active_request const& request, base::duration wait) {
-  if (!request.tried.empty()) {
-    return refuse(request, refusal_kind::not_run);
-  }
-  if (wait == base::duration::zero()) {
-    return refuse(request, refusal_kind::no_endpoint);
+std::vector<known_endpoint const*>
+router::accepting_endpoints(active_request const& request) const {
+  auto endpoints = m_endpoints.ready(request.service);
+  std::erase_if(endpoints, [&](known_endpoint const* one) {
+    return m_notices.is_leaving(one->incarnation());
+  });
+  return endpoints;
+}
+
+refusal router::refuse_unsent(active_request const& request, endpoint_filter const& filter) {
+  auto const eligible =
+      filter.eligible(accepting_endpoints(request), request.service, request.facts);
+  auto const deferral = filter.shortest_wait(eligible);
+  auto const unsent = deferral ? refusal_kind::deferred : refusal_kind::no_endpoint;
+  bool const is_unsent = request.tried.empty() && request.unreached.empty();
+  auto refused = refuse(request, is_unsent ? unsent : refusal_kind::not_run);
+  if (deferral) {
+    *refused.retry_after += deferral->wait;
+    refused.deferral = deferral;
   }
-  auto refused = refuse(request, refusal_kind::rate_limited);
-  *refused.retry_after += std::min(wait, m_options.max_rate_wait);
   return refused;
 }
 
@@ -427,7 +438,10 @@
     tally_failure(request);
     return;
   case attempt_failure::failed_answer:
-    tally_failure(request);
+    // An endpoint that asks for a pause is in need, which says nothing about its version.
+    if (!m_notices.is_paused({request.endpoint, request.incarnation}, now)) {
+      tally_failure(request);
+    }
     return;
   case attempt_failure::low_confidence:
     // Not an endpoint failure. The next attempt uses the largest model.
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -3,7 +3,7 @@
 #include <libraries/base/random.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
-#include <libraries/proxy/endpoint_rate_limiter.h>
+#include <libraries/proxy/endpoint_notices.h>
 #include <libraries/proxy/escalation_policy.h>
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
@@ -33,7 +33,7 @@
     proxy::subscriber::options subscriber;
     endpoint_table::options endpoints;
     version_policy::options versions;
-    endpoint_rate_limiter::options rates;
+    endpoint_notices::options notices;
     /// Applied to each service separately.
     retry_limiter::options retries;
     /// Timeout of a request whose caller specifies none.
@@ -42,9 +42,6 @@
     base::duration min_attempt_time = std::chrono::milliseconds(30);
     stall_policy stalls;
     refusal_policy::options refusals;
-    /// The longest that the suggested retry delay grows because endpoints accept no request
-    /// earlier.
-    base::duration max_rate_wait = std::chrono::seconds(2);
     /// An instance that has found no leader by this time after its start accepts the last known
     /// state of a control instance. Longer than an election takes.
     base::duration isolation_timeout = std::chrono::milliseconds(1000);
@@ -72,10 +69,10 @@
   /// called with attempt_failure::low_confidence.
   [[nodiscard]] bool note_answer(request_number number, std::optional<double> confidence,
                                  base::monotonic_time now);
-  /// Records the rate that the header of an answer from the current attempt's endpoint states, or
-  /// that it states none.
-  [[nodiscard]] endpoint_rate_limiter::change
-  note_rate(request_number number, std::optional<double> rate, base::monotonic_time now);
+  /// Records what the current attempt's endpoint states about itself in the header of its answer.
+  /// Returns what is new.
+  std::vector<notice_change> note_notice(request_number number, endpoint_notice const& notice,
+                                         base::monotonic_time now);
   /// Records that more data of the current attempt's response arrived.
   void note_progress(request_number number, base::monotonic_time now);
   /// Records that this many further events of the current attempt's stream arrived.
@@ -161,9 +158,11 @@
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
-  /// The refusal of a request for which no endpoint can be chosen. `wait` is how long until an
-  /// endpoint may receive a request by its rate; zero if there is no endpoint.
-  [[nodiscard]] refusal refuse_unsent(active_request const& request, base::duration wait);
+  /// The refusal of a request for which no endpoint can be chosen.
+  [[nodiscard]] refusal refuse_unsent(active_request const& request, endpoint_filter const& filter);
+  /// The ready endpoints of the request's service, without those that said that they are leaving.
+  [[nodiscard]] std::vector<known_endpoint const*>
+  accepting_endpoints(active_request const& request) const;
   /// Whether the largest model should answer instead of the current one. If so, a retry has already
   /// been taken from the retry limit.
   [[nodiscard]] bool should_escalate(active_request const& request,
@@ -198,7 +197,7 @@
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
   endpoint_table m_endpoints;
   version_policy m_versions;
-  endpoint_rate_limiter m_rates;
+  endpoint_notices m_notices;
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
   std::map<base::service_id, retry_limiter> m_retry_limiters;
--- a/libraries/proxy/version_policy.cpp
+++ b/libraries/proxy/version_policy.cpp
@@ -70,6 +70,19 @@
   return old;
 }
 
+endpoints version_policy::old_endpoints(endpoints const& all,
+                                        base::service_id const& service) const {
+  auto const* rollout = evaluated_rollout(service);
+  if (rollout == nullptr) {
+    return {};
+  }
+  auto old = with_version(all, rollout->target, false);
+  std::erase_if(old, [&](known_endpoint const* one) {
+    return rollout->has_rejected(one->announcement.version);
+  });
+  return old;
+}
+
 rollout const* version_policy::evaluated_rollout(base::service_id const& service) const {
   auto const known = m_rollouts.find(service);
   bool const is_evaluated = known != m_rollouts.end() && known->second.is_evaluated();
--- a/libraries/proxy/version_policy.h
+++ b/libraries/proxy/version_policy.h
@@ -29,6 +29,12 @@
   eligible_endpoints(std::vector<known_endpoint const*> endpoints, base::service_id const& service,
                      request_facts const& facts) const;
 
+  /// Returns the endpoints that run the old version while the target of a rollout receives requests
+  /// and is evaluated; empty if there is no such rollout.
+  [[nodiscard]] std::vector<known_endpoint const*>
+  old_endpoints(std::vector<known_endpoint const*> const& endpoints,
+                base::service_id const& service) const;
+
   /// Returns the rollout of the service whose target receives requests while it is evaluated;
   /// nullptr if there is none.
   [[nodiscard]] rollout const* evaluated_rollout(base::service_id const& service) const;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -48,7 +48,8 @@
       .self = settings.id(), .seeds = seed_instances(settings), .seed = random_number()};
   options.versions.trial_permille =
       static_cast<std::uint32_t>(settings.trial_share * trial_share_factor * permille);
-  options.rates.seed = random_number();
+  options.notices.rates.seed = random_number();
+  options.notices.pauses.seed = random_number();
   options.retries = {.ratio = settings.retry_ratio,
                      .slack = settings.retry_slack,
                      .window = settings.retry_window};
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -102,6 +102,9 @@
   // For a request that was never sent to an endpoint, only the refusal has these.
   m_route = std::move(refusal.route);
   m_customer = std::move(refusal.customer.value);
+  if (refusal.deferral) {
+    request_log::deferred(m_id, *refusal.deferral);
+  }
   if (m_is_header_sent) {
     // Close the connection without the last chunk, so that the caller detects the truncation.
     finish(request_end::interrupted, name_of(refusal.kind));
@@ -477,21 +480,14 @@
   if (metadata.is_wrong_endpoint) {
     return;
   }
-  if (metadata.has_malformed_rate) {
-    m_context.metrics.count_notice("malformed");
-    request_log::notice_ignored(m_id, attempt.endpoint);
-    return;
+  for (auto const kind : metadata.unreadable_notices) {
+    m_context.metrics.count_notice("unreadable");
+    request_log::notice_ignored(m_id, attempt, kind);
   }
-  // A rejection need not repeat the rate, so its absence there means nothing.
-  if (!metadata.rate && !metadata.is_sealed) {
-    return;
-  }
-  auto const change = m_context.router.note_rate(m_number, metadata.rate, now());
-  if (change == endpoint_rate_limiter::change::none) {
-    return;
+  for (auto const& change : m_context.router.note_notice(m_number, metadata.notice, now())) {
+    m_context.metrics.count_notice(name_of(change.kind));
+    request_log::notice_taken(m_id, attempt, change);
   }
-  m_context.metrics.count_notice(name_of(change));
-  request_log::rate_changed(m_id, attempt.endpoint, change, metadata.rate);
 }
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/protocol_adapter.h
+++ b/services/proxy/protocol_adapter.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace catkinlanding::proxy {
 
@@ -40,11 +41,10 @@
   bool is_not_executed = false;
   /// Whether a different endpoint than the intended one answered.
   bool is_wrong_endpoint = false;
-  /// Requests a second that the endpoint accepts from all instances together; empty if it states
-  /// none.
-  std::optional<double> rate;
-  /// Whether the stated rate could not be read; it is ignored.
-  bool has_malformed_rate = false;
+  /// What the endpoint states about itself.
+  endpoint_notice notice;
+  /// Statements about itself that could not be read; they are ignored.
+  std::vector<notice_kind> unreadable_notices;
   /// The model's confidence in its answer, from 0 to 1; empty if it reports none.
   std::optional<double> confidence;
 };
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -42,15 +42,24 @@
                name_of(failure), events);
 }
 
-void rate_changed(base::request_id const& id, base::endpoint_id const& endpoint,
-                  endpoint_rate_limiter::change change, std::optional<double> rate) {
-  spdlog::info("entry endpoint_rate request={} endpoint={} change={} rate={}", id.value,
-               endpoint.value, name_of(change), rate.value_or(0.0));
+void notice_taken(base::request_id const& id, attempt const& attempt, notice_change const& change) {
+  spdlog::info("entry endpoint_notice request={} endpoint={} incarnation={} kind={} rate={} "
+               "pause_ms={}",
+               id.value, attempt.endpoint.value, attempt.incarnation, name_of(change.kind),
+               change.rate.value_or(0.0),
+               to_milliseconds(change.pause.value_or(base::duration::zero())));
 }
 
-void notice_ignored(base::request_id const& id, base::endpoint_id const& endpoint) {
-  spdlog::warn("entry notice_ignored request={} endpoint={} reason=malformed_rate", id.value,
-               endpoint.value);
+void notice_ignored(base::request_id const& id, attempt const& attempt, notice_kind kind) {
+  spdlog::warn("entry notice_ignored request={} endpoint={} incarnation={} kind={}", id.value,
+               attempt.endpoint.value, attempt.incarnation, name_of(kind));
+}
+
+void deferred(base::request_id const& id, deferral const& deferral) {
+  spdlog::info("entry deferred request={} endpoint={} incarnation={} kind={} age_ms={} wait_ms={}",
+               id.value, deferral.source.endpoint.value, deferral.source.incarnation,
+               name_of(deferral.kind), to_milliseconds(deferral.age),
+               to_milliseconds(deferral.wait));
 }
 
 } // namespace catkinlanding::proxy::request_log
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -32,10 +32,11 @@
                      base::monotonic_time now);
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
                     std::size_t events);
-/// An endpoint began or ceased to state a rate.
-void rate_changed(base::request_id const& id, base::endpoint_id const& endpoint,
-                  endpoint_rate_limiter::change change, std::optional<double> rate);
+/// An endpoint stated something new about itself in its answer to the attempt.
+void notice_taken(base::request_id const& id, attempt const& attempt, notice_change const& change);
 /// What an endpoint states about itself could not be read.
-void notice_ignored(base::request_id const& id, base::endpoint_id const& endpoint);
+void notice_ignored(base::request_id const& id, attempt const& attempt, notice_kind kind);
+/// The request was refused because all endpoints want requests later; this one accepts the first.
+void deferred(base::request_id const& id, deferral const& deferral);
 
 } // namespace catkinlanding::proxy::request_log
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -1,6 +1,4 @@
-#include <libraries/proxy/router.h>
-
-#include <gtest/gtest.h>
+#include <tests/support/router_fixture.h>
 
 namespace catkinlanding::proxy {
 
@@ -8,87 +6,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr base::monotonic_time start{};
-constexpr request_number number = 1;
-
-class routers : public ::testing::Test {
-protected:
-  routers() : m_router(options()) {}
-
-  static router::options options() {
-    router::options made;
-    made.zone = {"here"};
-    made.subscriber = {.self = {"entry"}, .seeds = {{"control"}}};
-    made.retries = {.ratio = 0.5, .slack = 100};
-    return made;
-  }
-
-  static route make_route(std::string prefix, route_kind kind, std::uint32_t attempts) {
-    route made;
-    made.name = prefix;
-    made.host = "h";
-    made.path_prefix = std::move(prefix);
-    made.kind = kind;
-    made.shares = {{.service = {"s"}, .weight = 1}};
-    made.timeout = 30s;
-    made.target_latency = 300ms;
-    made.target_pause = 1s;
-    made.max_attempts = attempts;
-    return made;
-  }
-
-  void receive_state(std::vector<std::string> const& endpoints) {
-    update received;
-    received.state = {.document_revision = 1, .registry_term = 1, .registry_revision = 1};
-    received.document.emplace();
-    received.document->revision = 1;
-    received.document->services = {{.id = {"s"}}};
-    received.document->customers = {{.id = {"ann"}, .keys = {"key"}}};
-    received.document->routes = {make_route("/once/", route_kind::at_most_once, 3),
-                                 make_route("/again/", route_kind::idempotent, 2),
-                                 make_route("/stream/", route_kind::stream, 3),
-                                 make_route("/resume/", route_kind::resumable_stream, 3)};
-    for (auto const& id : endpoints) {
-      endpoint_announcement const announcement{.id = {id},
-                                               .service = {"s"},
-                                               .address = {.ip = "10.0.0.1", .port = 80},
-                                               .zone = {"here"},
-                                               .number = {.incarnation = 1, .sequence = 1}};
-      received.endpoints.push_back(
-          {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
-    }
-    ASSERT_TRUE(m_router.receive({"control"}, received, start).is_changed);
-  }
-
-  static request_facts facts(std::string path) {
-    request_facts made;
-    made.id = {"request"};
-    made.host = "h";
-    made.path = std::move(path);
-    made.key = "key";
-    made.caller_timeout = 1s;
-    return made;
-  }
-
-  [[nodiscard]] decision begin(std::string path) {
-    return m_router.begin(number, facts(std::move(path)), start);
-  }
-
-  [[nodiscard]] decision fail(attempt_failure failure, bool was_delivered = false,
-                              base::duration after = 10ms) {
-    return m_router.fail(number, failure, was_delivered, start + after);
-  }
-
-  static bool is_attempt(decision const& made) { return std::holds_alternative<attempt>(made); }
-
-  static refusal_kind refusal_of(decision const& made) {
-    auto const* refused = std::get_if<refusal>(&made);
-    return refused == nullptr ? refusal_kind{} : refused->kind;
-  }
-
-  router m_router;
-};
-
 TEST_F(routers, refuse_requests_before_the_first_document) {
   EXPECT_FALSE(m_router.is_ready());
   auto const made = begin("/once/x");
@@ -458,7 +375,7 @@
                          {.source = {{"b"}, 1}, .rate = 4.0, .share = 0.0}};
   std::ignore = m_router.receive({"control"}, limited, start);
   auto const refused = begin("/once/x");
-  ASSERT_EQ(refusal_of(refused), refusal_kind::rate_limited);
+  ASSERT_EQ(refusal_of(refused), refusal_kind::deferred);
   ASSERT_TRUE(std::get<refusal>(refused).retry_after.has_value());
   EXPECT_GE(*std::get<refusal>(refused).retry_after, 1s);
   auto const later = start + 1s;
@@ -472,9 +389,9 @@
 TEST_F(routers, report_the_rate_that_an_endpoint_states) {
   receive_state({"a"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
-  EXPECT_EQ(m_router.note_rate(number, 1.5, start), endpoint_rate_limiter::change::limited);
+  EXPECT_EQ(m_router.note_notice(number, {.rate = 1.5, .is_rate_known = true}, start).size(), 1U);
   EXPECT_EQ(refusal_of(m_router.begin(number + 1, facts("/once/x"), start)),
-            refusal_kind::rate_limited);
+            refusal_kind::deferred);
   auto const sent = m_router.tick(start + 10ms);
   ASSERT_EQ(sent.size(), 1U);
   auto const& notices = std::get<subscription>(sent.front().message).rate_notices;
--- a/tests/platform/http_protocol_adapter_test.cpp
+++ b/tests/platform/http_protocol_adapter_test.cpp
@@ -248,24 +248,69 @@
   EXPECT_TRUE(facts(misdirected).is_wrong_endpoint);
 }
 
+/// What the adapter reads from an answer with this status and these values of one header.
+proxy::answer_metadata read_with_header(proxy::http::status status, char const* name,
+                                        std::vector<std::string> const& values) {
+  proxy::http_response answer(status, 11);
+  for (auto const& value : values) {
+    answer.insert(name, value);
+  }
+  return http_protocol_adapter{}.read_answer(answer.base(), {"a"}, {"e"});
+}
+
 TEST(read_answer, reads_the_rate_that_an_endpoint_states_and_ignores_malformed_ones) {
-  http_protocol_adapter const protocol_adapter;
-  auto const read = [&](std::vector<std::string> const& values) {
-    proxy::http_response answer(proxy::http::status::ok, 11);
-    for (auto const& value : values) {
-      answer.insert("Server-Limit", value);
-    }
-    return protocol_adapter.read_answer(answer.base(), {"a"}, {"e"});
+  auto const read = [](std::vector<std::string> const& values) {
+    return read_with_header(proxy::http::status::ok, "Server-Limit", values);
   };
-  EXPECT_FALSE(read({}).rate.has_value());
-  EXPECT_FALSE(read({}).has_malformed_rate);
-  EXPECT_DOUBLE_EQ(read({"2.5"}).rate.value_or(-1.0), 2.5);
-  EXPECT_DOUBLE_EQ(read({"0"}).rate.value_or(-1.0), 0.0);
+  std::vector const unreadable{proxy::notice_kind::rate_limited};
+  EXPECT_FALSE(read({}).notice.rate.has_value());
+  EXPECT_TRUE(read({}).unreadable_notices.empty());
+  EXPECT_DOUBLE_EQ(read({"2.5"}).notice.rate.value_or(-1.0), 2.5);
+  EXPECT_DOUBLE_EQ(read({"0"}).notice.rate.value_or(-1.0), 0.0);
   for (auto const* malformed : {"-1", "nan", "inf", "", "x", "2.5 a", "1e300", "2,5"}) {
-    EXPECT_FALSE(read({malformed}).rate.has_value()) << malformed;
-    EXPECT_TRUE(read({malformed}).has_malformed_rate) << malformed;
+    EXPECT_FALSE(read({malformed}).notice.rate.has_value()) << malformed;
+    EXPECT_EQ(read({malformed}).unreadable_notices, unreadable) << malformed;
+    EXPECT_FALSE(read({malformed}).notice.is_rate_known) << malformed;
+  }
+  EXPECT_EQ(read({"1", "2"}).unreadable_notices, unreadable);
+}
+
+TEST(read_answer, reads_that_an_endpoint_is_leaving_in_any_answer) {
+  using proxy::http::status;
+  for (auto const code : {status::ok, status::internal_server_error, status::service_unavailable,
+                          status::too_many_requests}) {
+    EXPECT_TRUE(read_with_header(code, "Server-Leaving", {"1"}).notice.is_leaving);
+    EXPECT_FALSE(read_with_header(code, "Server-Leaving", {"0"}).notice.is_leaving);
+    EXPECT_FALSE(read_with_header(code, "Server-Leaving", {}).notice.is_leaving);
+  }
+  std::vector const unreadable{proxy::notice_kind::leaving};
+  for (auto const* malformed : {"", "-1", "yes", "1 1", "11", "1e0"}) {
+    auto const read = read_with_header(status::ok, "Server-Leaving", {malformed});
+    EXPECT_FALSE(read.notice.is_leaving) << malformed;
+    EXPECT_EQ(read.unreadable_notices, unreadable) << malformed;
+  }
+  EXPECT_EQ(read_with_header(status::ok, "Server-Leaving", {"1", "1"}).unreadable_notices,
+            unreadable);
+}
+
+TEST(read_answer, reads_a_pause_from_rejections_only) {
+  using proxy::http::status;
+  using std::chrono_literals::operator""ms;
+  auto const read = [](std::vector<std::string> const& values) {
+    return read_with_header(status::service_unavailable, "Retry-After", values);
+  };
+  EXPECT_EQ(read({"1.5"}).notice.pause, 1500ms);
+  EXPECT_EQ(read({"0"}).notice.pause, 0ms);
+  EXPECT_FALSE(read({}).notice.pause.has_value());
+  EXPECT_FALSE(read_with_header(status::ok, "Retry-After", {"2"}).notice.pause.has_value());
+  EXPECT_TRUE(read_with_header(status::ok, "Retry-After", {"x"}).unreadable_notices.empty());
+  std::vector const unreadable{proxy::notice_kind::paused};
+  for (auto const* malformed :
+       {"-1", "nan", "inf", "", "x", "1e9", "Fri, 04 Dec 2026 10:00:00 GMT", "2 2"}) {
+    EXPECT_FALSE(read({malformed}).notice.pause.has_value()) << malformed;
+    EXPECT_EQ(read({malformed}).unreadable_notices, unreadable) << malformed;
   }
-  EXPECT_TRUE(read({"1", "2"}).has_malformed_rate);
+  EXPECT_EQ(read({"1", "2"}).unreadable_notices, unreadable);
 }
 
 } // namespace
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -145,6 +145,11 @@
   return m_executed_requests;
 }
 
+std::vector<std::chrono::steady_clock::time_point> platform_endpoint::arrivals() const {
+  std::scoped_lock const lock(m_mutex);
+  return m_arrivals;
+}
+
 void platform_endpoint::add_to_answers(std::string header_lines) {
   std::scoped_lock const lock(m_mutex);
   m_added_lines = std::move(header_lines);
@@ -180,6 +185,10 @@
 
 bool platform_endpoint::answer(int socket, received_request const& request) {
   auto const behaviour = request.target.substr(request.target.rfind('/') + 1);
+  {
+    std::scoped_lock const lock(m_mutex);
+    m_arrivals.push_back(request.arrived_at);
+  }
   if (header(request, "Expect-Instance") != m_id) {
     return send_all(
         socket, with_body("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + m_id + "\r\n", ""));
--- a/tests/stand_ins/platform_endpoint.h
+++ b/tests/stand_ins/platform_endpoint.h
@@ -41,6 +41,8 @@
 
   /// The executed requests in order of arrival, without rejected ones.
   [[nodiscard]] std::vector<received_request> executed_requests() const;
+  /// When requests arrived, rejected ones included.
+  [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> arrivals() const;
   [[nodiscard]] std::string const& id() const { return m_id; }
   [[nodiscard]] std::string address() const { return m_ip + ":" + std::to_string(m_port); }
   /// Whether a client closed the connection during a `hang` request.
@@ -64,6 +66,7 @@
   int m_listener = -1;
   mutable std::mutex m_mutex;
   std::vector<received_request> m_executed_requests;
+  std::vector<std::chrono::steady_clock::time_point> m_arrivals;
   std::string m_added_lines;
   std::vector<std::thread> m_threads;
   std::thread m_acceptor;
