ctl: Explain a failed request from log files

Change: `catkinctl explain REQUEST-ID LOG-FILE...` prints the request's lines of all processes in the order of time, below each attempt what the instance knew then and since when (document, endpoint, what the endpoint had said of itself, roll-out, a lost leader), then what it learned about the endpoint in the 10 s after, and what the outcome means.

Evidence: explanation_test, 6 cases; explain_process, 4 cases on real processes: an endpoint that breaks off, a pause, an endpoint whose state was learned too late, an unknown id. catkinctl_process (4) passes.

--- a/tests/support/proxy_deployment.cpp
+++ b/tests/support/proxy_deployment.cpp
@@ -165,8 +165,12 @@
   return found;
 }
 
+std::string proxy_deployment::log_path(std::string const& name) const {
+  return (m_folder / (name + ".log")).string();
+}
+
 std::string proxy_deployment::log(std::string const& name) const {
-  std::ifstream const file(m_folder / (name + ".log"));
+  std::ifstream const file(log_path(name));
   std::ostringstream text;
   text << file.rdbuf();
   return text.str();
--- a/tests/support/proxy_deployment.h
+++ b/tests/support/proxy_deployment.h
@@ -55,6 +55,7 @@
   [[nodiscard]] int call_port() const { return m_call_port; }
   [[nodiscard]] int ready_port() const { return m_ready_port; }
   [[nodiscard]] std::string log(std::string const& name) const;
+  [[nodiscard]] std::string log_path(std::string const& name) const;
 
 private:
   void write_settings(std::string const& name, std::string const& log_level = "info") const;
--- /dev/null
+++ b/utilities/ctl/explanation.cpp
@@ -0,0 +1,167 @@
+#include <utilities/ctl/explanation.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace catkinlanding::ctl {
+
+namespace {
+
+/// What an instance learns about an endpoint within this time after an attempt may explain how the
+/// attempt ended.
+constexpr std::chrono::seconds learning_time{10};
+
+/// The events that tell what an instance knew.
+constexpr std::array<std::string_view, 7> state_events{
+    "control endpoint",      "control document", "control rollout", "control isolated",
+    "entry endpoint_notice", "control lost",     "control regained"};
+
+struct meaning {
+  std::string_view reason;
+  std::string_view text;
+};
+
+/// What the reasons in `entry ended` mean.
+constexpr std::array<meaning, 12> meanings{{
+    {"whole", "The caller got the whole answer."},
+    {"endpoint_failed", "The endpoint's own error answer was passed on."},
+    {"caller_left", "The caller closed its connection before the answer was complete."},
+    {"unknown_route", "No route of the document in force matches the host and path."},
+    {"unknown_key",
+     "The route needs a key, and no customer of the document in force has this one."},
+    {"no_document", "The instance had no document yet."},
+    {"no_endpoint", "No endpoint of the service was known to accept requests, or all were tried."},
+    {"deferred", "All endpoints of the service had said that they want requests later."},
+    {"not_run", "No endpoint ran the request, and none was left to try."},
+    {"expired_unsent", "The caller's time was over before any endpoint ran the request."},
+    {"expired", "The caller's time was over; an endpoint may have run the request."},
+    {"outcome_unknown", "An endpoint may have run the request, and it may not be sent again."},
+}};
+
+std::string meaning_of(std::string_view reason) {
+  auto const* const found = std::ranges::find(meanings, reason, &meaning::reason);
+  return found == meanings.end() ? "The log has no further word on this."
+                                 : std::string(found->text);
+}
+
+std::string seconds_text(std::chrono::milliseconds time) {
+  std::array<char, 32> text{};
+  auto const seconds = std::chrono::duration<double>(time).count();
+  auto const size = std::snprintf(text.data(), text.size(), "%.3f s", seconds);
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
+/// The event and the fields of the line, without time and instance.
+std::string content_of(log_line const& line) {
+  auto const begin = line.text.find("event=");
+  return begin == std::string::npos ? line.text : line.text.substr(begin + 6);
+}
+
+std::string known_since(log_line const& state, log_line const& decision) {
+  return "    known since " + seconds_text(decision.time - state.time) + ": " + content_of(state) +
+         "\n";
+}
+
+} // namespace
+
+void explanation::add(log_line line) {
+  if (line.field("request") == m_request) {
+    m_request_lines.push_back(line);
+  }
+  if (std::ranges::find(state_events, line.event) != state_events.end()) {
+    m_state_lines.push_back(std::move(line));
+  }
+}
+
+std::string explanation::text() const {
+  std::string text;
+  std::string end;
+  for (auto const* line : story()) {
+    text += line->text + "\n";
+    if (line->event == "entry attempt") {
+      text += inputs_of(*line) + learned_after(*line);
+    }
+    if (line->event == "entry ended") {
+      text += line->field("attempts") == "0" ? general_inputs_of(*line) : "";
+      end = "Ended as " + line->field("outcome") + ", " + line->field("reason") + ": " +
+            meaning_of(line->field("reason")) + "\n";
+    }
+  }
+  if (!text.empty() && end.empty()) {
+    end = "These files do not tell how the request ended.\n";
+  }
+  return text + end;
+}
+
+std::vector<log_line const*> explanation::story() const {
+  std::vector<log_line const*> lines;
+  for (auto const& line : m_request_lines) {
+    lines.push_back(&line);
+  }
+  std::ranges::stable_sort(lines, {}, [](auto const* line) { return line->time; });
+  return lines;
+}
+
+log_line const* explanation::latest_before(log_line const& decision, std::string_view event,
+                                           std::string_view field, std::string_view value) const {
+  log_line const* latest = nullptr;
+  for (auto const& line : m_state_lines) {
+    bool const is_match = line.instance == decision.instance && line.event == event &&
+                          line.time <= decision.time &&
+                          (field.empty() || line.field(field) == value);
+    if (is_match && (latest == nullptr || line.time >= latest->time)) {
+      latest = &line;
+    }
+  }
+  return latest;
+}
+
+std::string explanation::general_inputs_of(log_line const& decision) const {
+  std::string text;
+  for (auto const* event : {"control document", "control isolated"}) {
+    if (auto const* known = latest_before(decision, event)) {
+      text += known_since(*known, decision);
+    }
+  }
+  auto const* lost = latest_before(decision, "control lost");
+  auto const* regained = latest_before(decision, "control regained");
+  if (lost != nullptr && (regained == nullptr || lost->time > regained->time)) {
+    text += known_since(*lost, decision);
+  }
+  return text;
+}
+
+std::string explanation::inputs_of(log_line const& attempt) const {
+  auto const endpoint = attempt.field("endpoint");
+  std::array const inputs{
+      latest_before(attempt, "control endpoint", "id", endpoint),
+      latest_before(attempt, "entry endpoint_notice", "endpoint", endpoint),
+      latest_before(attempt, "control rollout", "target", attempt.field("version"))};
+  auto text = general_inputs_of(attempt);
+  for (auto const* input : inputs) {
+    if (input != nullptr) {
+      text += known_since(*input, attempt);
+    }
+  }
+  return text;
+}
+
+std::string explanation::learned_after(log_line const& attempt) const {
+  std::string text;
+  auto const endpoint = attempt.field("endpoint");
+  for (auto const& line : m_state_lines) {
+    bool const is_later = line.instance == attempt.instance && line.time > attempt.time &&
+                          line.time <= attempt.time + learning_time;
+    bool const concerns_endpoint =
+        line.field("id") == endpoint || line.field("endpoint") == endpoint;
+    bool const is_own_line = line.field("request") == m_request;
+    if (is_later && concerns_endpoint && !is_own_line && !endpoint.empty()) {
+      text += "    learned " + seconds_text(line.time - attempt.time) +
+              " later: " + content_of(line) + "\n";
+    }
+  }
+  return text;
+}
+
+} // namespace catkinlanding::ctl
--- /dev/null
+++ b/utilities/ctl/log_line.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <libraries/base/time.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace catkinlanding::ctl {
+
+/// A line of the structured log of any process of the system.
+struct log_line {
+  /// Milliseconds since 1970 by the clock of the instance that wrote the line.
+  std::chrono::milliseconds time{};
+  std::string instance;
+  /// The two words of the event, such as "entry attempt".
+  std::string event;
+  std::map<std::string, std::string, std::less<>> fields;
+  /// The line from its time on.
+  std::string text;
+
+  /// The value of the field; empty if the line has none of this name.
+  [[nodiscard]] std::string field(std::string_view name) const;
+};
+
+/// Parses a line. Text before the time, as collectors of logs add it, is ignored. Returns nothing
+/// if the line is not one of the structured log.
+[[nodiscard]] std::optional<log_line> parse_log_line(std::string_view line);
+
+} // namespace catkinlanding::ctl
