proxy: Let a reader that stopped reading the log delay nothing

Cause: the log's thread waited in write() for the reader of standard output. Requests went on, as the queue drops its oldest lines, but the process could not end: stop_log() waits for that thread, so a stop became a kill.

Change: log_sink asks for room before it writes.

Not built: bounds by kind that keep failures when successes are thinned; the cost of the log was not measured.

--- a/services/proxy/log.cpp
+++ b/services/proxy/log.cpp
@@ -1,9 +1,11 @@
 #include <services/proxy/log.h>
+#include <services/proxy/log_sink.h>
 
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <unistd.h>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -14,7 +16,9 @@
 
 void start_log(std::string const& instance, std::string const& level) {
   spdlog::init_thread_pool(max_queued_lines, 1);
-  auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  auto sink = std::make_shared<log_sink>(
+      log_sink::options{.descriptor = STDOUT_FILENO,
+                        .dropped_before = [] { return spdlog::thread_pool()->overrun_counter(); }});
   auto logger =
       std::make_shared<spdlog::async_logger>("proxy", std::move(sink), spdlog::thread_pool(),
                                              spdlog::async_overflow_policy::overrun_oldest);
