distribution: Compute only what a poll needs of the known instances

Cause: each poll made a copy of all that is known of the other instances twice, only to compare the lowest revision in force; with hundreds of subscribers that is most of the leader's work on polls.

Change: publisher::lowest_in_force for that comparison, known_instances for the report to the publisher; subscriber_summary, of which nothing else was read, is gone.

The saving was not measured.

--- a/libraries/distribution/publisher.cpp
+++ b/libraries/distribution/publisher.cpp
@@ -165,18 +165,25 @@
   return merged;
 }
 
-subscriber_summary publisher::summary(catalogue::revision own, base::monotonic_time now) const {
-  subscriber_summary result{.in_force = own, .instances = {}};
+std::vector<known_instance> publisher::known_instances(base::monotonic_time now) const {
+  std::vector<known_instance> known;
   for (auto const& [latest, alive_at] : instances(now)) {
-    result.in_force = std::min(result.in_force, latest->in_force);
-    result.instances.push_back(
+    known.push_back(
         {.instance = latest->instance,
          .zone = latest->zone,
          .in_force = latest->in_force,
          .stamp = latest->stamp,
          .age = alive_at ? std::optional<base::duration>(now - *alive_at) : std::nullopt});
   }
-  return result;
+  return known;
+}
+
+catalogue::revision publisher::lowest_in_force(catalogue::revision own,
+                                               base::monotonic_time now) const {
+  for (auto const& [latest, alive_at] : instances(now)) {
+    own = std::min(own, latest->in_force);
+  }
+  return own;
 }
 
 void publisher::count_silent(zone_map& zones, std::set<base::instance_id> const& live) const {
@@ -219,7 +226,7 @@
   auto const all = zones(own, now);
   bool const has_followed = std::ranges::all_of(
       all, [&](zone_status const& status) { return status.known_by_all >= revision; });
-  return has_followed && summary(own, now).in_force >= revision;
+  return has_followed && lowest_in_force(own, now) >= revision;
 }
 
 } // namespace catkinlanding::distribution
--- a/libraries/distribution/subscriber.cpp
+++ b/libraries/distribution/subscriber.cpp
@@ -82,7 +82,8 @@
   }
 }
 
-void subscriber::tick(subscriber_summary const& summary, base::monotonic_time now, effects& out) {
+void subscriber::tick(std::vector<known_instance> const& known, base::monotonic_time now,
+                      effects& out) {
   if (m_publishers.empty() || now < m_poll_due) {
     return;
   }
@@ -97,7 +98,7 @@
             .descendants = {}};
   // Without a lease here, every lease that this instance granted has ended too.
   if (has_lease(now)) {
-    poll.descendants = summary.instances;
+    poll.descendants = known;
   }
   if (publisher == m_acknowledged_publisher) {
     poll.acknowledged = m_acknowledged;
