proxy, ctl: Log the status of failed answers, and forget an earlier process's state

Change: `entry attempt_failed` has `status`; an explanation drops what an instance knew before its last start, and shows that start.

Evidence: explanation_test (7 cases, the new one fails without the start), explain_process (4) pass.

--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -74,7 +74,7 @@
       finish(request_end::answered, "whole");
       co_return m_keep_alive && !m_context.is_stopping;
     }
-    request_log::attempt_failed(m_id, m_attempts, *failure, m_events.events());
+    request_log::attempt_failed(m_id, m_attempts, *failure, m_answer_status, m_events.events());
     decision = m_context.router.fail(m_number, *failure, m_is_header_sent, now());
   }
 }
@@ -138,6 +138,7 @@
   m_route = attempt.route;
   m_customer = attempt.customer ? attempt.customer->value : "";
   m_is_stalled = false;
+  m_answer_status = 0;
   start_deadline_timer(attempt.deadline);
   start_stall_timer();
   request_log::attempt_started(m_id, m_session, attempt, now());
@@ -213,6 +214,7 @@
     }
     auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
     if (metadata.matches_request) {
+      m_answer_status = header.result_int();
       take_notices(metadata, attempt);
       co_return std::nullopt;
     }
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -110,6 +110,8 @@
   event_stream m_events;
   stream_timing m_stream_timing;
   std::uint32_t m_attempts = 0;
+  /// The status of the current attempt's answer; 0 before its header arrived.
+  unsigned m_answer_status = 0;
   bool m_keep_alive = true;
   bool m_is_header_sent = false;
   bool m_is_expired = false;
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -37,9 +37,9 @@
 }
 
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
-                    std::size_t events) {
-  spdlog::warn("entry attempt_failed request={} number={} failure={} events={}", id.value, number,
-               name_of(failure), events);
+                    unsigned status, std::size_t events) {
+  spdlog::warn("entry attempt_failed request={} number={} failure={} status={} events={}", id.value,
+               number, name_of(failure), status, events);
 }
 
 void notice_taken(base::request_id const& id, attempt const& attempt, notice_change const& change) {
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -30,8 +30,9 @@
 void waited(base::request_id const& id, router const& router, base::duration time);
 void attempt_started(base::request_id const& id, std::string_view session, attempt const& attempt,
                      base::monotonic_time now);
+/// `status` is that of the endpoint's answer; 0 if none came.
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
-                    std::size_t events);
+                    unsigned status, std::size_t events);
 /// An endpoint stated something new about itself in its answer to the attempt.
 void notice_taken(base::request_id const& id, attempt const& attempt, notice_change const& change);
 /// What an endpoint states about itself could not be read.
--- a/tests/utilities/ctl/explanation_test.cpp
+++ b/tests/utilities/ctl/explanation_test.cpp
@@ -87,6 +87,19 @@
   EXPECT_NE(text.find("Ended as refused, unknown_key: The route needs a key"), std::string::npos);
 }
 
+// Guards against a story that claims state which the instance had lost with its former process.
+TEST(explanations, forget_the_state_of_an_earlier_process) {
+  auto const text =
+      explain({line("01.000", "edge-1", "control document revision=4 before=3 from=c"),
+               line("02.000", "edge-1", "process started role=entry zone=a seeds=1"),
+               line("02.400", "edge-1",
+                    "entry ended request=r1 outcome=refused "
+                    "reason=no_document attempts=0")})
+          .text();
+  EXPECT_EQ(text.find("control document"), std::string::npos);
+  EXPECT_NE(text.find("known since 0.400 s: process started role=entry"), std::string::npos);
+}
+
 TEST(explanations, are_empty_without_a_line_of_the_request) {
   EXPECT_EQ(explain({line("01.000", "edge-1", "control lost revision=4")}).text(), "");
 }
--- a/utilities/ctl/explanation.cpp
+++ b/utilities/ctl/explanation.cpp
@@ -13,9 +13,9 @@
 constexpr std::chrono::seconds learning_time{10};
 
 /// The events that tell what an instance knew.
-constexpr std::array<std::string_view, 7> state_events{
-    "control endpoint",      "control document", "control rollout", "control isolated",
-    "entry endpoint_notice", "control lost",     "control regained"};
+constexpr std::array<std::string_view, 8> state_events{
+    "control endpoint",      "control document", "control rollout",  "control isolated",
+    "entry endpoint_notice", "control lost",     "control regained", "process started"};
 
 struct meaning {
   std::string_view reason;
@@ -106,20 +106,31 @@
 log_line const* explanation::latest_before(log_line const& decision, std::string_view event,
                                            std::string_view field, std::string_view value) const {
   log_line const* latest = nullptr;
+  log_line const* start = nullptr;
+  auto const keep_later = [](log_line const*& kept, log_line const& line) {
+    if (kept == nullptr || line.time >= kept->time) {
+      kept = &line;
+    }
+  };
   for (auto const& line : m_state_lines) {
-    bool const is_match = line.instance == decision.instance && line.event == event &&
-                          line.time <= decision.time &&
-                          (field.empty() || line.field(field) == value);
-    if (is_match && (latest == nullptr || line.time >= latest->time)) {
-      latest = &line;
+    if (line.instance != decision.instance || line.time > decision.time) {
+      continue;
+    }
+    if (line.event == "process started") {
+      keep_later(start, line);
+    }
+    if (line.event == event && (field.empty() || line.field(field) == value)) {
+      keep_later(latest, line);
     }
   }
-  return latest;
+  // An earlier process of the instance took its state with it.
+  bool const is_lost = latest != nullptr && start != nullptr && start->time > latest->time;
+  return is_lost ? nullptr : latest;
 }
 
 std::string explanation::general_inputs_of(log_line const& decision) const {
   std::string text;
-  for (auto const* event : {"control document", "control isolated"}) {
+  for (auto const* event : {"process started", "control document", "control isolated"}) {
     if (auto const* known = latest_before(decision, event)) {
       text += known_since(*known, decision);
     }
--- a/utilities/ctl/explanation.h
+++ b/utilities/ctl/explanation.h
@@ -30,7 +30,7 @@
   [[nodiscard]] std::string inputs_of(log_line const& attempt) const;
   /// What it learned about the attempt's endpoint soon after.
   [[nodiscard]] std::string learned_after(log_line const& attempt) const;
-  /// The last line of the event before the decision, by the same instance, whose field has the
+  /// The last line of the event before the decision, by the same process, whose field has the
   /// value; nullptr if there is none. An empty field name matches all lines.
   [[nodiscard]] log_line const* latest_before(log_line const& decision, std::string_view event,
                                               std::string_view field = {},
