--- a/libraries/distribution/publisher.cpp
+++ b/libraries/distribution/publisher.cpp
@@ -178,12 +178,13 @@
   return known;
 }
 
-catalogue::revision publisher::lowest_in_force(catalogue::revision own,
-                                               base::monotonic_time now) const {
+subscriber_summary publisher::summary(catalogue::revision own, base::monotonic_time now) const {
+  subscriber_summary result{.in_force = own,
+                            .list_instances = [this, now] { return known_instances(now); }};
   for (auto const& [latest, alive_at] : instances(now)) {
-    own = std::min(own, latest->in_force);
+    result.in_force = std::min(result.in_force, latest->in_force);
   }
-  return own;
+  return result;
 }
 
 void publisher::count_silent(zone_map& zones, std::set<base::instance_id> const& live) const {
@@ -226,7 +227,7 @@
   auto const all = zones(own, now);
   bool const has_followed = std::ranges::all_of(
       all, [&](zone_status const& status) { return status.known_by_all >= revision; });
-  return has_followed && lowest_in_force(own, now) >= revision;
+  return has_followed && summary(own, now).in_force >= revision;
 }
 
 } // namespace catkinlanding::distribution
--- a/libraries/distribution/publisher.h
+++ b/libraries/distribution/publisher.h
@@ -49,13 +49,9 @@
 
   void tick(base::monotonic_time now);
 
-  /// What this instance reports to its publisher about the instances that poll it.
-  [[nodiscard]] std::vector<known_instance> known_instances(base::monotonic_time now) const;
-
-  /// The lowest revision in force on this instance, whose own is `own`, and on any other that is
-  /// live or may hold a lease.
-  [[nodiscard]] catalogue::revision lowest_in_force(catalogue::revision own,
-                                                    base::monotonic_time now) const;
+  /// What this instance, whose own revision is `own`, reports to its publisher about the instances
+  /// that poll it. Valid as long as this publisher does not change.
+  [[nodiscard]] subscriber_summary summary(catalogue::revision own, base::monotonic_time now) const;
 
   /// The state of all zones as the leader sees it. This instance, at revision `own`, counts as
   /// live.
@@ -101,6 +97,7 @@
                              base::monotonic_time now) const;
   /// The other instances that are live or may hold a lease, each once, ordered by id.
   [[nodiscard]] std::vector<standing> instances(base::monotonic_time now) const;
+  [[nodiscard]] std::vector<known_instance> known_instances(base::monotonic_time now) const;
   /// Counts the members that are not live or, without a list of members, the known instances.
   void count_silent(zone_map& zones, std::set<base::instance_id> const& live) const;
 
--- a/libraries/distribution/subscriber.cpp
+++ b/libraries/distribution/subscriber.cpp
@@ -82,8 +82,7 @@
   }
 }
 
-void subscriber::tick(std::vector<known_instance> const& known, base::monotonic_time now,
-                      effects& out) {
+void subscriber::tick(subscriber_summary const& summary, base::monotonic_time now, effects& out) {
   if (m_publishers.empty() || now < m_poll_due) {
     return;
   }
@@ -97,8 +96,8 @@
             .acknowledged = std::nullopt,
             .descendants = {}};
   // Without a lease here, every lease that this instance granted has ended too.
-  if (has_lease(now)) {
-    poll.descendants = known;
+  if (has_lease(now) && summary.list_instances) {
+    poll.descendants = summary.list_instances();
   }
   if (publisher == m_acknowledged_publisher) {
     poll.acknowledged = m_acknowledged;
--- a/libraries/distribution/subscriber.h
+++ b/libraries/distribution/subscriber.h
@@ -3,9 +3,18 @@
 #include <libraries/distribution/message.h>
 
 #include <deque>
+#include <functional>
 
 namespace catkinlanding::distribution {
 
+/// What a subscriber reports about the instances that poll it.
+struct subscriber_summary {
+  /// The lowest revision in force on the subscriber and on any of them.
+  catalogue::revision in_force = 0;
+  /// Lists them; empty if there are none. Most summaries are only asked for the revision.
+  std::function<std::vector<known_instance>()> list_instances;
+};
+
 /// The catalogue of one instance, and the lease under which it is known to be current.
 class subscriber {
 public:
@@ -45,8 +54,8 @@
   /// Replaces the other instances of the zone, which may have a later catalogue.
   void follow_zone(std::vector<base::instance_id> peers);
 
-  /// Sends a poll if one is due, with what is known of the instances that poll this one.
-  void tick(std::vector<known_instance> const& known, base::monotonic_time now, effects& out);
+  /// Sends a poll if one is due.
+  void tick(subscriber_summary const& summary, base::monotonic_time now, effects& out);
 
   /// Makes the next tick send a poll, because there is something to report or to fetch.
   void poll_on_next_tick() { m_poll_due = {}; }
--- a/libraries/instance/reducer.cpp
+++ b/libraries/instance/reducer.cpp
@@ -155,7 +155,7 @@
   if (!is_leader) {
     // The leader reads its own log, and must not be counted as a subscriber of another instance.
     distribution::effects polls;
-    m_subscriber.tick(m_publisher.known_instances(now), now, polls);
+    m_subscriber.tick(m_publisher.summary(m_subscriber.document().revision(), now), now, polls);
     send_all(polls, out);
   }
   endpoints::effects announcements;
@@ -316,9 +316,9 @@
       update_catalogue_from_log(now, out);
     }
     auto const own = m_subscriber.document().revision();
-    auto const before = m_publisher.lowest_in_force(own, now);
+    auto const before = m_publisher.summary(own, now).in_force;
     m_publisher.receive(from, *poll, m_subscriber, grant_until(now), now, replies);
-    if (m_publisher.lowest_in_force(own, now) > before) {
+    if (m_publisher.summary(own, now).in_force > before) {
       m_subscriber.poll_on_next_tick();
     }
     send_all(replies, out);
--- a/tests/libraries/distribution/lease_property.cpp
+++ b/tests/libraries/distribution/lease_property.cpp
@@ -303,7 +303,9 @@
     }
     node.catalogue_publisher->tick(now);
     if (!is_leading(index)) {
-      node.catalogue_subscriber->tick(node.catalogue_publisher->known_instances(now), now, out);
+      node.catalogue_subscriber->tick(
+          node.catalogue_publisher->summary(node.catalogue_subscriber->document().revision(), now),
+          now, out);
     }
     send(index, std::move(out));
   }
--- a/tests/libraries/distribution/publisher_test.cpp
+++ b/tests/libraries/distribution/publisher_test.cpp
@@ -51,7 +51,8 @@
     m_now += milliseconds(600);
     effects polls;
     from.catalogue_subscriber.follow(to.id);
-    from.catalogue_subscriber.tick(from.catalogue_publisher.known_instances(m_now), m_now, polls);
+    auto const own = from.catalogue_subscriber.document().revision();
+    from.catalogue_subscriber.tick(from.catalogue_publisher.summary(own, m_now), m_now, polls);
     ASSERT_EQ(polls.size(), 1U);
     m_now += message_delay;
     effects answers;
