proxy: Let a few bad answers on a seldom used route hold a version's acceptance

Cause: a version is rolled back for five bad answers that exceed the old version's share with confidence.

Change: three answers for which the same comparison holds let the target neither be promoted nor accepted until there are more. What it is rolled back for is as it was.

Evidence: the new test failed before on both counts (run with five in place of three: promoted, accepted) and passes; rollout_evaluator_test 15, control_test 17, router_test 31, version_policy_test 5, proxy_whole_path_process 17 pass.

--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -53,7 +53,7 @@
   if (!rollout.is_running() || known == nullptr) {
     return std::nullopt;
   }
-  if (is_worse(*known, now)) {
+  if (is_worse(*known, m_options.bounds, now)) {
     return rollout_state::rolled_back;
   }
   switch (rollout.state) {
@@ -77,7 +77,7 @@
   auto const answers = pool(known.evidence.total()).target.answers;
   return now >= known.started_at + part_of(duration, m_options.promotion_permille) &&
          now >= known.changed_at + part_of(duration, m_options.min_trial_permille) &&
-         answers >= m_options.min_answers;
+         answers >= m_options.min_answers && !is_doubtful(known, now);
 }
 
 bool rollout_evaluator::is_accepted(known_rollout const& known, base::monotonic_time now) const {
@@ -88,13 +88,20 @@
       now >= known.changed_at + part_of(duration, m_options.min_promotion_permille) &&
       answers >= m_options.min_answers;
   auto const latest_began = std::max(known.changed_at, now - latest_window);
-  return is_due && is_target_sound(recent_evidence(known, latest_began), m_options.bounds);
+  return is_due && !is_doubtful(known, now) &&
+         is_target_sound(recent_evidence(known, latest_began), m_options.bounds);
 }
 
-bool rollout_evaluator::is_worse(known_rollout const& known, base::monotonic_time now) const {
+bool rollout_evaluator::is_worse(known_rollout const& known, comparison_bounds const& bounds,
+                                 base::monotonic_time now) const {
   auto const recent = recent_evidence(known, now - rollout_evidence::recent_window);
-  return is_target_worse(known.evidence.total(), m_options.bounds) ||
-         is_target_worse(recent, m_options.bounds);
+  return is_target_worse(known.evidence.total(), bounds) || is_target_worse(recent, bounds);
+}
+
+bool rollout_evaluator::is_doubtful(known_rollout const& known, base::monotonic_time now) const {
+  auto bounds = m_options.bounds;
+  bounds.min_bad_answers = m_options.min_doubtful_answers;
+  return is_worse(known, bounds, now);
 }
 
 route_comparisons rollout_evaluator::recent_evidence(known_rollout const& known,
--- a/libraries/proxy/rollout_evaluator.h
+++ b/libraries/proxy/rollout_evaluator.h
@@ -30,6 +30,10 @@
     std::int64_t decision_permille = 957;
     std::int64_t min_promotion_permille = 50;
     comparison_bounds bounds;
+    /// Number of bad or slow answers with which the target may seem worse, so that it is neither
+    /// promoted nor accepted before there are more answers. A seldom used route may bring no more
+    /// by then.
+    std::uint64_t min_doubtful_answers = 3;
   };
 
   explicit rollout_evaluator(options options) : m_options(options) {}
@@ -59,7 +63,10 @@
   };
 
   [[nodiscard]] known_rollout const* find(rollout const& rollout) const;
-  [[nodiscard]] bool is_worse(known_rollout const& known, base::monotonic_time now) const;
+  [[nodiscard]] bool is_worse(known_rollout const& known, comparison_bounds const& bounds,
+                              base::monotonic_time now) const;
+  /// Whether the target seems worse by fewer answers than it is rolled back for.
+  [[nodiscard]] bool is_doubtful(known_rollout const& known, base::monotonic_time now) const;
   /// What was reported since this time, compared with enough answers of the old version.
   [[nodiscard]] route_comparisons recent_evidence(known_rollout const& known,
                                                   base::monotonic_time since) const;
--- a/tests/libraries/proxy/rollout_evaluator_test.cpp
+++ b/tests/libraries/proxy/rollout_evaluator_test.cpp
@@ -135,6 +135,28 @@
   EXPECT_EQ(m_evaluator.next_state(trial, start + 7s), rollout_state::rolled_back);
 }
 
+// Guards against a version that fails on a seldom used route and is accepted before there are
+// enough bad answers to roll it back.
+TEST_F(rollout_evaluators, neither_promote_nor_accept_a_version_that_seems_bad_on_one_route) {
+  auto const trial = make_rollout(rollout_state::on_trial);
+  m_evaluator.note(trial, start + 5100ms);
+  auto const report = [&](std::uint64_t answers, std::uint64_t bad, base::duration at) {
+    m_evaluator.report({"a"},
+                       {tally("v1", 270, 0, "sound"), tally("v1", 84, 0, "seldom"),
+                        tally("v2", 33, 0, "sound"), tally("v2", answers, bad, "seldom")},
+                       start + at);
+  };
+  report(8, 3, 8s);
+  EXPECT_EQ(m_evaluator.next_state(trial, start + 9200ms), std::nullopt);
+  auto const promoted = make_rollout(rollout_state::promoted);
+  m_evaluator.note(promoted, start + 9200ms);
+  m_evaluator.report({"b"}, {tally("v2", 40, 0, "sound")}, start + 9300ms);
+  report(12, 4, 9400ms);
+  EXPECT_EQ(m_evaluator.next_state(promoted, start + 10500ms), std::nullopt);
+  report(14, 5, 10500ms);
+  EXPECT_EQ(m_evaluator.next_state(promoted, start + 10500ms), rollout_state::rolled_back);
+}
+
 TEST_F(rollout_evaluators, roll_back_a_slow_version) {
   auto const trial = make_rollout(rollout_state::on_trial);
   m_evaluator.report({"a"}, {timed_tally("v1", 100, 200ms), timed_tally("v2", 20, 800ms)},
