distribution: Promise nothing while an instance outside the settings is live

Evidence: membership_process failed before, passes; publisher_test has the case (4 pass); lease_property, push_property, control_process, relay_process, whole_path_process and proxy_whole_path_process pass.

--- a/libraries/distribution/publisher.cpp
+++ b/libraries/distribution/publisher.cpp
@@ -187,6 +187,12 @@
   return result;
 }
 
+bool publisher::is_expected(base::instance_id const& instance) const {
+  return m_options.members.empty() ||
+         std::ranges::find(m_options.members, instance, &member::instance) !=
+             m_options.members.end();
+}
+
 void publisher::count_silent(zone_map& zones, std::set<base::instance_id> const& live) const {
   for (auto const& member : m_options.members) {
     auto& status = status_of(zones, member.zone);
@@ -212,7 +218,12 @@
   for (auto const& [latest, alive_at] : instances(now)) {
     if (is_live(alive_at, now)) {
       live.insert(latest->instance);
-      add_live(status_of(zones, latest->zone), latest->in_force);
+      auto& status = status_of(zones, latest->zone);
+      add_live(status, latest->in_force);
+      if (!is_expected(latest->instance)) {
+        // Others that the settings do not name may exist, and would not be missed.
+        status.known_by_all = 0;
+      }
     }
   }
   count_silent(zones, live);
--- a/libraries/distribution/publisher.h
+++ b/libraries/distribution/publisher.h
@@ -98,6 +98,8 @@
   /// The other instances that are live or may hold a lease, each once, ordered by id.
   [[nodiscard]] std::vector<standing> instances(base::monotonic_time now) const;
   [[nodiscard]] std::vector<known_instance> known_instances(base::monotonic_time now) const;
+  /// Whether the instance is one of the members, if these are known.
+  [[nodiscard]] bool is_expected(base::instance_id const& instance) const;
   /// Counts the members that are not live or, without a list of members, the known instances.
   void count_silent(zone_map& zones, std::set<base::instance_id> const& live) const;
 
--- a/tests/libraries/distribution/publisher_test.cpp
+++ b/tests/libraries/distribution/publisher_test.cpp
@@ -88,6 +88,21 @@
   EXPECT_EQ(zone.known_by_all, m_document.revision());
 }
 
+// Guards against: a change counts as in force everywhere although instances may exist that the
+// settings do not name, and that nobody would miss.
+TEST_F(change_of_publisher, promises_nothing_while_an_instance_outside_the_settings_is_live) {
+  instance stranger{.id = {"stranger"},
+                    .subscriber_options = {.zone = {"south"}, .incarnation = 1}};
+  poll_with(m_entry, m_leader);
+  poll_with(m_entry, m_leader);
+  auto const revision = m_document.revision();
+  EXPECT_TRUE(m_leader.catalogue_publisher.is_in_force_everywhere(revision, revision, m_now));
+  poll_with(stranger, m_leader);
+  poll_with(stranger, m_leader);
+  EXPECT_FALSE(m_leader.catalogue_publisher.is_in_force_everywhere(revision, revision, m_now));
+  EXPECT_EQ(zone_at_leader().live, 4U);
+}
+
 // Guards against: the former publisher's older report on the instance keeps a revision from being
 // in force that the instance itself has confirmed.
 TEST_F(change_of_publisher, takes_the_later_report_for_the_revision_in_force) {
