tests: Take a port only if no local address uses it

Which program had the port was not found out.

Change: the port has to be free on all local addresses. A port can still be taken between the question and its use.

--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -21,11 +21,12 @@
 constexpr std::chrono::seconds condition_timeout{60};
 constexpr std::chrono::milliseconds poll_interval{20};
 
+/// Whether no socket of any local address has the port; tests use several loopback addresses.
 bool can_bind(int type, int port) {
   int const socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl(INADDR_ANY);
   address.sin_port = htons(static_cast<std::uint16_t>(port));
   bool const is_free =
       ::bind(socket, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0;
