--- a/libraries/distribution/publisher.cpp
+++ b/libraries/distribution/publisher.cpp
@@ -130,8 +130,8 @@
   return alive_at && now < *alive_at + m_options.liveness_timeout;
 }
 
-std::vector<publisher::standing> publisher::instances(base::monotonic_time now) const {
-  std::vector<standing> all;
+std::vector<publisher::merged_report> publisher::instances(base::monotonic_time now) const {
+  std::vector<merged_report> all;
   bool is_ordered = true;
   auto const add = [&](report const& report) {
     if (report.instance != m_options.self) {
@@ -148,18 +148,18 @@
   if (is_ordered) {
     return all;
   }
-  std::ranges::sort(all, [](standing const& left, standing const& right) {
+  std::ranges::sort(all, [](merged_report const& left, merged_report const& right) {
     return std::tie(left.latest->instance, left.latest->stamp) <
            std::tie(right.latest->instance, right.latest->stamp);
   });
   // An instance that changes its publisher is known to both for a while.
-  std::vector<standing> merged;
-  for (auto const& standing : all) {
-    if (merged.empty() || merged.back().latest->instance != standing.latest->instance) {
-      merged.push_back(standing);
+  std::vector<merged_report> merged;
+  for (auto const& one : all) {
+    if (merged.empty() || merged.back().latest->instance != one.latest->instance) {
+      merged.push_back(one);
     } else {
-      merged.back().latest = standing.latest;
-      merged.back().alive_at = std::max(merged.back().alive_at, standing.alive_at);
+      merged.back().latest = one.latest;
+      merged.back().alive_at = std::max(merged.back().alive_at, one.alive_at);
     }
   }
   return merged;
--- a/libraries/distribution/publisher.h
+++ b/libraries/distribution/publisher.h
@@ -82,7 +82,7 @@
     base::monotonic_time last_poll{};
   };
   /// What all reports together say of an instance.
-  struct standing {
+  struct merged_report {
     /// The report with the latest stamp.
     report const* latest = nullptr;
     /// The latest time at which any report knows it to have run.
@@ -96,7 +96,7 @@
   [[nodiscard]] bool is_live(std::optional<base::monotonic_time> alive_at,
                              base::monotonic_time now) const;
   /// The other instances that are live or may hold a lease, each once, ordered by id.
-  [[nodiscard]] std::vector<standing> instances(base::monotonic_time now) const;
+  [[nodiscard]] std::vector<merged_report> instances(base::monotonic_time now) const;
   [[nodiscard]] std::vector<known_instance> known_instances(base::monotonic_time now) const;
   /// Whether the instance is one of the members, if these are known.
   [[nodiscard]] bool is_expected(base::instance_id const& instance) const;
--- a/services/proxy/log_sink.cpp
+++ b/services/proxy/log_sink.cpp
@@ -1,6 +1,5 @@
 #include <services/proxy/log_sink.h>
 
-#include <algorithm>
 #include <poll.h>
 #include <string>
 #include <unistd.h>
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -389,7 +389,10 @@
 TEST_F(routers, report_the_rate_that_an_endpoint_states) {
   receive_state({"a"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
-  EXPECT_EQ(m_router.note_notice(number, {.rate = 1.5, .is_rate_known = true}, start).size(), 1U);
+  auto const changes = m_router.note_notice(number, {.rate = 1.5, .is_rate_known = true}, start);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().kind, notice_kind::rate_limited);
+  EXPECT_EQ(changes.front().rate, 1.5);
   EXPECT_EQ(refusal_of(m_router.begin(number + 1, facts("/once/x"), start)),
             refusal_kind::deferred);
   auto const sent = m_router.tick(start + 10ms);
