proxy: Log when the leader has or lacks a quorum, and which voters it proposes

Three lines tell it now: control quorum_gained, control quorum_lost (with the silent voters) and control voters_proposed (with the reason).

--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -249,6 +249,20 @@
   return now < lease_starts[quorum - 1] + m_options.lease_duration;
 }
 
+std::optional<base::monotonic_time>
+replica::last_response(base::instance_id const& instance) const {
+  std::optional<base::monotonic_time> latest;
+  if (m_role != role::leader) {
+    return latest;
+  }
+  for (auto const& [member, progress] : m_progress) {
+    if (member.instance == instance) {
+      latest = std::max(latest.value_or(progress.last_contact), progress.last_contact);
+    }
+  }
+  return latest;
+}
+
 bool replica::is_safe_to_stop() const {
   bool const has_successor = m_leader && *m_leader != m_options.self;
   bool const is_voter = m_configuration.is_voter(m_options.self);
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -97,6 +97,13 @@
   /// Whether this instance leads and no other instance can have become leader by `now`. A process
   /// that was suspended finds its lease expired as soon as it resumes.
   [[nodiscard]] bool holds_lease(base::monotonic_time now) const;
+  /// How long a response of a voter supports the leader's lease.
+  [[nodiscard]] base::duration lease_duration() const { return m_options.lease_duration; }
+
+  /// When a voter or learner last responded to this leader, or when the leader began to track it.
+  /// Nothing if the instance is no other member, or if this instance does not lead.
+  [[nodiscard]] std::optional<base::monotonic_time>
+  last_response(base::instance_id const& instance) const;
 
   /// Whether stopping this instance doesn't leave the voters without a leader: another instance
   /// leads, this instance is no voter, or it is the only voter.
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -280,6 +280,7 @@
 
 void control::process_replica_output(base::monotonic_time now, control_effects& out) {
   note_role(now, out);
+  note_quorum(now, out);
   if (out.log.restored_snapshot) {
     restore(*out.log.restored_snapshot);
     out.log.restored_snapshot.reset();
@@ -316,6 +317,19 @@
   out.events.push_back({event, m_replica.self().instance.value, {}, m_replica.term()});
 }
 
+void control::note_quorum(base::monotonic_time now, control_effects& out) {
+  bool const has_quorum = is_serving_leader(now);
+  bool const is_lost = m_had_quorum && !has_quorum && m_was_leader;
+  bool const is_gained = !m_had_quorum && has_quorum;
+  m_had_quorum = has_quorum;
+  if (is_gained || is_lost) {
+    auto const event = is_gained ? control_event::quorum_gained : control_event::quorum_lost;
+    out.events.push_back({event, m_replica.self().instance.value,
+                          names_of(silent_voters(m_replica, now)),
+                          m_replica.current_configuration().voters.size()});
+  }
+}
+
 void control::note_voters(control_effects& out) {
   auto const& voters = m_replica.current_configuration().voters;
   if (voters == m_noted_voters) {
@@ -385,8 +399,13 @@
   if (!desired_voters) {
     return;
   }
+  auto const names = names_of(*desired_voters);
+  auto const number = desired_voters->size();
   // Fails while another configuration change is in progress; retried on the next tick.
-  static_cast<void>(m_replica.propose_desired_voters(std::move(*desired_voters), now, out.log));
+  if (m_replica.propose_desired_voters(std::move(*desired_voters), now, out.log)) {
+    out.events.push_back({control_event::voters_proposed, names,
+                          "applicant:" + m_applicants.begin()->first.value, number});
+  }
 }
 
 // Rollouts and subscribed instances.
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -32,6 +32,12 @@
   rollout_decided,
   endpoint_changed,
   voters_changed,
+  /// The leader proposes other voters; the subject names them, the detail says why.
+  voters_proposed,
+  /// A majority of the voters responds to the leader; the number counts the voters.
+  quorum_gained,
+  /// The leader answers no calls, as no majority responds; the detail names the silent voters.
+  quorum_lost,
   instance_joined,
   instance_lost,
 };
@@ -165,6 +171,7 @@
   /// Processes the results of replica operations: role changes, committed entries and snapshots.
   void process_replica_output(base::monotonic_time now, control_effects& out);
   void note_role(base::monotonic_time now, control_effects& out);
+  void note_quorum(base::monotonic_time now, control_effects& out);
   void note_voters(control_effects& out);
   void apply(consensus::log_entry const& entry, base::monotonic_time now, control_effects& out);
   void restore(consensus::snapshot const& snapshot);
@@ -188,6 +195,7 @@
   consensus::log_index m_applied = 0;
   std::size_t m_bytes_applied = 0;
   bool m_was_leader = false;
+  bool m_had_quorum = false;
   base::monotonic_time m_leader_since{};
   std::vector<consensus::voter> m_noted_voters;
   std::map<base::instance_id, downstream> m_downstreams;
--- a/libraries/proxy/voter_policy.cpp
+++ b/libraries/proxy/voter_policy.cpp
@@ -23,12 +23,32 @@
   return options.peers.empty() ? std::vector{options.self.instance} : options.peers;
 }
 
-std::string names_of(std::vector<consensus::voter> const& voters) {
+std::vector<base::instance_id> silent_voters(consensus::replica const& replica,
+                                             base::monotonic_time now) {
+  std::vector<base::instance_id> silent;
+  for (auto const& voter : replica.current_configuration().voters) {
+    auto const last = replica.last_response(voter.instance);
+    if (last && now >= *last + replica.lease_duration()) {
+      silent.push_back(voter.instance);
+    }
+  }
+  return silent;
+}
+
+std::string names_of(std::vector<base::instance_id> const& instances) {
   std::string names;
-  for (auto const& voter : voters) {
-    names += (names.empty() ? "" : ",") + voter.instance.value;
+  for (auto const& instance : instances) {
+    names += (names.empty() ? "" : ",") + instance.value;
   }
   return names;
 }
 
+std::string names_of(std::vector<consensus::voter> const& voters) {
+  std::vector<base::instance_id> instances;
+  for (auto const& voter : voters) {
+    instances.push_back(voter.instance);
+  }
+  return names_of(instances);
+}
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/voter_policy.h
+++ b/libraries/proxy/voter_policy.h
@@ -20,7 +20,12 @@
 [[nodiscard]] std::vector<base::instance_id>
 upstream_candidates(consensus::replica::options const& options);
 
-/// The instances of the voters, separated by commas, for the log.
+/// The voters that did not respond to this leader while its lease lasted.
+[[nodiscard]] std::vector<base::instance_id> silent_voters(consensus::replica const& replica,
+                                                           base::monotonic_time now);
+
+/// The instances, separated by commas, for the log.
+[[nodiscard]] std::string names_of(std::vector<base::instance_id> const& instances);
 [[nodiscard]] std::string names_of(std::vector<consensus::voter> const& voters);
 
 } // namespace catkinlanding::proxy
