--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -1,10 +1,8 @@
 #include <libraries/proxy/control.h>
-#include <libraries/proxy/settings.h>
+#include <tests/support/control_group.h>
 
 #include <gtest/gtest.h>
 
-#include <deque>
-#include <map>
 #include <set>
 
 namespace catkinlanding::proxy {
@@ -12,140 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-
-/// Simulated control instances. Writes complete immediately, and the network loses no messages
-/// except those to stopped instances, whose updates are recorded.
-class group {
-public:
-  explicit group(std::vector<std::string> const& seeds) {
-    for (auto const& seed : seeds) {
-      m_seeds.push_back({seed});
-    }
-  }
-
-  void start(std::string const& id, std::uint64_t disk_id, bool is_founder = false) {
-    control::options options;
-    options.replica.self = {.instance = {id}, .disk_id = disk_id};
-    options.replica.seed = disk_id;
-    for (auto const& seed : m_seeds) {
-      if (seed.value != id) {
-        options.replica.peers.push_back(seed);
-      }
-    }
-    options.is_founder = is_founder;
-    m_nodes.erase({id});
-    m_nodes.emplace(base::instance_id{id}, control::create(std::move(options), {}, m_now));
-  }
-
-  void stop(std::string const& id) { m_nodes.erase({id}); }
-
-  /// Advances the simulated time.
-  void run(base::duration time) {
-    constexpr std::chrono::milliseconds step{20};
-    for (auto const end = m_now + time; m_now < end; m_now += step) {
-      for (auto& [id, node] : m_nodes) {
-        control_effects effects;
-        node.tick(m_now, effects);
-        carry_out(id, effects);
-      }
-      deliver();
-    }
-  }
-
-  void call(std::string const& id, call_number number, call_request const& request) {
-    control_effects effects;
-    m_nodes.at({id}).receive(number, request, m_now, effects);
-    carry_out({id}, effects);
-    deliver();
-  }
-
-  void send(std::string const& from, std::string const& to, message const& message) {
-    m_in_flight.push_back({{from}, {to}, message});
-    deliver();
-  }
-
-  [[nodiscard]] std::string leader() const {
-    for (auto const& [id, node] : m_nodes) {
-      if (node.replica().role() == consensus::role::leader && node.replica().holds_lease(m_now)) {
-        return id.value;
-      }
-    }
-    return "";
-  }
-
-  [[nodiscard]] control const& node(std::string const& id) const { return m_nodes.at({id}); }
-  [[nodiscard]] std::optional<call_reply> reply(call_number number) const {
-    auto const found = m_replies.find(number);
-    return found == m_replies.end() ? std::nullopt : std::optional(found->second);
-  }
-  [[nodiscard]] std::vector<update> const& updates(std::string const& id) {
-    return m_updates[{id}];
-  }
-
-  [[nodiscard]] std::vector<last_known_state> const& last_known(std::string const& id) {
-    return m_last_known[{id}];
-  }
-
-  [[nodiscard]] std::set<std::uint64_t> voter_disks() const {
-    std::set<std::uint64_t> disks;
-    for (auto const& voter : node(leader()).replica().current_configuration().voters) {
-      disks.insert(voter.disk_id);
-    }
-    return disks;
-  }
-
-private:
-  struct in_flight_message {
-    base::instance_id from;
-    base::instance_id to;
-    proxy::message message;
-  };
-
-  void carry_out(base::instance_id const& id, control_effects& effects) {
-    for (auto& answer : effects.answers) {
-      m_replies[answer.number] = std::move(answer.reply);
-    }
-    for (auto& outgoing : effects.log.messages) {
-      m_in_flight.push_back({id, outgoing.to, message{std::move(outgoing.message)}});
-    }
-    for (auto& outgoing : effects.messages) {
-      m_in_flight.push_back({id, outgoing.to, std::move(outgoing.message)});
-    }
-    for (auto const& write : effects.log.writes) {
-      control_effects more;
-      m_nodes.at(id).complete_write(write.id, m_now, more);
-      carry_out(id, more);
-    }
-  }
-
-  void deliver() {
-    while (!m_in_flight.empty()) {
-      auto const in_flight_message = std::move(m_in_flight.front());
-      m_in_flight.pop_front();
-      auto const found = m_nodes.find(in_flight_message.to);
-      if (found == m_nodes.end()) {
-        if (auto const* received = std::get_if<update>(&in_flight_message.message)) {
-          m_updates[in_flight_message.to].push_back(*received);
-        }
-        if (auto const* received = std::get_if<last_known_state>(&in_flight_message.message)) {
-          m_last_known[in_flight_message.to].push_back(*received);
-        }
-        continue;
-      }
-      control_effects effects;
-      found->second.receive(in_flight_message.from, in_flight_message.message, m_now, effects);
-      carry_out(in_flight_message.to, effects);
-    }
-  }
-
-  std::vector<base::instance_id> m_seeds;
-  std::map<base::instance_id, control> m_nodes;
-  std::deque<in_flight_message> m_in_flight;
-  std::map<call_number, call_reply> m_replies;
-  std::map<base::instance_id, std::vector<update>> m_updates;
-  std::map<base::instance_id, std::vector<last_known_state>> m_last_known;
-  base::monotonic_time m_now{};
-};
+using testing::control_group;
 
 replace_document document(std::uint64_t revision, std::string source) {
   replace_document made;
@@ -155,8 +20,8 @@
 }
 
 /// A group of three voters.
-group founded_group() {
-  group made({"a", "b", "c"});
+control_group founded_group() {
+  control_group made({"a", "b", "c"});
   made.start("a", 1, true);
   made.start("b", 2);
   made.start("c", 3);
@@ -171,14 +36,14 @@
 }
 
 TEST(control_groups, may_have_one_member) {
-  group group({"a"});
+  control_group group({"a"});
   group.start("a", 1, true);
   group.run(2s);
   EXPECT_EQ(group.leader(), "a");
 }
 
 TEST(control_groups, do_not_form_before_the_founding_seed_starts) {
-  group group({"a", "b", "c"});
+  control_group group({"a", "b", "c"});
   group.start("b", 2);
   group.start("c", 3);
   group.run(5s);
@@ -234,7 +99,7 @@
 // An instance restarts with an empty disk while an instance outside its seeds leads. Its join
 // request must still reach the leader.
 TEST(control_groups, readmit_an_instance_whose_seeds_do_not_include_the_leader) {
-  group group({"a", "b", "c"});
+  control_group group({"a", "b", "c"});
   group.start("a", 1, true);
   group.start("b", 2);
   group.start("c", 3);
--- /dev/null
+++ b/tests/support/control_group.cpp
@@ -0,0 +1,164 @@
+#include <libraries/base/verify.h>
+#include <libraries/storage/journal.h>
+#include <tests/support/control_group.h>
+
+namespace catkinlanding::testing {
+
+namespace {
+
+std::vector<base::instance_id> instances_of(std::vector<std::string> const& names) {
+  std::vector<base::instance_id> instances;
+  for (auto const& name : names) {
+    instances.push_back({name});
+  }
+  return instances;
+}
+
+} // namespace
+
+control_group::control_group(std::vector<std::string> const& seeds)
+    : m_seeds(instances_of(seeds)) {}
+
+void control_group::start(std::string const& id, std::uint64_t disk_id, bool is_founder) {
+  m_disks[{id}] = {.id = disk_id, .records = {}};
+  m_nodes.erase({id});
+  m_nodes.emplace(base::instance_id{id}, recover({id}, is_founder));
+}
+
+void control_group::restart(std::string const& id) {
+  m_nodes.erase({id});
+  m_nodes.emplace(base::instance_id{id}, recover({id}, false));
+}
+
+proxy::control control_group::recover(base::instance_id const& id, bool is_founder) const {
+  auto const& disk = m_disks.at(id);
+  proxy::control::options options;
+  options.replica.self = {.instance = id, .disk_id = disk.id};
+  options.replica.seed = disk.id;
+  for (auto const& seed : m_seeds) {
+    if (seed != id) {
+      options.replica.peers.push_back(seed);
+    }
+  }
+  options.is_founder = is_founder;
+  auto const recovered = storage::recover_log(disk.records);
+  CATKINLANDING_VERIFY(recovered.has_value());
+  return proxy::control::create(std::move(options), *recovered, m_now);
+}
+
+void control_group::stop(std::string const& id) {
+  m_nodes.erase({id});
+}
+
+void control_group::stop_gracefully(std::string const& id) {
+  constexpr std::chrono::milliseconds handover_time{200};
+  proxy::control_effects effects;
+  m_nodes.at({id}).resign(m_now, effects);
+  carry_out({id}, effects);
+  deliver();
+  run(handover_time);
+  stop(id);
+}
+
+void control_group::use_seeds(std::vector<std::string> const& seeds) {
+  m_seeds = instances_of(seeds);
+}
+
+void control_group::run(base::duration time) {
+  constexpr std::chrono::milliseconds step{20};
+  for (auto const end = m_now + time; m_now < end; m_now += step) {
+    for (auto& [id, node] : m_nodes) {
+      proxy::control_effects effects;
+      node.tick(m_now, effects);
+      carry_out(id, effects);
+    }
+    deliver();
+  }
+}
+
+void control_group::call(std::string const& id, proxy::call_number number,
+                         proxy::call_request const& request) {
+  proxy::control_effects effects;
+  m_nodes.at({id}).receive(number, request, m_now, effects);
+  carry_out({id}, effects);
+  deliver();
+}
+
+void control_group::send(std::string const& from, std::string const& to,
+                         proxy::message const& message) {
+  m_in_flight.push_back({{from}, {to}, message});
+  deliver();
+}
+
+std::string control_group::leader() const {
+  for (auto const& [id, node] : m_nodes) {
+    if (node.replica().role() == consensus::role::leader && node.replica().holds_lease(m_now)) {
+      return id.value;
+    }
+  }
+  return "";
+}
+
+std::optional<proxy::call_reply> control_group::reply(proxy::call_number number) const {
+  auto const found = m_replies.find(number);
+  return found == m_replies.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<proxy::update> const& control_group::updates(std::string const& id) {
+  return m_updates[{id}];
+}
+
+std::vector<proxy::last_known_state> const& control_group::last_known(std::string const& id) {
+  return m_last_known[{id}];
+}
+
+std::set<std::uint64_t> control_group::voter_disks() const {
+  std::set<std::uint64_t> disks;
+  for (auto const& voter : node(leader()).replica().current_configuration().voters) {
+    disks.insert(voter.disk_id);
+  }
+  return disks;
+}
+
+void control_group::carry_out(base::instance_id const& id, proxy::control_effects& effects) {
+  for (auto& answer : effects.answers) {
+    m_replies[answer.number] = std::move(answer.reply);
+  }
+  for (auto& outgoing : effects.log.messages) {
+    m_in_flight.push_back({id, outgoing.to, proxy::message{std::move(outgoing.message)}});
+  }
+  for (auto& outgoing : effects.messages) {
+    m_in_flight.push_back({id, outgoing.to, std::move(outgoing.message)});
+  }
+  for (auto const& write : effects.log.writes) {
+    m_disks[id].records.push_back(storage::encode_log_write(write));
+    proxy::control_effects more;
+    m_nodes.at(id).complete_write(write.id, m_now, more);
+    carry_out(id, more);
+  }
+}
+
+void control_group::deliver() {
+  while (!m_in_flight.empty()) {
+    auto const in_flight = std::move(m_in_flight.front());
+    m_in_flight.pop_front();
+    if (m_isolated.contains(in_flight.from) || m_isolated.contains(in_flight.to)) {
+      continue;
+    }
+    auto const found = m_nodes.find(in_flight.to);
+    if (found == m_nodes.end()) {
+      if (auto const* received = std::get_if<proxy::update>(&in_flight.message)) {
+        m_updates[in_flight.to].push_back(*received);
+      }
+      if (auto const* received = std::get_if<proxy::last_known_state>(&in_flight.message)) {
+        m_last_known[in_flight.to].push_back(*received);
+      }
+      continue;
+    }
+    proxy::control_effects effects;
+    found->second.receive(in_flight.from, in_flight.message, m_now, effects);
+    carry_out(in_flight.to, effects);
+  }
+}
+
+} // namespace catkinlanding::testing
--- /dev/null
+++ b/tests/support/control_group.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <libraries/proxy/control.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace catkinlanding::testing {
+
+/// Simulated control instances with disks. Writes complete at once, and the network loses no
+/// messages but those to stopped or isolated instances. Updates to instances that never started are
+/// recorded.
+class control_group {
+public:
+  explicit control_group(std::vector<std::string> const& seeds);
+
+  /// Starts an instance with an empty disk.
+  void start(std::string const& id, std::uint64_t disk_id, bool is_founder = false);
+  /// Starts a stopped instance with the disk it had.
+  void restart(std::string const& id);
+  void stop(std::string const& id);
+  /// Stops an instance as a process does on SIGTERM: it hands over first.
+  void stop_gracefully(std::string const& id);
+  /// Cuts an instance off from all others until `reconnect`.
+  void isolate(std::string const& id) { m_isolated.insert({id}); }
+  void reconnect(std::string const& id) { m_isolated.erase({id}); }
+  /// Replaces the seeds that instances get when they start, as running instances may keep old ones.
+  void use_seeds(std::vector<std::string> const& seeds);
+
+  /// Advances the simulated time.
+  void run(base::duration time);
+  void call(std::string const& id, proxy::call_number number, proxy::call_request const& request);
+  void send(std::string const& from, std::string const& to, proxy::message const& message);
+
+  /// The instance that leads and holds a lease; empty if there is none.
+  [[nodiscard]] std::string leader() const;
+  [[nodiscard]] bool is_running(std::string const& id) const { return m_nodes.contains({id}); }
+  [[nodiscard]] proxy::control const& node(std::string const& id) const { return m_nodes.at({id}); }
+  [[nodiscard]] std::optional<proxy::call_reply> reply(proxy::call_number number) const;
+  [[nodiscard]] std::vector<proxy::update> const& updates(std::string const& id);
+  [[nodiscard]] std::vector<proxy::last_known_state> const& last_known(std::string const& id);
+  /// The disks of the leader's voters.
+  [[nodiscard]] std::set<std::uint64_t> voter_disks() const;
+
+private:
+  struct disk {
+    std::uint64_t id = 0;
+    /// Records in the format of the journal.
+    std::vector<std::string> records;
+  };
+
+  struct in_flight_message {
+    base::instance_id from;
+    base::instance_id to;
+    proxy::message message;
+  };
+
+  [[nodiscard]] proxy::control recover(base::instance_id const& id, bool is_founder) const;
+  void carry_out(base::instance_id const& id, proxy::control_effects& effects);
+  void deliver();
+
+  std::vector<base::instance_id> m_seeds;
+  std::map<base::instance_id, proxy::control> m_nodes;
+  std::map<base::instance_id, disk> m_disks;
+  std::set<base::instance_id> m_isolated;
+  std::deque<in_flight_message> m_in_flight;
+  std::map<proxy::call_number, proxy::call_reply> m_replies;
+  std::map<base::instance_id, std::vector<proxy::update>> m_updates;
+  std::map<base::instance_id, std::vector<proxy::last_known_state>> m_last_known;
+  base::monotonic_time m_now{};
+};
+
+} // namespace catkinlanding::testing
