proxy: Let the voters follow the instances that exist

Cause: a voter that is gone lost its place only if it had been silent for 5 s at the moment when another instance asked to join. A replacement that came earlier made four voters of three, one of them gone, so that three of three were needed, and nothing looked again. The next loss took the majority for good. Change: the leader looks at each tick (voter_manager). A voter that has not responded for 2 s loses its place while three others remain, the longest silent one first and one at a time; an instance that stops says so and loses it at once; one that lost its place asks all voters that it knows, not only its seeds, to come back. A leader without a lease decides nothing. Removing all silent voters in one step, and only where that lowers the quorum, was tried and dropped: the property found a cut followed by a lost disk between two steps, with a dead voter still counted.

--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -82,12 +82,22 @@
   // it.
   if ((!is_voter || !m_leader) && now >= m_join_due) {
     m_join_due = now + join_interval;
-    for (auto const& peer : m_options.peers) {
+    for (auto const& peer : join_targets()) {
       out.messages.push_back({peer, join_request{m_options.self}});
     }
   }
 }
 
+std::set<base::instance_id> replica::join_targets() const {
+  // The peers from the settings may all be gone by now, and so may the known voters.
+  std::set<base::instance_id> targets(m_options.peers.begin(), m_options.peers.end());
+  for (auto const& voter : m_configuration.voters) {
+    targets.insert(voter.instance);
+  }
+  targets.erase(m_options.self.instance);
+  return targets;
+}
+
 void replica::tick_as_leader(base::monotonic_time now, effects& out) {
   if (m_transfer_deadline) {
     replicate(now, out);
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -166,6 +166,7 @@
   void become_leader(base::monotonic_time now, effects& out);
   [[nodiscard]] bool can_vote_for(vote_request const& request, base::monotonic_time now) const;
 
+  [[nodiscard]] std::set<base::instance_id> join_targets() const;
   void tick_as_leader(base::monotonic_time now, effects& out);
   void transfer_leadership(base::monotonic_time now, effects& out);
   /// A desired voter that holds the whole log and has responded within the election timeout.
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -20,13 +20,13 @@
       m_registry(m_options.registry), m_subscriber({.self = m_options.replica.self.instance,
                                                     .seeds = upstream_candidates(m_options.replica),
                                                     .seed = m_options.replica.seed}),
-      m_evaluator(m_options.evaluator), m_rates(m_options.rates), m_contacts(m_options.contacts) {
+      m_evaluator(m_options.evaluator), m_rates(m_options.rates), m_voters(m_options.voters) {
   restore(recovered.snapshot);
 }
 
 void control::receive(base::instance_id const& from, message const& message,
                       base::monotonic_time now, control_effects& out) {
-  m_contacts.note(from, now);
+  m_voters.note_contact(from, now);
   std::visit([&](auto const& one) { handle(from, one, now, out); }, message);
   process_replica_output(now, out);
 }
@@ -80,6 +80,7 @@
   }
   expire_calls(now, out);
   process_replica_output(now, out);
+  announce_departure(out);
 }
 
 void control::complete_write(consensus::write_id id, base::monotonic_time now,
@@ -89,8 +90,10 @@
 }
 
 void control::resign(base::monotonic_time now, control_effects& out) {
+  m_is_stopping = true;
   m_replica.resign(now, out.log);
   process_replica_output(now, out);
+  announce_departure(out);
 }
 
 void control::use_seeds(std::vector<base::instance_id> const& seeds) {
@@ -111,7 +114,7 @@
 
 void control::process_request(consensus::join_request const& request, base::instance_id const& from,
                               base::monotonic_time now, control_effects& out) {
-  m_applicants[request.voter.instance] = now;
+  m_voters.note_applicant(request.voter.instance, now);
   auto const leader = other_leader();
   // The joining instance may not know the leader, so the request is forwarded to it.
   if (leader && *leader != from) {
@@ -162,6 +165,11 @@
   // Used by entry instances only.
 }
 
+void control::handle(base::instance_id const& from, departure_notice const& /*notice*/,
+                     base::monotonic_time now, control_effects& /*out*/) {
+  m_voters.note_departure(from, now);
+}
+
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
                      control_effects& /*out*/) {
   if (m_replica.role() == consensus::role::leader || m_subscriber.is_outdated(update)) {
@@ -310,6 +318,7 @@
     m_leader_since = now;
     m_registry.reset_silence_timers(now);
     m_rates.begin_term(now);
+    m_voters.begin_term(now);
   } else {
     m_downstreams.clear();
   }
@@ -381,30 +390,25 @@
 }
 
 void control::manage_voters(base::monotonic_time now, control_effects& out) {
-  auto const& configuration = m_replica.current_configuration();
-  constexpr std::chrono::seconds applicant_timeout{2};
-  std::erase_if(m_applicants, [&](auto const& item) {
-    return now >= item.second + applicant_timeout || configuration.is_desired_voter(item.first);
-  });
-  if (m_applicants.empty()) {
+  if (!is_serving_leader(now)) {
     return;
   }
-  auto const is_silent = [&](base::instance_id const& id) {
-    auto const last_contact =
-        std::max(m_contacts.last(id).value_or(m_leader_since), m_leader_since);
-    return id != m_replica.self().instance && now >= last_contact + m_options.voter_timeout;
-  };
-  auto desired_voters = admit_voter(configuration.desired_voters, m_applicants.begin()->first,
-                                    is_silent, m_options.max_voters);
-  if (!desired_voters) {
+  auto proposal = m_voters.next_voters(m_replica, now);
+  if (!proposal) {
     return;
   }
-  auto const names = names_of(*desired_voters);
-  auto const number = desired_voters->size();
+  auto const names = names_of(proposal->voters);
+  auto const number = proposal->voters.size();
   // Fails while another configuration change is in progress; retried on the next tick.
-  if (m_replica.propose_desired_voters(std::move(*desired_voters), now, out.log)) {
-    out.events.push_back({control_event::voters_proposed, names,
-                          "applicant:" + m_applicants.begin()->first.value, number});
+  if (m_replica.propose_desired_voters(std::move(proposal->voters), now, out.log)) {
+    out.events.push_back({control_event::voters_proposed, names, proposal->reason, number});
+  }
+}
+
+void control::announce_departure(control_effects& out) const {
+  auto const leader = other_leader();
+  if (m_is_stopping && leader) {
+    out.messages.push_back({*leader, departure_notice{}});
   }
 }
 
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -2,11 +2,11 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/call.h>
-#include <libraries/proxy/contact_times.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/rate_coordinator.h>
 #include <libraries/proxy/rollout_evaluator.h>
 #include <libraries/proxy/subscriber.h>
+#include <libraries/proxy/voter_manager.h>
 
 #include <map>
 #include <optional>
@@ -85,10 +85,7 @@
     base::duration registry_warmup = std::chrono::seconds(6);
     /// A call whose proposal is not committed within this time is answered as unavailable.
     base::duration call_timeout = std::chrono::milliseconds(900);
-    /// A voter that has been silent for this long may be replaced by an instance that asks to join.
-    base::duration voter_timeout = std::chrono::seconds(5);
-    std::size_t max_voters = 7;
-    contact_times::options contacts;
+    voter_manager::options voters;
     /// Shortest interval between two transmissions of the same document to one instance.
     base::duration push_interval = std::chrono::milliseconds(500);
     /// A request to start a rollout that ended less than this long ago is treated as a duplicate.
@@ -104,6 +101,7 @@
                control_effects& out);
   void tick(base::monotonic_time now, control_effects& out);
   void complete_write(consensus::write_id id, base::monotonic_time now, control_effects& out);
+  /// Prepares for a planned stop: gives up leadership, and tells the next leader so.
   void resign(base::monotonic_time now, control_effects& out);
   /// Replaces the other control instances that are named in the settings.
   void use_seeds(std::vector<base::instance_id> const& seeds);
@@ -141,6 +139,8 @@
 
   void handle(base::instance_id const& from, last_known_state const& state,
               base::monotonic_time now, control_effects& out);
+  void handle(base::instance_id const& from, departure_notice const& notice,
+              base::monotonic_time now, control_effects& out);
 
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
@@ -176,6 +176,7 @@
   void apply(consensus::log_entry const& entry, base::monotonic_time now, control_effects& out);
   void restore(consensus::snapshot const& snapshot);
   void manage_voters(base::monotonic_time now, control_effects& out);
+  void announce_departure(control_effects& out) const;
   void advance_rollouts(base::monotonic_time now, control_effects& out);
   void expire_calls(base::monotonic_time now, control_effects& out);
   void drop_silent_downstreams(base::monotonic_time now, control_effects& out);
@@ -200,9 +201,8 @@
   std::vector<consensus::voter> m_noted_voters;
   std::map<base::instance_id, downstream> m_downstreams;
   std::map<consensus::log_index, pending_call> m_pending_calls;
-  /// Control instances that asked to join the group of voters, with the time of the request.
-  std::map<base::instance_id, base::monotonic_time> m_applicants;
-  contact_times m_contacts;
+  voter_manager m_voters;
+  bool m_is_stopping = false;
   /// The state that was last pushed to all subscribed instances.
   known_state m_last_pushed;
 };
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -119,10 +119,17 @@
   }
 };
 
-using message = std::variant<consensus::message, subscription, update, referral, last_known_state>;
+/// Sent to the leader by a control instance that stops.
+struct departure_notice {
+  template<class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
+using message = std::variant<consensus::message, subscription, update, referral, last_known_state,
+                             departure_notice>;
 
 /// A message in its wire format, with the protocol identifier.
-using envelope = base::envelope<message, 0x43505803>;
+using envelope = base::envelope<message, 0x43505804>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
 [[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
--- /dev/null
+++ b/libraries/proxy/voter_manager.cpp
@@ -0,0 +1,62 @@
+#include <libraries/proxy/voter_manager.h>
+#include <libraries/proxy/voter_policy.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+std::optional<voter_proposal> voter_manager::next_voters(consensus::replica const& replica,
+                                                         base::monotonic_time now) {
+  auto const& configuration = replica.current_configuration();
+  drop_expired(configuration, now);
+  auto voters = configuration.desired_voters;
+  auto const silent = longest_silent(replica, now);
+  if (!m_applicants.empty()) {
+    auto const& applicant = m_applicants.begin()->first;
+    auto admitted = admit_voter(voters, applicant, silent, m_options.max_voters);
+    if (admitted) {
+      return voter_proposal{.voters = std::move(*admitted), .reason = "joins:" + applicant.value};
+    }
+  }
+  if (!silent || voters.size() <= m_options.min_voters) {
+    return std::nullopt;
+  }
+  std::erase(voters, *silent);
+  return voter_proposal{.voters = std::move(voters), .reason = "silent:" + silent->value};
+}
+
+void voter_manager::drop_expired(consensus::configuration const& configuration,
+                                 base::monotonic_time now) {
+  std::erase_if(m_applicants, [&](auto const& item) {
+    return now >= item.second + m_options.applicant_timeout ||
+           configuration.is_desired_voter(item.first);
+  });
+  std::erase_if(m_departures,
+                [&](auto const& item) { return now >= item.second + m_options.departure_timeout; });
+}
+
+std::optional<base::monotonic_time> voter_manager::last_heard(consensus::replica const& replica,
+                                                              base::instance_id const& id) const {
+  if (m_departures.contains(id)) {
+    return std::nullopt;
+  }
+  auto const response = replica.last_response(id);
+  auto const contact = response ? response : m_contacts.last(id);
+  return std::max(contact.value_or(m_leader_since), m_leader_since);
+}
+
+std::optional<base::instance_id> voter_manager::longest_silent(consensus::replica const& replica,
+                                                               base::monotonic_time now) const {
+  std::optional<base::instance_id> longest;
+  base::monotonic_time earliest = now - m_options.voter_timeout;
+  for (auto const& id : replica.current_configuration().desired_voters) {
+    auto const last = last_heard(replica, id).value_or(base::monotonic_time{});
+    if (id != replica.self().instance && last <= earliest) {
+      longest = id;
+      earliest = last;
+    }
+  }
+  return longest;
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/voter_manager.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <libraries/consensus/replica.h>
+#include <libraries/proxy/contact_times.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// A set of voters for the leader to propose.
+struct voter_proposal {
+  std::vector<base::instance_id> voters;
+  /// Why it differs from the present set, for the log.
+  std::string reason;
+};
+
+/// Decides at the leader which instances should vote, so that the voters follow the instances that
+/// exist. An instance that asks to join becomes a voter. A voter that is silent or that stops loses
+/// its place while enough others remain, so that it does not count for the majority; it asks to
+/// join again if it returns. Places are taken away one at a time, as the group may lose a disk
+/// between any two changes.
+class voter_manager {
+public:
+  struct options {
+    /// A voter that has not responded for this long is silent.
+    base::duration voter_timeout = std::chrono::seconds(2);
+    /// How long a request to join holds if it is not repeated.
+    base::duration applicant_timeout = std::chrono::seconds(2);
+    /// How long the notice of a stopping voter holds. By then it is silent, or it has restarted.
+    base::duration departure_timeout = std::chrono::seconds(2);
+    std::size_t max_voters = 7;
+    /// A silent voter keeps its place in a group of this size.
+    std::size_t min_voters = 3;
+    contact_times::options contacts;
+  };
+
+  explicit voter_manager(options options) : m_options(options), m_contacts(options.contacts) {}
+
+  void note_contact(base::instance_id const& from, base::monotonic_time now) {
+    m_contacts.note(from, now);
+  }
+  void note_applicant(base::instance_id const& instance, base::monotonic_time now) {
+    m_applicants[instance] = now;
+  }
+  void note_departure(base::instance_id const& instance, base::monotonic_time now) {
+    m_departures[instance] = now;
+  }
+  /// Called when this instance becomes leader. No voter counts as silent for the first
+  /// `voter_timeout` of a term.
+  void begin_term(base::monotonic_time now) { m_leader_since = now; }
+
+  /// Returns the voters to propose; nothing if the present ones are right. Called by a leader that
+  /// holds its lease.
+  [[nodiscard]] std::optional<voter_proposal> next_voters(consensus::replica const& replica,
+                                                          base::monotonic_time now);
+
+private:
+  void drop_expired(consensus::configuration const& configuration, base::monotonic_time now);
+  /// When the instance was last heard; nothing if it is silent by its own statement.
+  [[nodiscard]] std::optional<base::monotonic_time> last_heard(consensus::replica const& replica,
+                                                               base::instance_id const& id) const;
+  /// The voter that has been silent for the longest time, beyond the timeout; nothing if none is.
+  [[nodiscard]] std::optional<base::instance_id> longest_silent(consensus::replica const& replica,
+                                                                base::monotonic_time now) const;
+
+  options m_options;
+  contact_times m_contacts;
+  base::monotonic_time m_leader_since{};
+  /// Instances that asked to become voters, and voters that said that they stop, with the time.
+  std::map<base::instance_id, base::monotonic_time> m_applicants;
+  std::map<base::instance_id, base::monotonic_time> m_departures;
+};
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/voter_policy.cpp
+++ b/libraries/proxy/voter_policy.cpp
@@ -6,11 +6,9 @@
 
 std::optional<std::vector<base::instance_id>>
 admit_voter(std::vector<base::instance_id> voters, base::instance_id const& applicant,
-            std::function<bool(base::instance_id const&)> const& is_silent,
-            std::size_t max_voters) {
-  auto const silent = std::ranges::find_if(voters, is_silent);
-  if (silent != voters.end()) {
-    *silent = applicant;
+            std::optional<base::instance_id> const& silent, std::size_t max_voters) {
+  if (silent) {
+    std::ranges::replace(voters, *silent, applicant);
   } else if (voters.size() < max_voters) {
     voters.push_back(applicant);
   } else {
--- a/libraries/proxy/voter_policy.h
+++ b/libraries/proxy/voter_policy.h
@@ -2,18 +2,17 @@
 
 #include <libraries/consensus/replica.h>
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace catkinlanding::proxy {
 
-/// Adds the applicant to the voters, in place of a silent one if there is one. Returns nothing if
+/// Adds the applicant to the voters, in place of the silent one if there is one. Returns nothing if
 /// there are max_voters of them and none is silent.
 [[nodiscard]] std::optional<std::vector<base::instance_id>>
 admit_voter(std::vector<base::instance_id> voters, base::instance_id const& applicant,
-            std::function<bool(base::instance_id const&)> const& is_silent, std::size_t max_voters);
+            std::optional<base::instance_id> const& silent, std::size_t max_voters);
 
 /// The instances that a non-leader may subscribe to. With no peers this is the instance itself, to
 /// which nothing is ever sent.
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -174,6 +174,10 @@
 }
 
 void control_process::stop_after_handover() {
+  // Another instance may have become leader since; it is told at once that this one stops.
+  control_effects effects;
+  m_control->tick(now(), effects);
+  apply_effects(std::move(effects));
   bool const can_stop = m_control->replica().is_safe_to_stop() || now() >= m_stop_deadline;
   if (can_stop) {
     m_call_server->stop_accepting();
