proxy: Keep requests with a prompt part that ends endpoints away from them

Cause: an attempt that broke was counted against its endpoint only. The request went on to the next one, and the next request with the part as well; each instance saw one or two endings of five. Change: prompt_quarantine. An attempt that breaks before its first event accuses the parts of its prompt; a completed request acquits its parts. Instances exchange the evidence through the leader with their subscriptions. A request under which two endpoints ended gets no third one unless its parts are known to be sound. The refusal is 503 with the time that is left. The attempt's log line names the prompt's parts, and entry quarantined the part.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -20,7 +20,8 @@
       m_registry(m_options.registry), m_subscriber({.self = m_options.replica.self.instance,
                                                     .seeds = upstream_candidates(m_options.replica),
                                                     .seed = m_options.replica.seed}),
-      m_evaluator(m_options.evaluator), m_rates(m_options.rates), m_voters(m_options.voters) {
+      m_evaluator(m_options.evaluator), m_rates(m_options.rates),
+      m_quarantine(m_options.quarantine), m_voters(m_options.voters) {
   restore(recovered.snapshot);
 }
 
@@ -70,6 +71,7 @@
     advance_rollouts(now, out);
     drop_silent_downstreams(now, out);
     m_rates.tick(now);
+    m_quarantine.sweep(now);
     if (now >= m_leader_since + m_options.registry_warmup) {
       m_registry.tick(now);
     }
@@ -139,6 +141,7 @@
   downstream.loads = subscription.loads;
   m_evaluator.report(from, subscription.tallies, now);
   m_rates.report(from, subscription.rate_notices, now);
+  m_quarantine.merge(subscription.prompt_evidence, now);
   for (auto const& source : subscription.leaving_endpoints) {
     if (m_registry.note_leaving(source)) {
       note_endpoint(source.endpoint, out);
@@ -493,6 +496,7 @@
   }
   if (with_loads && downstream.is_entry) {
     sent.loads = loads_without(to);
+    sent.prompt_evidence = m_quarantine.report(now);
   }
   for (auto const& voter : m_replica.current_configuration().voters) {
     sent.control_instances.push_back(voter.instance);
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -5,6 +5,7 @@
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/endpoint.h>
 #include <libraries/proxy/endpoint_rate.h>
+#include <libraries/proxy/part_evidence.h>
 #include <libraries/proxy/rollout.h>
 
 #include <tl/expected.hpp>
@@ -60,10 +61,11 @@
   std::vector<rate_notice> rate_notices;
   /// Endpoints that stated to the sender that they are leaving, and that the leader calls ready.
   std::vector<endpoint_incarnation> leaving_endpoints;
+  std::vector<part_evidence> prompt_evidence;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints);
+    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints, prompt_evidence);
   }
 };
 
@@ -87,11 +89,12 @@
   std::vector<rate_grant> rate_grants;
   /// Control instances to contact if the leader is lost.
   std::vector<base::instance_id> control_instances;
+  std::vector<part_evidence> prompt_evidence;
 
   template<class Archive>
   void serialize(Archive& archive) {
     archive(state, document, base_registry_revision, endpoints, is_registry_complete, rollouts,
-            entry_instances, loads, rate_grants, control_instances);
+            entry_instances, loads, rate_grants, control_instances, prompt_evidence);
   }
 };
 
--- a/libraries/proxy/refusal_policy.cpp
+++ b/libraries/proxy/refusal_policy.cpp
@@ -9,6 +9,7 @@
   switch (kind) {
   case refusal_kind::no_document:
   case refusal_kind::no_endpoint:
+  case refusal_kind::quarantined:
   case refusal_kind::deferred:
   case refusal_kind::not_run:
   case refusal_kind::expired_unsent:
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -24,6 +24,9 @@
   bool operator==(prompt_part const&) const = default;
 };
 
+/// The ids of the parts, separated by commas, for the log.
+[[nodiscard]] std::string names_of(std::vector<prompt_part> const& prompt);
+
 /// The attributes of a request that determine its routing.
 struct request_facts {
   base::request_id id;
@@ -67,6 +70,8 @@
   std::string route;
   std::uint64_t document_revision = 0;
   std::uint32_t load = 0;
+  /// The ids of the parts of the prompt, separated by commas.
+  std::string prompt;
 };
 
 enum class refusal_kind : std::uint8_t {
@@ -76,6 +81,8 @@
   no_document,
   /// No endpoint of the service accepts requests.
   no_endpoint,
+  /// The prompt has a part under which endpoints end.
+  quarantined,
   /// Every endpoint of the service has stated that it wants requests later: its rate is used up, or
   /// it pauses.
   deferred,
@@ -99,6 +106,8 @@
     return "no_document";
   case refusal_kind::no_endpoint:
     return "no_endpoint";
+  case refusal_kind::quarantined:
+    return "quarantined";
   case refusal_kind::deferred:
     return "deferred";
   case refusal_kind::not_run:
@@ -113,6 +122,15 @@
   return "unknown";
 }
 
+/// A prompt part whose requests are kept away from endpoints.
+struct quarantined_part {
+  std::string part;
+  /// Endpoint processes that ended under requests with the part, as far as they are counted.
+  std::size_t endings = 0;
+  /// Time until the quarantine ends.
+  base::duration remaining{};
+};
+
 struct refusal {
   refusal_kind kind = refusal_kind::outcome_unknown;
   /// Suggested delay before the caller retries. Set only if the request was certainly not executed
@@ -120,6 +138,8 @@
   std::optional<base::duration> retry_after;
   /// The endpoint that will be the first to accept a request, if all of them want requests later.
   std::optional<proxy::deferral> deferral;
+  /// The part for which the request is refused.
+  std::optional<quarantined_part> quarantine;
   /// The request's route and customer, for logs and metrics; empty if unknown.
   std::string route;
   base::customer_id customer;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -22,7 +22,8 @@
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
       m_endpoints(m_options.endpoints), m_versions(m_options.versions),
-      m_notices(m_options.notices), m_refusals(m_options.refusals) {}
+      m_notices(m_options.notices), m_quarantine(m_options.quarantine),
+      m_refusals(m_options.refusals) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
@@ -136,6 +137,7 @@
     return;
   }
   auto& request = found->second;
+  request.has_event |= count > 0;
   auto const interval = request.pace.note_events(count, now);
   auto const* evaluated = m_versions.evaluated_rollout(request.service);
   if (interval && evaluated != nullptr) {
@@ -184,7 +186,8 @@
   if (failure == attempt_failure::expired || now + m_options.min_attempt_time > request.deadline) {
     return final_refusal(request, now);
   }
-  bool const may_repeat = !request.may_have_run || route.is_repeatable();
+  bool const may_repeat = (!request.may_have_run || route.is_repeatable()) &&
+                          m_quarantine.may_try_again(request.facts.prompt, request.endings);
   bool const may_continue = !was_delivered || route.kind == route_kind::resumable_stream;
   // An unreachable endpoint was never sent the request, so it doesn't count as an attempt.
   if (failure == attempt_failure::unreachable) {
@@ -209,6 +212,13 @@
   return final_refusal(request, now);
 }
 
+void router::note_completed(request_number number, base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found != m_requests.end()) {
+    m_quarantine.note_completed(found->second.facts.prompt, now);
+  }
+}
+
 void router::end(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end()) {
@@ -223,19 +233,22 @@
 std::vector<outgoing> router::tick(base::monotonic_time now) {
   m_started_at = m_started_at.value_or(now);
   m_notices.sweep(m_endpoints, now);
-  bool const is_urgent = m_versions.has_promoted_rollout() || m_notices.rates().awaits_grant(now);
+  m_quarantine.sweep(now);
+  bool const is_urgent = m_versions.has_promoted_rollout() || m_notices.rates().awaits_grant(now) ||
+                         m_quarantine.has_news();
   auto const upstream = m_subscriber.tick(now, is_urgent);
   return upstream ? std::vector{make_subscription(*upstream, now)} : std::vector<outgoing>{};
 }
 
-outgoing router::make_subscription(base::instance_id const& upstream,
-                                   base::monotonic_time now) const {
+outgoing router::make_subscription(base::instance_id const& upstream, base::monotonic_time now) {
+  m_quarantine.note_reported();
   return {upstream, subscription{.known = m_subscriber.known(),
                                  .is_entry = true,
                                  .tallies = m_tallies.tallies(),
                                  .loads = m_endpoints.own_loads(),
                                  .rate_notices = m_notices.rates().notices(now),
-                                 .leaving_endpoints = m_notices.unknown_leaving(m_endpoints)}};
+                                 .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
+                                 .prompt_evidence = m_quarantine.report(now)}};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
@@ -298,6 +311,7 @@
   m_entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
   m_notices.rates().set_instances(m_entry_instances);
   m_notices.rates().apply(update.rate_grants, now);
+  m_quarantine.merge(update.prompt_evidence, now);
   for (auto& [service, retries] : m_retry_limiters) {
     retries.set_instances(m_entry_instances);
   }
@@ -309,6 +323,12 @@
 }
 
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
+  if (auto quarantined = m_quarantine.find_quarantined(request.facts.prompt, now)) {
+    auto refused = refuse(request, refusal_kind::quarantined);
+    refused.retry_after = quarantined->remaining;
+    refused.quarantine = std::move(quarantined);
+    return refused;
+  }
   auto endpoints = accepting_endpoints(request);
   std::erase_if(endpoints, [&](known_endpoint const* one) {
     auto const& id = one->announcement.id;
@@ -347,6 +367,7 @@
   request.progress_at = now;
   request.is_attempting = true;
   request.has_answer = false;
+  request.has_event = false;
   request.pace = {};
   attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
                .endpoint = chosen->announcement.id,
@@ -361,7 +382,8 @@
                .is_resumable = request.route->kind == route_kind::resumable_stream,
                .route = request.route->name,
                .document_revision = request.routes->revision(),
-               .load = chosen->load()};
+               .load = chosen->load(),
+               .prompt = names_of(request.facts.prompt)};
   request.pending_work = prompt_work(request, request.facts.prompt_tokens);
   m_endpoints.begin_attempt(request.endpoint, request.pending_work);
   return made;
@@ -428,6 +450,8 @@
     m_endpoints.note_failure(request.endpoint, now);
     return;
   case attempt_failure::broken:
+    note_ending(request, now);
+    [[fallthrough]];
   case attempt_failure::malformed:
   case attempt_failure::stalled:
     m_endpoints.note_failure(request.endpoint, now);
@@ -450,6 +474,13 @@
   }
 }
 
+void router::note_ending(active_request& request, base::monotonic_time now) {
+  if (!request.has_event) {
+    ++request.endings;
+    m_quarantine.note_ending(request.facts.prompt, {request.endpoint, request.incarnation}, now);
+  }
+}
+
 void router::finish_attempt(active_request& request) {
   if (request.is_attempting) {
     request.is_attempting = false;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -5,6 +5,7 @@
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
 #include <libraries/proxy/escalation_policy.h>
+#include <libraries/proxy/prompt_quarantine.h>
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/retry_limiter.h>
@@ -34,6 +35,7 @@
     endpoint_table::options endpoints;
     version_policy::options versions;
     endpoint_notices::options notices;
+    prompt_quarantine::options quarantine;
     /// Applied to each service separately.
     retry_limiter::options retries;
     /// Timeout of a request whose caller specifies none.
@@ -84,6 +86,8 @@
   /// Returns whether the current attempt must be aborted as stalled. If so, a retry has already
   /// been taken from the retry limit for its replacement.
   [[nodiscard]] bool try_abandon_stalled(request_number number, base::monotonic_time now);
+  /// Records that the request was answered completely and with success.
+  void note_completed(request_number number, base::monotonic_time now);
   /// Records that the current attempt failed and decides what follows. `was_delivered` tells
   /// whether the caller has already received a part of the response.
   [[nodiscard]] decision fail(request_number number, attempt_failure failure, bool was_delivered,
@@ -146,6 +150,10 @@
     /// Set while an attempt is in progress.
     bool is_attempting = false;
     bool has_answer = false;
+    /// Whether the current attempt delivered an event.
+    bool has_event = false;
+    /// Endpoints that ended under this request before it had an event.
+    std::size_t endings = 0;
     bool has_delivered = false;
     /// Whether any attempt may have executed the request.
     bool may_have_run = false;
@@ -154,7 +162,7 @@
   /// Creates a subscription that requests missing state from `upstream` and reports this instance's
   /// measurements.
   [[nodiscard]] outgoing make_subscription(base::instance_id const& upstream,
-                                           base::monotonic_time now) const;
+                                           base::monotonic_time now);
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
@@ -171,6 +179,8 @@
   /// The work of processing this many prompt tokens, weighted by the size of the request's model.
   [[nodiscard]] std::uint64_t prompt_work(active_request const& request,
                                           std::uint64_t tokens) const;
+  /// Records that the current attempt's connection ended before the answer was complete.
+  void note_ending(active_request& request, base::monotonic_time now);
   [[nodiscard]] refusal refuse(refusal_kind kind);
   /// Also fills in the request's route and customer.
   [[nodiscard]] refusal refuse(active_request const& request, refusal_kind kind);
@@ -198,6 +208,7 @@
   endpoint_table m_endpoints;
   version_policy m_versions;
   endpoint_notices m_notices;
+  prompt_quarantine m_quarantine;
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
   std::map<base::service_id, retry_limiter> m_retry_limiters;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -71,6 +71,9 @@
       co_return false;
     }
     if (!failure) {
+      if (is_success(m_answer_status)) {
+        m_context.router.note_completed(m_number, now());
+      }
       finish(request_end::answered, "whole");
       co_return m_keep_alive && !m_context.is_stopping;
     }
@@ -105,6 +108,9 @@
   if (refusal.deferral) {
     request_log::deferred(m_id, *refusal.deferral);
   }
+  if (refusal.quarantine) {
+    request_log::quarantined(m_id, *refusal.quarantine);
+  }
   if (m_is_header_sent) {
     // Close the connection without the last chunk, so that the caller detects the truncation.
     finish(request_end::interrupted, name_of(refusal.kind));
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -30,10 +30,10 @@
                      base::monotonic_time now) {
   spdlog::info(
       "entry attempt request={} session={} number={} endpoint={} version={} model={} route={} "
-      "revision={} load={} left_ms={}",
+      "revision={} load={} left_ms={} prompt={}",
       id.value, session, attempt.number, attempt.endpoint.value, attempt.version.value,
       attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
-      attempt.load, to_milliseconds(attempt.deadline - now));
+      attempt.load, to_milliseconds(attempt.deadline - now), attempt.prompt);
 }
 
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
@@ -62,4 +62,9 @@
                to_milliseconds(deferral.wait));
 }
 
+void quarantined(base::request_id const& id, quarantined_part const& quarantine) {
+  spdlog::warn("entry quarantined request={} part={} endings={} remaining_ms={}", id.value,
+               quarantine.part, quarantine.endings, to_milliseconds(quarantine.remaining));
+}
+
 } // namespace catkinlanding::proxy::request_log
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -39,5 +39,7 @@
 void notice_ignored(base::request_id const& id, attempt const& attempt, notice_kind kind);
 /// The request was refused because all endpoints want requests later; this one accepts the first.
 void deferred(base::request_id const& id, deferral const& deferral);
+/// The request was refused for a part of its prompt under which endpoints ended.
+void quarantined(base::request_id const& id, quarantined_part const& quarantine);
 
 } // namespace catkinlanding::proxy::request_log
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -245,6 +245,23 @@
   EXPECT_DOUBLE_EQ(share_of("first"), 4.0);
 }
 
+// Guards against evidence against a prompt part that stays with the instance that saw it (BUDGET).
+TEST(control_groups, pass_evidence_against_prompt_parts_on_to_all_entry_instances) {
+  auto group = founded_group();
+  auto const evidence = [](std::uint64_t ending) {
+    return subscription{
+        .is_entry = true,
+        .prompt_evidence = {{.part = "bad", .endings = {ending}, .requests = {ending}}}};
+  };
+  group.send("first", "a", evidence(1));
+  group.send("second", "a", evidence(2));
+  group.send("third", "a", subscription{.is_entry = true});
+  auto const& received = group.updates("third").back().prompt_evidence;
+  ASSERT_EQ(received.size(), 1U);
+  EXPECT_EQ(received.front().endings, (std::vector<std::uint64_t>{1, 2}));
+  EXPECT_EQ(received.front().requests, (std::vector<std::uint64_t>{1, 2}));
+}
+
 // A restarted entry instance has lost the document that was sent to it just before the restart. It
 // must not wait for the push interval to receive the document again.
 TEST(control_groups, resend_the_document_at_once_to_a_restarted_instance) {
