proxy: Cut off answers that never end

An endpoint in trouble may send bytes that are no answer until its connection is closed. An instance skipped interim answers without bound, buffered a chunk header and an event without bound, and searched the whole event again with each read. Such answers are malformed, so they count as no ending of the endpoint. The reading of an answer leaves exchange.cpp.

--- a/libraries/proxy/event_stream.cpp
+++ b/libraries/proxy/event_stream.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view returned_end = "\r\n\r\n";
 constexpr std::string_view id_field = "id:";
 
 std::string_view without_return(std::string_view line) {
@@ -14,23 +15,25 @@
 }
 
 /// Returns the offset after the last complete event, including its blank line; 0 if there is none.
-std::size_t end_of_last_event(std::string const& text) {
-  constexpr std::string_view returned_end = "\r\n\r\n";
+std::size_t end_of_last_event(std::string_view text) {
   auto const plain = text.rfind(event_end);
   auto const returned = text.rfind(returned_end);
-  auto const plain_end = plain == std::string::npos ? 0 : plain + event_end.size();
-  auto const other_end = returned == std::string::npos ? 0 : returned + returned_end.size();
+  auto const plain_end = plain == std::string_view::npos ? 0 : plain + event_end.size();
+  auto const other_end = returned == std::string_view::npos ? 0 : returned + returned_end.size();
   return std::max(plain_end, other_end);
 }
 
 } // namespace
 
 std::string event_stream::take(std::string_view bytes) {
+  // The earlier bytes hold no complete event, so one ends within the new bytes.
+  auto const begin = m_partial.size() - std::min(m_partial.size(), returned_end.size() - 1);
   m_partial.append(bytes);
-  auto const end = end_of_last_event(m_partial);
-  if (end == 0) {
+  auto const end_in_new = end_of_last_event(std::string_view(m_partial).substr(begin));
+  if (end_in_new == 0) {
     return {};
   }
+  auto const end = begin + end_in_new;
   auto whole = m_partial.substr(0, end);
   m_partial.erase(0, end);
   note_ids(whole);
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -5,7 +5,6 @@
 #include <services/proxy/socket_state.h>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <spdlog/spdlog.h>
 
@@ -27,7 +26,8 @@
 constexpr std::size_t max_buffered_answer_bytes = 64 * 1024;
 /// Bodies up to this size are read and discarded so that the connection can be reused.
 constexpr std::size_t max_discarded_body_bytes = 16 * 1024;
-constexpr std::uint32_t max_answer_header_bytes = 32 * 1024;
+/// A stream with a larger event is malformed.
+constexpr std::size_t max_event_bytes = 1024 * 1024;
 /// Number of late answers to earlier requests that are skipped before the attempt fails.
 constexpr int max_stale_answers = 2;
 
@@ -161,7 +161,7 @@
     failure = co_await forward_answer(attempt);
   }
   m_stall_timer.cancel();
-  m_parser.reset();
+  m_answer.reset();
   m_upstream.reset();
   if (failure) {
     co_return classify_failure(*failure);
@@ -199,25 +199,12 @@
 
 awaitable<std::optional<attempt_failure>> exchange::read_header(attempt const& attempt) {
   for (int stale_answers = 0; stale_answers <= max_stale_answers; ++stale_answers) {
-    m_parser = std::make_unique<answer_parser>();
-    m_parser->header_limit(max_answer_header_bytes);
-    m_parser->body_limit(boost::none);
-    if (m_request.method() == http::verb::head) {
-      m_parser->skip(true);
-    }
-    auto const [error, size] = co_await http::async_read_header(
-        m_upstream->stream, m_upstream->buffer, *m_parser, completion);
-    if (error) {
-      bool const is_connection_lost =
-          error.category() != http::make_error_code(http::error{}).category() ||
-          error == http::error::end_of_stream || error == http::error::partial_message;
-      co_return is_connection_lost ? attempt_failure::broken : attempt_failure::malformed;
-    }
-    auto const& header = m_parser->get().base();
-    if (is_interim(header.result_int())) {
-      --stale_answers;
-      continue;
+    bool const is_head_request = m_request.method() == http::verb::head;
+    m_answer = std::make_unique<answer_reader>(*m_upstream, is_head_request);
+    if (auto const failure = co_await m_answer->read_header()) {
+      co_return failure;
     }
+    auto const& header = m_answer->header();
     auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
     if (metadata.matches_request) {
       m_answer_status = header.result_int();
@@ -233,7 +220,7 @@
 }
 
 awaitable<std::optional<attempt_failure>> exchange::forward_answer(attempt const& attempt) {
-  auto const header = m_parser->get().base();
+  auto const header = m_answer->header();
   auto const status = header.result_int();
   auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
   if (metadata.is_wrong_endpoint || metadata.is_not_executed) {
@@ -246,7 +233,7 @@
   if (is_server_error(status) || implies_not_executed(status)) {
     auto body = co_await read_body(max_buffered_answer_bytes);
     if (!body) {
-      co_return attempt_failure::broken;
+      co_return body.error();
     }
     return_upstream_to_pool();
     m_stored_failure = stored_failure{header, std::move(*body)};
@@ -266,26 +253,27 @@
     m_is_caller_gone = true;
     co_return std::nullopt;
   }
-  if (result == forward_result::broken) {
-    co_return attempt_failure::broken;
+  if (result != forward_result::complete) {
+    co_return result == forward_result::broken ? attempt_failure::broken
+                                               : attempt_failure::malformed;
   }
   return_upstream_to_pool();
   co_return std::nullopt;
 }
 
 awaitable<exchange::forward_result> exchange::forward_body() {
-  auto header = m_parser->get().base();
+  auto header = m_answer->header();
   erase_hop_by_hop_headers(header);
   std::string body;
-  while (body.size() <= max_buffered_answer_bytes && !m_parser->is_done()) {
+  while (body.size() <= max_buffered_answer_bytes && !m_answer->is_done()) {
     auto const piece = co_await read_some();
     if (!piece) {
-      co_return forward_result::broken;
+      co_return result_of(piece.error());
     }
     body.append(*piece);
   }
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  if (m_parser->is_done()) {
+  if (m_answer->is_done()) {
     m_is_header_sent = true;
     bool const is_written = co_await write_to_caller(serialize_response(header, body, keep_alive));
     co_return is_written ? forward_result::complete : forward_result::caller_write_failed;
@@ -295,10 +283,10 @@
                                 serialize_chunk(body))) {
     co_return forward_result::caller_write_failed;
   }
-  while (!m_parser->is_done()) {
+  while (!m_answer->is_done()) {
     auto const piece = co_await read_some();
     if (!piece) {
-      co_return forward_result::broken;
+      co_return result_of(piece.error());
     }
     if (!co_await write_chunk_to_caller(*piece)) {
       co_return forward_result::caller_write_failed;
@@ -309,17 +297,20 @@
 }
 
 awaitable<exchange::forward_result> exchange::forward_events() {
-  auto header = m_parser->get().base();
+  auto header = m_answer->header();
   erase_hop_by_hop_headers(header);
   m_events.drop_partial();
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  while (!m_parser->is_done()) {
+  while (!m_answer->is_done()) {
     auto const piece = co_await read_some();
     if (!piece) {
-      co_return forward_result::broken;
+      co_return result_of(piece.error());
     }
     auto const events_before = m_events.events();
     auto events = m_events.take(*piece);
+    if (m_events.partial_bytes() > max_event_bytes) {
+      co_return forward_result::malformed;
+    }
     if (events.empty()) {
       continue;
     }
@@ -347,30 +338,31 @@
                                                         : forward_result::caller_write_failed;
 }
 
-awaitable<std::optional<std::string>> exchange::read_body(std::size_t max_bytes) {
+awaitable<tl::expected<std::string, attempt_failure>> exchange::read_body(std::size_t max_bytes) {
   std::string body;
-  while (!m_parser->is_done()) {
+  while (!m_answer->is_done()) {
     auto const piece = co_await read_some();
-    if (!piece || body.size() + piece->size() > max_bytes) {
-      co_return std::nullopt;
+    if (!piece) {
+      co_return tl::unexpected(piece.error());
+    }
+    if (body.size() + piece->size() > max_bytes) {
+      co_return tl::unexpected(attempt_failure::malformed);
     }
     body.append(*piece);
   }
   co_return body;
 }
 
-awaitable<std::optional<std::string_view>> exchange::read_some() {
-  auto& body = m_parser->get().body();
-  body.data = m_read_buffer.data();
-  body.size = m_read_buffer.size();
-  body.more = true;
-  auto const [error, size] =
-      co_await http::async_read_some(m_upstream->stream, m_upstream->buffer, *m_parser, completion);
-  if (error && error != http::error::need_buffer) {
-    co_return std::nullopt;
+awaitable<tl::expected<std::string_view, attempt_failure>> exchange::read_some() {
+  auto const piece = co_await m_answer->read_some();
+  if (piece) {
+    m_context.router.note_progress(m_number, now());
   }
-  m_context.router.note_progress(m_number, now());
-  co_return std::string_view(m_read_buffer.data(), m_read_buffer.size() - body.size);
+  co_return piece;
+}
+
+exchange::forward_result exchange::result_of(attempt_failure failure) {
+  return failure == attempt_failure::broken ? forward_result::broken : forward_result::malformed;
 }
 
 awaitable<bool> exchange::write_to_caller(std::string bytes) {
@@ -396,11 +388,10 @@
 
 void exchange::return_upstream_to_pool() {
   // Bytes after a complete answer belong to no request, so such a connection is not reused.
-  bool const is_clean = m_parser->is_done() && m_parser->keep_alive() &&
+  bool const is_clean = m_answer->is_done() && m_answer->keep_alive() &&
                         m_upstream->buffer.size() == 0 && m_upstream->stream.socket().is_open();
   if (is_clean) {
-    m_context.pool.release(std::move(m_upstream), keep_alive_timeout(m_parser->get().base()),
-                           now());
+    m_context.pool.release(std::move(m_upstream), keep_alive_timeout(m_answer->header()), now());
   }
 }
 
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -4,14 +4,11 @@
 #include <libraries/proxy/router.h>
 #include <libraries/proxy/stream_timing.h>
 #include <services/daemon/coroutine.h>
+#include <services/proxy/answer_reader.h>
 #include <services/proxy/metrics.h>
 #include <services/proxy/protocol_adapter.h>
 #include <services/proxy/upstream_pool.h>
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
-#include <array>
 #include <memory>
 #include <optional>
 #include <set>
@@ -45,15 +42,13 @@
   daemon::awaitable<bool> run();
 
 private:
-  using answer_parser = http::response_parser<http::buffer_body>;
-
   /// The last error response from an endpoint, delivered if the router makes no further attempt.
   struct stored_failure {
     http_response_header header;
     std::string body;
   };
 
-  enum class forward_result { complete, broken, caller_write_failed };
+  enum class forward_result { complete, broken, malformed, caller_write_failed };
 
   daemon::awaitable<void> wait_for_state(request_facts& facts);
   daemon::awaitable<bool> refuse(refusal refusal);
@@ -72,10 +67,11 @@
   daemon::awaitable<forward_result> forward_body();
   /// Forwards an event stream, complete events only.
   daemon::awaitable<forward_result> forward_events();
-  /// Reads the rest of the body. Returns nothing if it is incomplete or larger than the limit.
-  daemon::awaitable<std::optional<std::string>> read_body(std::size_t max_bytes);
-  /// Reads the next part of the body. Returns nothing if the answer was cut off.
-  daemon::awaitable<std::optional<std::string_view>> read_some();
+  /// Reads the rest of the body. One that is larger than the limit is malformed.
+  daemon::awaitable<tl::expected<std::string, attempt_failure>> read_body(std::size_t max_bytes);
+  /// Reads the next part of the body.
+  daemon::awaitable<tl::expected<std::string_view, attempt_failure>> read_some();
+  [[nodiscard]] static forward_result result_of(attempt_failure failure);
   daemon::awaitable<bool> write_to_caller(std::string bytes);
   daemon::awaitable<bool> write_chunk_to_caller(std::string_view bytes);
 
@@ -104,8 +100,7 @@
   daemon::steady_timer m_deadline_timer;
   daemon::steady_timer m_stall_timer;
   std::unique_ptr<upstream_connection> m_upstream;
-  std::unique_ptr<answer_parser> m_parser;
-  std::array<char, 16 * 1024> m_read_buffer{};
+  std::unique_ptr<answer_reader> m_answer;
   std::optional<stored_failure> m_stored_failure;
   event_stream m_events;
   stream_timing m_stream_timing;
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -24,6 +24,9 @@
 
 constexpr int last_event_number = 5;
 constexpr std::chrono::milliseconds poll_interval{10};
+/// The unit in which endless answers are sent, and where they end if nobody closes the connection.
+constexpr std::size_t flood_block_bytes = 64 * 1024;
+constexpr std::size_t max_flood_bytes = 256 * 1024 * 1024;
 
 bool send_all(int socket, std::string_view bytes) {
   while (!bytes.empty()) {
@@ -228,6 +231,9 @@
     m_saw_cancellation = m_saw_cancellation || !m_is_stopping;
     return false;
   }
+  if (behaviour.starts_with("endless-")) {
+    return answer_endlessly(socket, request, behaviour);
+  }
   if (behaviour.find("stream") != std::string::npos) {
     return stream(socket, request, behaviour);
   }
@@ -235,6 +241,41 @@
       socket, with_body(response_head(request, "200 OK") + added_lines(), "echo " + request.body));
 }
 
+void platform_endpoint::flood(int socket, std::string const& beginning, std::string_view rest) {
+  std::string block;
+  while (block.size() < flood_block_bytes) {
+    block += rest;
+  }
+  bool is_open = send_all(socket, beginning);
+  for (std::size_t sent = 0; is_open && sent < max_flood_bytes && !m_is_stopping;) {
+    is_open = send_all(socket, block);
+    sent += block.size();
+    m_endless_bytes += is_open ? block.size() : 0;
+  }
+}
+
+bool platform_endpoint::answer_endlessly(int socket, received_request const& request,
+                                         std::string const& behaviour) {
+  auto const head = response_head(request, "200 OK");
+  std::string const chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  if (behaviour == "endless-interim") {
+    flood(socket, "", "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n");
+  } else if (behaviour == "endless-header") {
+    flood(socket, head + "X-Filler: ", "0123456789abcdef");
+  } else if (behaviour == "endless-failure") {
+    flood(socket, response_head(request, "500 Internal Server Error") + "\r\n", "no answer ");
+  } else if (behaviour == "endless-stale") {
+    flood(socket, "", "HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 1\r\n\r\nx");
+  } else if (behaviour == "endless-chunk") {
+    flood(socket, head + chunked + "5;extension=", "0123456789abcdef");
+  } else if (behaviour == "endless-event") {
+    flood(socket, head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "never ");
+  } else {
+    flood(socket, head + "\r\n", "no answer ");
+  }
+  return false;
+}
+
 bool platform_endpoint::stream(int socket, received_request const& request,
                                std::string const& behaviour) {
   auto const from = header(request, "Last-Event-Id");
--- a/tests/stand_ins/platform_endpoint.h
+++ b/tests/stand_ins/platform_endpoint.h
@@ -31,7 +31,9 @@
 /// - broken-stream: closes the connection in the middle of the third event, unless the request has
 ///   a `Last-Event-Id`;
 /// - slow-stream: waits after the first event until `release`;
-/// - hang: never answers.
+/// - hang: never answers;
+/// - endless-interim, endless-header, endless-failure, endless-body, endless-chunk, endless-event,
+///   endless-stale: sends bytes that are no answer until the connection is closed.
 class platform_endpoint {
 public:
   platform_endpoint(std::string ip, int port, std::string id);
@@ -47,6 +49,8 @@
   [[nodiscard]] std::string address() const { return m_ip + ":" + std::to_string(m_port); }
   /// Whether a client closed the connection during a `hang` request.
   [[nodiscard]] bool saw_cancellation() const { return m_saw_cancellation; }
+  /// Bytes of the `endless-` answers that the system took before it closed their connections.
+  [[nodiscard]] std::uint64_t endless_bytes() const { return m_endless_bytes; }
   /// Adds these header lines, each with its line end, to all later answers and rejections.
   void add_to_answers(std::string header_lines);
   /// Lets all `slow-stream` answers continue.
@@ -57,6 +61,10 @@
   void accept();
   void serve(int socket);
   [[nodiscard]] bool answer(int socket, received_request const& request);
+  /// Sends the beginning, and then the rest again and again, until the connection is closed.
+  void flood(int socket, std::string const& beginning, std::string_view rest);
+  [[nodiscard]] bool answer_endlessly(int socket, received_request const& request,
+                                      std::string const& behaviour);
   [[nodiscard]] bool stream(int socket, received_request const& request,
                             std::string const& behaviour);
 
@@ -73,6 +81,7 @@
   std::atomic<bool> m_is_stopping = false;
   std::atomic<bool> m_is_released = false;
   std::atomic<bool> m_saw_cancellation = false;
+  std::atomic<std::uint64_t> m_endless_bytes = 0;
 };
 
 } // namespace catkinlanding::testing
