--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -1,7 +1,6 @@
 #include <libraries/base/overloaded.h>
 #include <libraries/base/verify.h>
 #include <libraries/proxy/control.h>
-#include <libraries/proxy/load_sum.h>
 #include <libraries/proxy/voter_policy.h>
 
 #include <algorithm>
@@ -21,7 +20,8 @@
                                                     .seeds = upstream_candidates(m_options.replica),
                                                     .seed = m_options.replica.seed}),
       m_evaluator(m_options.evaluator), m_rates(m_options.rates),
-      m_quarantine(m_options.quarantine), m_voters(m_options.voters) {
+      m_quarantine(m_options.quarantine), m_downstreams(m_options.downstreams),
+      m_voters(m_options.voters) {
   restore(recovered.snapshot);
 }
 
@@ -130,15 +130,10 @@
     send_referral(from, subscription, out);
     return;
   }
-  auto const [entry, is_new] = m_downstreams.try_emplace(from);
-  auto& downstream = entry->second;
+  auto [downstream, is_new] = m_downstreams.note(from, subscription, now);
   if (is_new) {
     out.events.push_back({control_event::instance_joined, from.value, {}, m_downstreams.size()});
   }
-  downstream.known = subscription.known;
-  downstream.is_entry = subscription.is_entry;
-  downstream.last_request_at = now;
-  downstream.loads = subscription.loads;
   m_evaluator.report(from, subscription.tallies, now);
   m_rates.report(from, subscription.rate_notices, now);
   m_quarantine.merge(subscription.prompt_evidence, now);
@@ -393,18 +388,15 @@
 }
 
 void control::manage_voters(base::monotonic_time now, control_effects& out) {
-  if (!is_serving_leader(now)) {
-    return;
-  }
-  auto proposal = m_voters.next_voters(m_replica, now);
+  auto proposal = is_serving_leader(now) ? m_voters.next_voters(m_replica, now) : std::nullopt;
   if (!proposal) {
     return;
   }
-  auto const names = names_of(proposal->voters);
-  auto const number = proposal->voters.size();
+  control_event_details proposed{control_event::voters_proposed, names_of(proposal->voters),
+                                 proposal->reason, proposal->voters.size()};
   // Fails while another configuration change is in progress; retried on the next tick.
   if (m_replica.propose_desired_voters(std::move(proposal->voters), now, out.log)) {
-    out.events.push_back({control_event::voters_proposed, names, proposal->reason, number});
+    out.events.push_back(std::move(proposed));
   }
 }
 
@@ -436,15 +428,10 @@
 }
 
 void control::drop_silent_downstreams(base::monotonic_time now, control_effects& out) {
-  std::erase_if(m_downstreams, [&](auto const& item) {
-    bool const is_silent = now >= item.second.last_request_at + m_options.subscriber_timeout;
-    if (is_silent) {
-      m_rates.release(item.first);
-      out.events.push_back(
-          {control_event::instance_lost, item.first.value, {}, m_downstreams.size()});
-    }
-    return is_silent;
-  });
+  for (auto const& instance : m_downstreams.drop_silent(now)) {
+    m_rates.release(instance);
+    out.events.push_back({control_event::instance_lost, instance.value, {}, m_downstreams.size()});
+  }
 }
 
 void control::push_changes(base::monotonic_time now, control_effects& out) {
@@ -456,7 +443,7 @@
     return;
   }
   m_last_pushed = current;
-  for (auto& [id, downstream] : m_downstreams) {
+  for (auto& [id, downstream] : m_downstreams.all()) {
     push_to(id, downstream, false, now, out);
   }
 }
@@ -489,31 +476,18 @@
     sent.rollouts = m_state.rollouts();
   }
   sent.is_registry_complete = now >= m_leader_since + m_options.registry_warmup;
-  sent.entry_instances = static_cast<std::uint32_t>(
-      std::ranges::count_if(m_downstreams, [](auto const& item) { return item.second.is_entry; }));
+  sent.entry_instances = m_downstreams.count_entries();
   if (downstream.is_entry) {
     sent.rate_grants = m_rates.grants_for(to, now);
   }
   if (with_loads && downstream.is_entry) {
-    sent.loads = loads_without(to);
+    sent.loads = m_downstreams.loads_without(to);
     sent.prompt_evidence = m_quarantine.report(now);
   }
-  for (auto const& voter : m_replica.current_configuration().voters) {
-    sent.control_instances.push_back(voter.instance);
-  }
+  sent.control_instances = instances_of(m_replica.current_configuration().voters);
   out.messages.push_back({to, std::move(sent)});
 }
 
-std::vector<endpoint_load> control::loads_without(base::instance_id const& instance) const {
-  load_sum sum;
-  for (auto const& [id, downstream] : m_downstreams) {
-    if (id != instance) {
-      sum.add(downstream.loads);
-    }
-  }
-  return sum.take();
-}
-
 void control::note_endpoint(base::endpoint_id const& id, control_effects& out) const {
   auto const* record = m_registry.find(id);
   if (record != nullptr) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -2,6 +2,7 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/call.h>
+#include <libraries/proxy/downstream_table.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/prompt_quarantine.h>
 #include <libraries/proxy/rate_coordinator.h>
@@ -80,9 +81,7 @@
     prompt_quarantine::options quarantine;
     /// Size of applied commands, in bytes, after which the log is compacted into a snapshot.
     std::size_t bytes_per_snapshot = 512 * 1024;
-    /// Updates to a subscribed instance stop after this long without a subscription message from
-    /// it.
-    base::duration subscriber_timeout = std::chrono::seconds(3);
+    downstream_table::options downstreams;
     /// Time after winning leadership by which every live endpoint has announced itself.
     base::duration registry_warmup = std::chrono::seconds(6);
     /// A call whose proposal is not committed within this time is answered as unavailable.
@@ -113,15 +112,6 @@
   [[nodiscard]] endpoint_registry const& registry() const { return m_registry; }
 
 private:
-  struct downstream {
-    known_state known;
-    bool is_entry = false;
-    base::monotonic_time last_request_at{};
-    base::monotonic_time document_sent_at{};
-    std::uint64_t document_sent = 0;
-    std::vector<endpoint_load> loads;
-  };
-
   struct pending_call {
     call_number number = 0;
     consensus::term_number term = 0;
@@ -185,7 +175,6 @@
   void push_changes(base::monotonic_time now, control_effects& out);
   void push_to(base::instance_id const& to, downstream& downstream, bool with_loads,
                base::monotonic_time now, control_effects& out);
-  [[nodiscard]] std::vector<endpoint_load> loads_without(base::instance_id const& instance) const;
   void note_endpoint(base::endpoint_id const& id, control_effects& out) const;
 
   options m_options;
@@ -203,7 +192,7 @@
   bool m_had_quorum = false;
   base::monotonic_time m_leader_since{};
   std::vector<consensus::voter> m_noted_voters;
-  std::map<base::instance_id, downstream> m_downstreams;
+  downstream_table m_downstreams;
   std::map<consensus::log_index, pending_call> m_pending_calls;
   voter_manager m_voters;
   bool m_is_stopping = false;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -88,7 +88,7 @@
   request.has_answer = true;
   m_endpoints.note_success(request.endpoint);
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
-  tally_answer(request, now);
+  m_observer.note_answer(request, m_versions, now);
   note_first_token(request, now);
   return !should_escalate(request, confidence, now);
 }
@@ -139,9 +139,8 @@
   auto& request = found->second;
   request.has_event |= count > 0;
   auto const interval = request.pace.note_events(count, now);
-  auto const* evaluated = m_versions.evaluated_rollout(request.service);
-  if (interval && evaluated != nullptr) {
-    m_tallies.add_event_interval(subject_of(request), *evaluated, *interval);
+  if (interval) {
+    m_observer.note_event_interval(request, m_versions, *interval);
   }
 }
 
@@ -225,7 +224,7 @@
     return;
   }
   auto& request = found->second;
-  note_unanswered(request, now);
+  m_observer.note_unanswered(request, m_versions, now);
   finish_attempt(request);
   m_requests.erase(found);
 }
@@ -244,7 +243,7 @@
   m_quarantine.note_reported();
   return {upstream, subscription{.known = m_subscriber.known(),
                                  .is_entry = true,
-                                 .tallies = m_tallies.tallies(),
+                                 .tallies = m_observer.tallies(),
                                  .loads = m_endpoints.own_loads(),
                                  .rate_notices = m_notices.rates().notices(now),
                                  .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
@@ -301,9 +300,7 @@
   }
   if (update.rollouts) {
     m_versions.apply(*update.rollouts);
-    for (auto const& rollout : *update.rollouts) {
-      m_tallies.keep_only(rollout.service, m_versions.evaluated_rollout(rollout.service));
-    }
+    m_observer.apply(*update.rollouts, m_versions);
   }
   if (!update.loads.empty()) {
     m_endpoints.apply_loads(update.loads);
@@ -455,16 +452,16 @@
   case attempt_failure::malformed:
   case attempt_failure::stalled:
     m_endpoints.note_failure(request.endpoint, now);
-    tally_failure(request);
+    m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::expired:
     note_first_token(request, now);
-    tally_failure(request);
+    m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::failed_answer:
     // An endpoint that asks for a pause is in need, which says nothing about its version.
     if (!m_notices.is_paused({request.endpoint, request.incarnation}, now)) {
-      tally_failure(request);
+      m_observer.note_failure(request, m_versions);
     }
     return;
   case attempt_failure::low_confidence:
@@ -489,35 +486,6 @@
   }
 }
 
-tally_recorder::subject router::subject_of(active_request const& request) {
-  return {.service = request.service, .version = request.version, .route = request.route->name};
-}
-
-rollout const* router::counted_rollout(active_request const& request) const {
-  // Some requests fail wherever they run, so further attempts are no independent evidence.
-  return request.tried.size() == 1 ? m_versions.evaluated_rollout(request.service) : nullptr;
-}
-
-void router::tally_answer(active_request const& request, base::monotonic_time now) {
-  if (auto const* evaluated = counted_rollout(request)) {
-    m_tallies.add_answer(subject_of(request), *evaluated, now - request.attempt_at);
-  }
-}
-
-void router::tally_failure(active_request const& request) {
-  if (auto const* evaluated = counted_rollout(request)) {
-    m_tallies.add_failure(subject_of(request), *evaluated, request.has_answer);
-  }
-}
-
-void router::note_unanswered(active_request const& request, base::monotonic_time now) {
-  bool const is_late = request.is_attempting && !request.has_answer &&
-                       now - request.attempt_at > request.route->target_latency;
-  if (is_late) {
-    tally_answer(request, now);
-  }
-}
-
 retry_limiter& router::retry_limiter_for(base::service_id const& service) {
   auto const [entry, is_new] = m_retry_limiters.try_emplace(service, m_options.retries);
   if (is_new) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/base/random.h>
+#include <libraries/proxy/active_request.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
@@ -9,10 +10,10 @@
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/retry_limiter.h>
+#include <libraries/proxy/rollout_observer.h>
 #include <libraries/proxy/route_table.h>
 #include <libraries/proxy/stall_policy.h>
 #include <libraries/proxy/subscriber.h>
-#include <libraries/proxy/tally_recorder.h>
 #include <libraries/proxy/version_policy.h>
 
 #include <map>
@@ -121,44 +122,6 @@
   [[nodiscard]] bool is_ready() const { return m_routes->revision() != 0; }
 
 private:
-  struct active_request {
-    request_facts facts;
-    /// The route table at the request's arrival, kept alive if a newer document replaces it.
-    std::shared_ptr<route_table const> routes;
-    proxy::route const* route = nullptr;
-    base::service_id service;
-    std::optional<base::customer_id> customer;
-    std::uint32_t priority = 0;
-    base::monotonic_time began_at{};
-    base::monotonic_time deadline{};
-    /// Endpoints that the request was sent to, and those that could not be connected to.
-    std::vector<base::endpoint_id> tried;
-    std::vector<base::endpoint_id> unreached;
-    base::endpoint_id endpoint;
-    base::version_id version;
-    std::uint64_t incarnation = 0;
-    /// The model chosen by the system, fixed at the first attempt because another model could not
-    /// continue the same answer. Changes only when a low-confidence answer is escalated.
-    std::optional<base::model_id> model;
-    base::monotonic_time attempt_at{};
-    /// When the attempt began or last received data.
-    base::monotonic_time progress_at{};
-    /// The pace of the current attempt's stream.
-    stream_pace pace;
-    /// Weighted prompt tokens that the current attempt's endpoint has yet to process.
-    std::uint64_t pending_work = 0;
-    /// Set while an attempt is in progress.
-    bool is_attempting = false;
-    bool has_answer = false;
-    /// Whether the current attempt delivered an event.
-    bool has_event = false;
-    /// Endpoints that ended under this request before it had an event.
-    std::size_t endings = 0;
-    bool has_delivered = false;
-    /// Whether any attempt may have executed the request.
-    bool may_have_run = false;
-  };
-
   /// Creates a subscription that requests missing state from `upstream` and reports this instance's
   /// measurements.
   [[nodiscard]] outgoing make_subscription(base::instance_id const& upstream,
@@ -189,14 +152,6 @@
   [[nodiscard]] refusal final_refusal(active_request const& request, base::monotonic_time now);
   void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
   void finish_attempt(active_request& request);
-  [[nodiscard]] static tally_recorder::subject subject_of(active_request const& request);
-  /// Returns the rollout that the current attempt is evidence for; nullptr if there is none.
-  [[nodiscard]] rollout const* counted_rollout(active_request const& request) const;
-  /// Count the answer to the current attempt while its service has a rollout that is evaluated.
-  void tally_answer(active_request const& request, base::monotonic_time now);
-  void tally_failure(active_request const& request);
-  /// Counts an attempt that its caller gave up waiting for as a late answer.
-  void note_unanswered(active_request const& request, base::monotonic_time now);
   retry_limiter& retry_limiter_for(base::service_id const& service);
   bool apply(update const& update, base::monotonic_time now);
   bool apply(last_known_state const& state, base::monotonic_time now);
@@ -215,7 +170,7 @@
   std::map<base::service_id, escalation_policy> m_escalation_policies;
   std::uint32_t m_entry_instances = 1;
   std::unordered_map<request_number, active_request> m_requests;
-  tally_recorder m_tallies;
+  rollout_observer m_observer;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/voter_policy.cpp
+++ b/libraries/proxy/voter_policy.cpp
@@ -41,12 +41,17 @@
   return names;
 }
 
-std::string names_of(std::vector<consensus::voter> const& voters) {
+std::vector<base::instance_id> instances_of(std::vector<consensus::voter> const& voters) {
   std::vector<base::instance_id> instances;
+  instances.reserve(voters.size());
   for (auto const& voter : voters) {
     instances.push_back(voter.instance);
   }
-  return names_of(instances);
+  return instances;
+}
+
+std::string names_of(std::vector<consensus::voter> const& voters) {
+  return names_of(instances_of(voters));
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/voter_policy.h
+++ b/libraries/proxy/voter_policy.h
@@ -23,6 +23,9 @@
 [[nodiscard]] std::vector<base::instance_id> silent_voters(consensus::replica const& replica,
                                                            base::monotonic_time now);
 
+[[nodiscard]] std::vector<base::instance_id>
+instances_of(std::vector<consensus::voter> const& voters);
+
 /// The instances, separated by commas, for the log.
 [[nodiscard]] std::string names_of(std::vector<base::instance_id> const& instances);
 [[nodiscard]] std::string names_of(std::vector<consensus::voter> const& voters);
--- a/tests/libraries/proxy/prompt_quarantine_test.cpp
+++ b/tests/libraries/proxy/prompt_quarantine_test.cpp
@@ -10,6 +10,7 @@
 
 std::vector<prompt_part> prompt_of(std::vector<std::string> const& ids) {
   std::vector<prompt_part> prompt;
+  prompt.reserve(ids.size());
   for (auto const& id : ids) {
     prompt.push_back({.id = id, .tokens = 100});
   }
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -8,6 +8,7 @@
 
 std::vector<base::instance_id> instances_of(std::vector<std::string> const& names) {
   std::vector<base::instance_id> instances;
+  instances.reserve(names.size());
   for (auto const& name : names) {
     instances.push_back({name});
   }
