proxy: Let a log with queued lines be stopped

Cause, from the stacks of the hung process: spdlog's shutdown holds the registry's lock and joins the log's thread, and that thread asked the registry for the pool at each line, to count lost lines. Change: the sink keeps the pool's pointer. Nothing else asks for it.

--- a/services/proxy/log.cpp
+++ b/services/proxy/log.cpp
@@ -16,9 +16,12 @@
 
 void start_log(std::string const& instance, std::string const& level) {
   spdlog::init_thread_pool(max_queued_lines, 1);
-  auto sink = std::make_shared<log_sink>(
-      log_sink::options{.descriptor = STDOUT_FILENO,
-                        .dropped_before = [] { return spdlog::thread_pool()->overrun_counter(); }});
+  // Only the pool's own thread writes to the sink, so the pool outlives each use of the pointer.
+  // While the log is stopped, that thread must not ask spdlog for the pool: the stop holds the lock
+  // and waits for the thread.
+  auto* const pool = spdlog::thread_pool().get();
+  auto sink = std::make_shared<log_sink>(log_sink::options{
+      .descriptor = STDOUT_FILENO, .dropped_before = [pool] { return pool->overrun_counter(); }});
   auto logger =
       std::make_shared<spdlog::async_logger>("proxy", std::move(sink), spdlog::thread_pool(),
                                              spdlog::async_overflow_policy::overrun_oldest);
