proxy: Log how old the endpoints are that an attempt was chosen from

Change: entry attempt names term, revision and age of the endpoints; control endpoint names term, revision and sender. No decision changes.

--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -69,6 +69,11 @@
   /// Inputs of the decision, for logging.
   std::string route;
   std::uint64_t document_revision = 0;
+  /// The leader's term and revision of the endpoints that were known, and the time since the last
+  /// update; nothing if no leader has sent any.
+  std::uint64_t registry_term = 0;
+  std::uint64_t registry_revision = 0;
+  std::optional<base::duration> registry_age;
   std::uint32_t load = 0;
   /// The ids of the parts of the prompt, separated by commas.
   std::string prompt;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -379,6 +379,9 @@
                .is_resumable = request.route->kind == route_kind::resumable_stream,
                .route = request.route->name,
                .document_revision = request.routes->revision(),
+               .registry_term = m_subscriber.known().registry_term,
+               .registry_revision = m_subscriber.known().registry_revision,
+               .registry_age = m_subscriber.age(now),
                .load = chosen->load(),
                .prompt = names_of(request.facts.prompt)};
   request.pending_work = prompt_work(request, request.facts.prompt_tokens);
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -120,6 +120,10 @@
   m_known.document_revision = std::max(m_known.document_revision, revision);
 }
 
+std::optional<base::duration> subscriber::age(base::monotonic_time now) const {
+  return m_has_update ? std::optional(now - m_last_update_at) : std::nullopt;
+}
+
 bool subscriber::is_connected(base::monotonic_time now) const {
   return m_has_update && now < m_last_update_at + 2 * m_options.upstream_timeout;
 }
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -56,6 +56,9 @@
   void note_document(std::uint64_t revision);
 
   [[nodiscard]] known_state const& known() const { return m_known; }
+  /// How long ago the last update arrived, which is the least age of what is known; nothing if none
+  /// has arrived.
+  [[nodiscard]] std::optional<base::duration> age(base::monotonic_time now) const;
   /// Whether the leader has sent an update recently.
   [[nodiscard]] bool is_connected(base::monotonic_time now) const;
   [[nodiscard]] std::optional<base::instance_id> const& leader() const { return m_leader; }
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -141,10 +141,12 @@
   }
   if (received_update != nullptr) {
     for (auto const& record : received_update->endpoints) {
-      spdlog::info("control endpoint id={} state={} version={} incarnation={} sequence={}",
+      spdlog::info("control endpoint id={} state={} version={} incarnation={} sequence={} term={} "
+                   "revision={} from={}",
                    record.announcement.id.value, name_of(record.state),
                    record.announcement.version.value, record.announcement.number.incarnation,
-                   record.announcement.number.sequence);
+                   record.announcement.number.sequence, received_update->state.registry_term,
+                   record.revision, from.value);
     }
   }
 }
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Logged as the age of endpoints that no leader has confirmed.
+constexpr std::int64_t unknown_age = -1;
+
 std::int64_t to_milliseconds(base::duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -30,10 +33,13 @@
                      base::monotonic_time now) {
   spdlog::info(
       "entry attempt request={} session={} number={} endpoint={} version={} model={} route={} "
-      "revision={} load={} left_ms={} prompt={}",
+      "revision={} load={} left_ms={} prompt={} registry_term={} registry_revision={} "
+      "registry_age_ms={}",
       id.value, session, attempt.number, attempt.endpoint.value, attempt.version.value,
       attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
-      attempt.load, to_milliseconds(attempt.deadline - now), attempt.prompt);
+      attempt.load, to_milliseconds(attempt.deadline - now), attempt.prompt, attempt.registry_term,
+      attempt.registry_revision,
+      attempt.registry_age ? to_milliseconds(*attempt.registry_age) : unknown_age);
 }
 
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
