--- /dev/null
+++ b/tests/libraries/proxy/leaving_endpoints_test.cpp
@@ -0,0 +1,56 @@
+#include <tests/support/control_group.h>
+
+#include <gtest/gtest.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::control_group;
+
+/// A group of five voters.
+control_group founded_group() {
+  control_group made({"a", "b", "c"});
+  made.start("a", 1, true);
+  made.start("b", 2);
+  made.start("c", 3);
+  made.start("d", 4);
+  made.start("e", 5);
+  made.run(8s);
+  return made;
+}
+
+announce_endpoint announcement(std::uint64_t sequence, bool is_leaving) {
+  return {{.id = {"e"},
+           .service = {"s"},
+           .is_leaving = is_leaving,
+           .number = {.incarnation = 1, .sequence = sequence}}};
+}
+
+// Guards against an acknowledged departure that only the leader knew which acknowledged it (DRAIN):
+// the next leader called the endpoint ready again.
+TEST(leaving_endpoints, are_remembered_when_the_leader_that_acknowledged_them_is_lost) {
+  auto group = founded_group();
+  group.call(group.leader(), 1, announcement(1, false));
+  group.run(1s);
+  group.stop(group.leader());
+  while (group.leader().empty()) {
+    group.run(20ms);
+  }
+  // No other instance has subscribed to the new leader yet.
+  group.call(group.leader(), 2, announcement(2, true));
+  group.run(20ms);
+  ASSERT_TRUE(group.reply(2).has_value());
+  EXPECT_EQ(group.reply(2)->kind, reply_kind::done);
+  group.stop(group.leader());
+  group.run(5s);
+  ASSERT_NE(group.leader(), "");
+  auto const* record = group.node(group.leader()).registry().find({"e"});
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->state, endpoint_state::leaving);
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
