proxy: Put departures of endpoints into the log before they are acknowledged

Cause: the registry of endpoints is copied from the leader by pushes only. An acknowledgement was a promise in the memory of one leader; if it lost its leadership before others had heard, the next one called the endpoint ready again, and the endpoint says that it leaves only once. Change: record_departure is committed before leaving and gone are acknowledged. Each instance marks the endpoint when the entry is applied, when another's copy of it arrives, and when a late announcement does. A withdrawal to a leader that does not know the endpoint covers all its starts. The format is raised, as older builds would not know the entry.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -48,8 +48,8 @@
                  [&](start_rollout const& one) { process_request(number, one, now, out); },
                  [&](read_document const& one) { answer(reply_to(one)); },
                  [&](read_rollout const& one) { answer(reply_to(one)); },
-                 [&](announce_endpoint const& one) { answer(reply_to(one, now, out)); },
-                 [&](withdraw_endpoint const& one) { answer(reply_to(one, now, out)); },
+                 [&](announce_endpoint const& one) { process_request(number, one, now, out); },
+                 [&](withdraw_endpoint const& one) { process_request(number, one, now, out); },
              },
              request);
   process_replica_output(now, out);
@@ -138,7 +138,7 @@
   m_rates.report(from, subscription.rate_notices, now);
   m_quarantine.merge(subscription.prompt_evidence, now);
   for (auto const& source : subscription.leaving_endpoints) {
-    if (m_registry.note_leaving(source)) {
+    if (m_registry.note_departure({.source = source, .state = endpoint_state::leaving})) {
       note_endpoint(source.endpoint, out);
     }
   }
@@ -169,13 +169,14 @@
 }
 
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
-                     control_effects& /*out*/) {
+                     control_effects& out) {
   if (m_replica.role() == consensus::role::leader || m_subscriber.is_outdated(update)) {
     return;
   }
   m_subscriber.note_update(update, from, now);
   for (auto const& record : update.endpoints) {
     m_registry.adopt(record, now);
+    apply_departure(record.announcement.id, out);
   }
   static_cast<void>(m_subscriber.advance(update));
 }
@@ -204,25 +205,6 @@
   return {.kind = reply_kind::found, .rollout = *rollout};
 }
 
-call_reply control::reply_to(announce_endpoint const& request, base::monotonic_time now,
-                             control_effects& out) {
-  auto const outcome = m_registry.announce(request.announcement, now);
-  if (outcome == announcement_outcome::changed) {
-    note_endpoint(request.announcement.id, out);
-  }
-  auto const kind =
-      outcome == announcement_outcome::refused ? reply_kind::unavailable : reply_kind::done;
-  return {.kind = kind, .leader = m_replica.self().instance};
-}
-
-call_reply control::reply_to(withdraw_endpoint const& request, base::monotonic_time now,
-                             control_effects& out) {
-  if (m_registry.withdraw(request.endpoint, now) == announcement_outcome::changed) {
-    note_endpoint(request.endpoint, out);
-  }
-  return {.kind = reply_kind::done};
-}
-
 void control::process_request(call_number number, replace_document const& request,
                               base::monotonic_time now, control_effects& out) {
   if (request.document.revision <= m_state.revision()) {
@@ -250,6 +232,53 @@
   propose(number, request, now, out);
 }
 
+void control::process_request(call_number number, announce_endpoint const& request,
+                              base::monotonic_time now, control_effects& out) {
+  auto const& announcement = request.announcement;
+  auto const outcome = m_registry.announce(announcement, now);
+  if (outcome == announcement_outcome::changed) {
+    note_endpoint(announcement.id, out);
+  }
+  if (outcome == announcement_outcome::refused) {
+    out.answers.push_back({number, {.kind = reply_kind::unavailable}});
+    return;
+  }
+  if (announcement.is_leaving) {
+    acknowledge(number,
+                {.source = {announcement.id, announcement.number.incarnation},
+                 .state = endpoint_state::leaving},
+                now, out);
+    return;
+  }
+  apply_departure(announcement.id, out);
+  out.answers.push_back({number, done_here()});
+}
+
+void control::process_request(call_number number, withdraw_endpoint const& request,
+                              base::monotonic_time now, control_effects& out) {
+  if (m_registry.withdraw(request.endpoint, now) == announcement_outcome::changed) {
+    note_endpoint(request.endpoint, out);
+  }
+  auto const* record = m_registry.find(request.endpoint);
+  auto const incarnation =
+      record == nullptr ? any_incarnation : record->announcement.number.incarnation;
+  acknowledge(number, {.source = {request.endpoint, incarnation}, .state = endpoint_state::gone},
+              now, out);
+}
+
+void control::acknowledge(call_number number, endpoint_departure const& departure,
+                          base::monotonic_time now, control_effects& out) {
+  if (m_state.departures().covers(departure)) {
+    out.answers.push_back({number, done_here()});
+    return;
+  }
+  propose(number, record_departure{departure}, now, out);
+}
+
+call_reply control::done_here() const {
+  return {.kind = reply_kind::done, .leader = m_replica.self().instance};
+}
+
 void control::propose(call_number number, command const& command, base::monotonic_time now,
                       control_effects& out) {
   auto const index = m_replica.propose(encode(command), now, out.log);
@@ -365,6 +394,8 @@
   }
   if (m_state.revision() > revision) {
     out.events.push_back({control_event::document_applied, {}, {}, m_state.revision()});
+  } else if (auto const* departed = std::get_if<record_departure>(&*decoded)) {
+    apply_departure(departed->departure.source.endpoint, out);
   } else if (is_changed) {
     for (auto const& rollout : m_state.rollouts()) {
       out.events.push_back({control_event::rollout_changed, rollout.service.value,
@@ -372,7 +403,14 @@
     }
   }
   if (!pending.empty() && pending.mapped().term == entry.term) {
-    out.answers.push_back({pending.mapped().number, {.kind = reply_kind::done}});
+    out.answers.push_back({pending.mapped().number, done_here()});
+  }
+}
+
+void control::apply_departure(base::endpoint_id const& id, control_effects& out) {
+  auto const* departure = m_state.departures().find(id);
+  if (departure != nullptr && m_registry.note_departure(*departure)) {
+    note_endpoint(id, out);
   }
 }
 
@@ -385,6 +423,9 @@
   m_state = std::move(*state);
   m_applied = snapshot.index;
   m_bytes_applied = 0;
+  for (auto const& departure : m_state.departures().all()) {
+    m_registry.note_departure(departure);
+  }
 }
 
 void control::manage_voters(base::monotonic_time now, control_effects& out) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -145,15 +145,20 @@
 
   [[nodiscard]] call_reply reply_to(read_document const& request) const;
   [[nodiscard]] call_reply reply_to(read_rollout const& request) const;
-  [[nodiscard]] call_reply reply_to(announce_endpoint const& request, base::monotonic_time now,
-                                    control_effects& out);
-  [[nodiscard]] call_reply reply_to(withdraw_endpoint const& request, base::monotonic_time now,
-                                    control_effects& out);
   /// Answer the call at once if it changes nothing; otherwise propose a log entry.
   void process_request(call_number number, replace_document const& request,
                        base::monotonic_time now, control_effects& out);
   void process_request(call_number number, start_rollout const& request, base::monotonic_time now,
                        control_effects& out);
+  void process_request(call_number number, announce_endpoint const& request,
+                       base::monotonic_time now, control_effects& out);
+  void process_request(call_number number, withdraw_endpoint const& request,
+                       base::monotonic_time now, control_effects& out);
+  /// The reply to a call that is in effect at this leader.
+  [[nodiscard]] call_reply done_here() const;
+  /// Answers the call when the departure is in the log.
+  void acknowledge(call_number number, endpoint_departure const& departure,
+                   base::monotonic_time now, control_effects& out);
   void propose(call_number number, command const& command, base::monotonic_time now,
                control_effects& out);
 
@@ -167,6 +172,8 @@
   void note_voters(control_effects& out);
   void apply(consensus::log_entry const& entry, base::monotonic_time now, control_effects& out);
   void restore(consensus::snapshot const& snapshot);
+  /// Marks the endpoint in the registry according to its departure in the log, if there is one.
+  void apply_departure(base::endpoint_id const& id, control_effects& out);
   void manage_voters(base::monotonic_time now, control_effects& out);
   void announce_departure(control_effects& out) const;
   void advance_rollouts(base::monotonic_time now, control_effects& out);
--- a/libraries/proxy/endpoint_registry.cpp
+++ b/libraries/proxy/endpoint_registry.cpp
@@ -72,18 +72,21 @@
   return announcement_outcome::changed;
 }
 
-bool endpoint_registry::note_leaving(endpoint_incarnation const& source) {
-  auto const found = m_endpoints.find(source.endpoint);
+bool endpoint_registry::note_departure(endpoint_departure const& departure) {
+  auto const found = m_endpoints.find(departure.source.endpoint);
   if (found == m_endpoints.end()) {
     return false;
   }
   auto& known = found->second;
-  bool const is_new = known.record.announcement.number.incarnation == source.incarnation &&
-                      known.record.state == endpoint_state::ready;
-  if (is_new) {
-    set_state(known, endpoint_state::leaving);
+  bool const is_later_start =
+      known.record.announcement.number.incarnation > departure.source.incarnation;
+  auto const state = known.record.state;
+  bool const is_departed = state == endpoint_state::gone || state == departure.state;
+  if (is_later_start || is_departed) {
+    return false;
   }
-  return is_new;
+  set_state(known, departure.state);
+  return true;
 }
 
 void endpoint_registry::adopt(endpoint_record const& record, base::monotonic_time now) {
--- a/libraries/proxy/endpoint_registry.h
+++ b/libraries/proxy/endpoint_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/departure_log.h>
 #include <libraries/proxy/endpoint.h>
 #include <libraries/proxy/endpoint_rate.h>
 
@@ -58,8 +59,9 @@
                                 base::monotonic_time now);
   /// Marks the endpoint as gone. A later incarnation with the same id is treated as a new endpoint.
   announcement_outcome withdraw(base::endpoint_id const& id, base::monotonic_time now);
-  /// Marks the endpoint as leaving because it said so to an instance. Returns whether that is new.
-  bool note_leaving(endpoint_incarnation const& source);
+  /// Marks the endpoint as leaving or gone, unless it has started anew since. Returns whether the
+  /// record changed.
+  bool note_departure(endpoint_departure const& departure);
   /// Copies a record from the registry of another control instance, unless a newer one is known.
   void adopt(endpoint_record const& record, base::monotonic_time now);
   /// Marks silent endpoints and forgets those that ended long ago. Returns whether any record
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -132,7 +132,7 @@
                              departure_notice>;
 
 /// A message in its wire format, with the protocol identifier.
-using envelope = base::envelope<message, 0x43505804>;
+using envelope = base::envelope<message, 0x43505805>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
 [[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
--- a/libraries/proxy/replicated_state.cpp
+++ b/libraries/proxy/replicated_state.cpp
@@ -79,6 +79,10 @@
   return true;
 }
 
+bool replicated_state::apply_one(record_departure const& command) {
+  return m_departures.record(command.departure);
+}
+
 rollout const* replicated_state::find_rollout(base::service_id const& service) const {
   auto const found = m_rollouts.find(service);
   return found == m_rollouts.end() ? nullptr : &found->second;
@@ -94,15 +98,24 @@
 }
 
 std::string replicated_state::snapshot() const {
-  return base::encode(*this);
+  return base::encode(*this) + base::encode(m_departures);
 }
 
 tl::expected<replicated_state, state_error>
 replicated_state::from_snapshot(std::string_view bytes) {
-  auto decoded = base::decode<replicated_state>(bytes);
+  std::size_t left = 0;
+  auto decoded = base::decode_prefix<replicated_state>(bytes, &left);
   if (!decoded) {
     return tl::unexpected(state_error::malformed);
   }
+  if (left == 0) {
+    return std::move(*decoded);
+  }
+  auto departures = base::decode<departure_log>(bytes.substr(bytes.size() - left));
+  if (!departures) {
+    return tl::unexpected(state_error::malformed);
+  }
+  decoded->m_departures = std::move(*departures);
   return std::move(*decoded);
 }
 
--- a/libraries/proxy/replicated_state.h
+++ b/libraries/proxy/replicated_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/departure_log.h>
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/rollout.h>
 
@@ -49,7 +50,17 @@
   }
 };
 
-using command = std::variant<replace_document, start_rollout, advance_rollout>;
+/// Written by the leader before it acknowledges that an endpoint leaves or has ended.
+struct record_departure {
+  endpoint_departure departure;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(departure);
+  }
+};
+
+using command = std::variant<replace_document, start_rollout, advance_rollout, record_departure>;
 
 [[nodiscard]] std::string encode(command const& command);
 
@@ -57,7 +68,8 @@
 
 [[nodiscard]] tl::expected<command, state_error> decode_command(std::string_view bytes);
 
-/// The state machine of the replicated log: the current document and the rollouts.
+/// The state machine of the replicated log: the current document, the rollouts, and the endpoints
+/// that left.
 class replicated_state {
 public:
   /// Returns whether the command changed anything.
@@ -70,11 +82,13 @@
   [[nodiscard]] std::vector<rollout> rollouts() const;
   /// Increases with each change of a rollout.
   [[nodiscard]] std::uint64_t rollouts_revision() const { return m_rollouts_revision; }
+  [[nodiscard]] departure_log const& departures() const { return m_departures; }
 
   [[nodiscard]] std::string snapshot() const;
   [[nodiscard]] static tl::expected<replicated_state, state_error>
   from_snapshot(std::string_view bytes);
 
+  /// Without the departures, which follow in a snapshot: snapshots of older builds end before them.
   template<class Archive>
   void serialize(Archive& archive) {
     archive(m_document, m_source, m_rollouts, m_rollouts_revision);
@@ -84,11 +98,13 @@
   bool apply_one(replace_document const& command);
   bool apply_one(start_rollout const& command);
   bool apply_one(advance_rollout const& command);
+  bool apply_one(record_departure const& command);
 
   proxy::document m_document;
   std::string m_source;
   std::map<base::service_id, rollout> m_rollouts;
   std::uint64_t m_rollouts_revision = 0;
+  departure_log m_departures;
 };
 
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/endpoint_notices_test.cpp
+++ b/tests/libraries/proxy/endpoint_notices_test.cpp
@@ -120,10 +120,10 @@
   endpoint_registry registry({});
   endpoint_announcement announced{.id = {"a"}, .number = {.incarnation = 2, .sequence = 1}};
   registry.announce(announced, start);
-  EXPECT_FALSE(registry.note_leaving({{"a"}, 1}));
-  EXPECT_FALSE(registry.note_leaving({{"unknown"}, 2}));
-  EXPECT_TRUE(registry.note_leaving({{"a"}, 2}));
-  EXPECT_FALSE(registry.note_leaving({{"a"}, 2}));
+  EXPECT_FALSE(registry.note_departure({{{"a"}, 1}, endpoint_state::leaving}));
+  EXPECT_FALSE(registry.note_departure({{{"unknown"}, 2}, endpoint_state::leaving}));
+  EXPECT_TRUE(registry.note_departure({{{"a"}, 2}, endpoint_state::leaving}));
+  EXPECT_FALSE(registry.note_departure({{{"a"}, 2}, endpoint_state::leaving}));
   ++announced.number.sequence;
   registry.announce(announced, start + 1s);
   EXPECT_EQ(registry.find({"a"})->state, endpoint_state::leaving);
