tests: Hold up what a leader sends to an entry, while a large document comes

Guards against news of endpoints that wait behind copies of a document, and against a leader that loses its lease over one. The simulated group now holds entry instances too.

--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -15,6 +15,12 @@
   return instances;
 }
 
+std::size_t size_of(proxy::message const& message) {
+  proxy::envelope envelope;
+  envelope.message = message;
+  return proxy::encode(envelope).size();
+}
+
 } // namespace
 
 control_group::control_group(std::vector<std::string> const& seeds)
@@ -65,6 +71,25 @@
   m_seeds = instances_of(seeds);
 }
 
+void control_group::start_entry(std::string const& id) {
+  proxy::router::options options;
+  options.subscriber = {.self = {id}, .seeds = m_seeds};
+  m_entries.erase({id});
+  m_entries.emplace(base::instance_id{id}, proxy::router(std::move(options)));
+}
+
+void control_group::release(std::string const& id) {
+  auto held = m_held.extract(base::instance_id{id});
+  for (auto& in_flight : held.mapped()) {
+    m_in_flight.push_back(std::move(in_flight));
+  }
+  deliver();
+}
+
+std::size_t control_group::take_bytes_to(std::string const& id) {
+  return std::exchange(m_bytes[{id}], 0);
+}
+
 void control_group::run(base::duration time) {
   constexpr std::chrono::milliseconds step{20};
   for (auto const end = m_now + time; m_now < end; m_now += step) {
@@ -73,6 +98,9 @@
       node.tick(m_now, effects);
       carry_out(id, effects);
     }
+    for (auto& [id, entry] : m_entries) {
+      send(id, entry.tick(m_now));
+    }
     deliver();
   }
 }
@@ -139,6 +167,12 @@
   }
 }
 
+void control_group::send(base::instance_id const& from, std::vector<proxy::outgoing> messages) {
+  for (auto& outgoing : messages) {
+    m_in_flight.push_back({from, outgoing.to, std::move(outgoing.message)});
+  }
+}
+
 void control_group::deliver() {
   while (!m_in_flight.empty()) {
     auto const in_flight = std::move(m_in_flight.front());
@@ -146,14 +180,18 @@
     if (m_isolated.contains(in_flight.from) || m_isolated.contains(in_flight.to)) {
       continue;
     }
+    if (auto const held = m_held.find(in_flight.to); held != m_held.end()) {
+      m_bytes[in_flight.to] += size_of(in_flight.message);
+      held->second.push_back(in_flight);
+      continue;
+    }
+    if (m_entries.contains(in_flight.to)) {
+      deliver_to_entry(in_flight);
+      continue;
+    }
     auto const found = m_nodes.find(in_flight.to);
     if (found == m_nodes.end()) {
-      if (auto const* received = std::get_if<proxy::update>(&in_flight.message)) {
-        m_updates[in_flight.to].push_back(*received);
-      }
-      if (auto const* received = std::get_if<proxy::last_known_state>(&in_flight.message)) {
-        m_last_known[in_flight.to].push_back(*received);
-      }
+      record(in_flight);
       continue;
     }
     proxy::control_effects effects;
@@ -162,4 +200,19 @@
   }
 }
 
+void control_group::deliver_to_entry(in_flight_message const& in_flight) {
+  m_bytes[in_flight.to] += size_of(in_flight.message);
+  auto received = m_entries.at(in_flight.to).receive(in_flight.from, in_flight.message, m_now);
+  send(in_flight.to, std::move(received.messages));
+}
+
+void control_group::record(in_flight_message const& in_flight) {
+  if (auto const* received = std::get_if<proxy::update>(&in_flight.message)) {
+    m_updates[in_flight.to].push_back(*received);
+  }
+  if (auto const* received = std::get_if<proxy::last_known_state>(&in_flight.message)) {
+    m_last_known[in_flight.to].push_back(*received);
+  }
+}
+
 } // namespace catkinlanding::testing
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/proxy/control.h>
+#include <libraries/proxy/router.h>
 
 #include <deque>
 #include <map>
@@ -30,6 +31,14 @@
   /// Replaces the seeds that instances get when they start, as running instances may keep old ones.
   void use_seeds(std::vector<std::string> const& seeds);
 
+  /// Starts an entry instance, whose updates are no longer recorded.
+  void start_entry(std::string const& id);
+  /// Keeps messages to the instance in order until `release`, as a full link does.
+  void hold(std::string const& id) { m_held.try_emplace({id}); }
+  void release(std::string const& id);
+  /// Bytes of the messages sent to the instance since the last call.
+  [[nodiscard]] std::size_t take_bytes_to(std::string const& id);
+
   /// Advances the simulated time.
   void run(base::duration time);
   void call(std::string const& id, proxy::call_number number, proxy::call_request const& request);
@@ -39,6 +48,7 @@
   [[nodiscard]] std::string leader() const;
   [[nodiscard]] bool is_running(std::string const& id) const { return m_nodes.contains({id}); }
   [[nodiscard]] proxy::control const& node(std::string const& id) const { return m_nodes.at({id}); }
+  [[nodiscard]] proxy::router& entry(std::string const& id) { return m_entries.at({id}); }
   [[nodiscard]] std::optional<proxy::call_reply> reply(proxy::call_number number) const;
   [[nodiscard]] std::vector<proxy::update> const& updates(std::string const& id);
   [[nodiscard]] std::vector<proxy::last_known_state> const& last_known(std::string const& id);
@@ -60,10 +70,16 @@
 
   [[nodiscard]] proxy::control recover(base::instance_id const& id, bool is_founder) const;
   void carry_out(base::instance_id const& id, proxy::control_effects& effects);
+  void send(base::instance_id const& from, std::vector<proxy::outgoing> messages);
   void deliver();
+  void deliver_to_entry(in_flight_message const& in_flight);
+  void record(in_flight_message const& in_flight);
 
   std::vector<base::instance_id> m_seeds;
   std::map<base::instance_id, proxy::control> m_nodes;
+  std::map<base::instance_id, proxy::router> m_entries;
+  std::map<base::instance_id, std::deque<in_flight_message>> m_held;
+  std::map<base::instance_id, std::size_t> m_bytes;
   std::map<base::instance_id, disk> m_disks;
   std::set<base::instance_id> m_isolated;
   std::deque<in_flight_message> m_in_flight;
