proxy: Transfer large documents in parts that entry instances request

Cause: the leader encoded and sent the whole document to every instance within one event, to control instances too, which have it from the log, and again after 0.5 s to each that had not answered, although a link of 10 Mbit/s takes longer for it. It missed its own heartbeats and lost its lease, and what followed waited behind the copies. Change: a document above 64 KiB is encoded once and offered; entry instances request it part by part, one part at a time, and go on with the next leader. A transfer is completed before a newer document is requested. Smaller documents travel in updates as before, to entry instances only.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -168,6 +168,19 @@
   m_voters.note_departure(from, now);
 }
 
+void control::handle(base::instance_id const& from, document_request const& request,
+                     base::monotonic_time now, control_effects& out) {
+  auto part = is_serving_leader(now) ? m_documents.part(request) : std::nullopt;
+  if (part) {
+    out.messages.push_back({from, std::move(*part)});
+  }
+}
+
+void control::handle(base::instance_id const& /*from*/, document_part const& /*part*/,
+                     base::monotonic_time /*now*/, control_effects& /*out*/) {
+  // Used by entry instances only.
+}
+
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
                      control_effects& out) {
   if (m_replica.role() == consensus::role::leader || m_subscriber.is_outdated(update)) {
@@ -496,20 +509,7 @@
                         .registry_revision = m_registry.revision(),
                         .rollouts_revision = m_state.rollouts_revision()}};
   auto const& known = downstream.known;
-  // An instance without a document restarted after the last transmission or never received it, so
-  // it is sent again at once.
-  bool const has_document = known.document_revision != 0;
-  bool const was_just_sent = has_document && downstream.document_sent == m_state.revision() &&
-                             now < downstream.document_sent_at + m_options.push_interval;
-  if (known.document_revision >= m_state.revision()) {
-    // The instance is up to date.
-  } else if (was_just_sent) {
-    sent.state.document_revision = known.document_revision;
-  } else {
-    sent.document = m_state.document();
-    downstream.document_sent = m_state.revision();
-    downstream.document_sent_at = now;
-  }
+  add_document(sent, downstream, now);
   sent.base_registry_revision =
       known.registry_term == m_replica.term() ? known.registry_revision : 0;
   sent.endpoints = m_registry.changes_since(sent.base_registry_revision);
@@ -529,6 +529,33 @@
   out.messages.push_back({to, std::move(sent)});
 }
 
+void control::add_document(update& sent, downstream& downstream, base::monotonic_time now) {
+  auto const held = downstream.known.document_revision;
+  if (held >= m_state.revision()) {
+    return;
+  }
+  sent.state.document_revision = held;
+  if (!downstream.is_entry) {
+    return;
+  }
+  m_documents.offer(m_state.document());
+  if (!m_documents.is_small()) {
+    sent.offered_document = m_state.revision();
+    return;
+  }
+  // An instance without a document restarted after the last transmission or never received it, so
+  // it is sent again at once.
+  bool const was_just_sent = held != 0 && downstream.document_sent == m_state.revision() &&
+                             now < downstream.document_sent_at + m_options.push_interval;
+  if (was_just_sent) {
+    return;
+  }
+  sent.state.document_revision = m_state.revision();
+  sent.document = m_state.document();
+  downstream.document_sent = m_state.revision();
+  downstream.document_sent_at = now;
+}
+
 void control::note_endpoint(base::endpoint_id const& id, control_effects& out) const {
   auto const* record = m_registry.find(id);
   if (record != nullptr) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -2,6 +2,7 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/call.h>
+#include <libraries/proxy/document_source.h>
 #include <libraries/proxy/downstream_table.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/prompt_quarantine.h>
@@ -133,6 +134,10 @@
               base::monotonic_time now, control_effects& out);
   void handle(base::instance_id const& from, departure_notice const& notice,
               base::monotonic_time now, control_effects& out);
+  void handle(base::instance_id const& from, document_request const& request,
+              base::monotonic_time now, control_effects& out);
+  void handle(base::instance_id const& from, document_part const& part, base::monotonic_time now,
+              control_effects& out);
 
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
@@ -182,6 +187,9 @@
   void push_changes(base::monotonic_time now, control_effects& out);
   void push_to(base::instance_id const& to, downstream& downstream, bool with_loads,
                base::monotonic_time now, control_effects& out);
+  /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
+  /// lacks it. Control instances have it from the log.
+  void add_document(update& sent, downstream& downstream, base::monotonic_time now);
   void note_endpoint(base::endpoint_id const& id, control_effects& out) const;
 
   options m_options;
@@ -203,6 +211,7 @@
   std::map<consensus::log_index, pending_call> m_pending_calls;
   voter_manager m_voters;
   bool m_is_stopping = false;
+  document_source m_documents;
   /// The state that was last pushed to all subscribed instances.
   known_state m_last_pushed;
 };
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -74,6 +74,9 @@
   /// The revisions that the receiver holds after applying the update.
   known_state state;
   std::optional<proxy::document> document;
+  /// The revision of a document that is too large for an update; 0 if there is none that the
+  /// receiver lacks. It is to be requested.
+  std::uint64_t offered_document = 0;
   /// `endpoints` holds the registry changes after this revision. A receiver with a lower revision
   /// can't apply them completely and requests them again.
   std::uint64_t base_registry_revision = 0;
@@ -93,8 +96,34 @@
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(state, document, base_registry_revision, endpoints, is_registry_complete, rollouts,
-            entry_instances, loads, rate_grants, control_instances, prompt_evidence);
+    archive(state, document, offered_document, base_registry_revision, endpoints,
+            is_registry_complete, rollouts, entry_instances, loads, rate_grants, control_instances,
+            prompt_evidence);
+  }
+};
+
+/// Requests a part of a document from the leader.
+struct document_request {
+  std::uint64_t revision = 0;
+  /// Bytes that the sender already has.
+  std::uint64_t offset = 0;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, offset);
+  }
+};
+
+/// A part of an encoded document. All leaders encode a document alike.
+struct document_part {
+  std::uint64_t revision = 0;
+  std::uint64_t total_bytes = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, total_bytes, offset, bytes);
   }
 };
 
@@ -129,7 +158,7 @@
 };
 
 using message = std::variant<consensus::message, subscription, update, referral, last_known_state,
-                             departure_notice>;
+                             departure_notice, document_request, document_part>;
 
 /// A message in its wire format, with the protocol identifier.
 using envelope = base::envelope<message, 0x43505805>;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -21,9 +21,9 @@
 
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
-      m_endpoints(m_options.endpoints), m_versions(m_options.versions),
-      m_notices(m_options.notices), m_quarantine(m_options.quarantine),
-      m_refusals(m_options.refusals) {}
+      m_document_receiver(m_options.documents), m_endpoints(m_options.endpoints),
+      m_versions(m_options.versions), m_notices(m_options.notices),
+      m_quarantine(m_options.quarantine), m_refusals(m_options.refusals) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
@@ -236,7 +236,17 @@
   bool const is_urgent = m_versions.has_promoted_rollout() || m_notices.rates().awaits_grant(now) ||
                          m_quarantine.has_news();
   auto const upstream = m_subscriber.tick(now, is_urgent);
-  return upstream ? std::vector{make_subscription(*upstream, now)} : std::vector<outgoing>{};
+  auto messages = request_document(now);
+  if (upstream) {
+    messages.push_back(make_subscription(*upstream, now));
+  }
+  return messages;
+}
+
+std::vector<outgoing> router::request_document(base::monotonic_time now) {
+  auto const& leader = m_subscriber.leader();
+  auto const request = leader ? m_document_receiver.request_due(now) : std::nullopt;
+  return request ? std::vector{outgoing{*leader, *request}} : std::vector<outgoing>{};
 }
 
 outgoing router::make_subscription(base::instance_id const& upstream, base::monotonic_time now) {
@@ -260,6 +270,12 @@
                    }
                    m_subscriber.note_update(one, from, now);
                    result.is_changed = apply(one, now);
+                   result.messages = request_document(now);
+                 },
+                 [&](document_part const& one) {
+                   auto const received = m_document_receiver.add(one);
+                   result.is_changed = received && apply(*received);
+                   result.messages = request_document(now);
                  },
                  [&](referral const& one) {
                    if (auto const upstream = m_subscriber.follow(one, from, now)) {
@@ -288,11 +304,23 @@
   return true;
 }
 
+bool router::apply(document const& document) {
+  if (document.revision <= m_routes->revision()) {
+    return false;
+  }
+  m_routes = std::make_shared<route_table const>(document);
+  m_subscriber.note_document(document.revision);
+  m_document_receiver.note_held(document.revision);
+  return true;
+}
+
 bool router::apply(update const& update, base::monotonic_time now) {
   bool is_changed = false;
-  if (update.document && update.document->revision > m_routes->revision()) {
-    m_routes = std::make_shared<route_table const>(*update.document);
-    is_changed = true;
+  if (update.document) {
+    is_changed = apply(*update.document);
+  }
+  if (update.offered_document > m_routes->revision()) {
+    m_document_receiver.note_offer(update.offered_document);
   }
   for (auto const& record : update.endpoints) {
     m_endpoints.apply(record, update.state.registry_term);
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -2,6 +2,7 @@
 
 #include <libraries/base/random.h>
 #include <libraries/proxy/active_request.h>
+#include <libraries/proxy/document_receiver.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
@@ -33,6 +34,7 @@
   struct options {
     base::availability_zone_id zone;
     proxy::subscriber::options subscriber;
+    document_receiver::options documents;
     endpoint_table::options endpoints;
     version_policy::options versions;
     endpoint_notices::options notices;
@@ -126,6 +128,8 @@
   /// measurements.
   [[nodiscard]] outgoing make_subscription(base::instance_id const& upstream,
                                            base::monotonic_time now);
+  /// The request for the next part of a document from the leader, if one is due.
+  [[nodiscard]] std::vector<outgoing> request_document(base::monotonic_time now);
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
@@ -154,11 +158,14 @@
   void finish_attempt(active_request& request);
   retry_limiter& retry_limiter_for(base::service_id const& service);
   bool apply(update const& update, base::monotonic_time now);
+  /// Puts the document in force if it is newer than the current one. Returns whether it is.
+  bool apply(document const& document);
   bool apply(last_known_state const& state, base::monotonic_time now);
 
   options m_options;
   base::random_generator m_random;
   subscriber m_subscriber;
+  document_receiver m_document_receiver;
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
   endpoint_table m_endpoints;
   version_policy m_versions;
