proxy: Acknowledge that an endpoint leaves when the entry instances know

Callers: as before (DRAIN). The time for which a leaving endpoint may still get requests begins with the acknowledgement, which went out although no entry instance had heard yet. Cause: nothing connected the acknowledgement with what the entries know; a push may wait on a full link or be lost, and the next one came with the next subscription. The calls that wait are a class of their own, pending_calls.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -21,7 +21,7 @@
                                                     .seed = m_options.replica.seed}),
       m_evaluator(m_options.evaluator), m_rates(m_options.rates),
       m_quarantine(m_options.quarantine), m_downstreams(m_options.downstreams),
-      m_voters(m_options.voters) {
+      m_calls(m_options.calls), m_voters(m_options.voters) {
   restore(recovered.snapshot);
 }
 
@@ -80,7 +80,6 @@
       out.messages.push_back({*upstream, subscription{.known = m_subscriber.known()}});
     }
   }
-  expire_calls(now, out);
   process_replica_output(now, out);
   announce_departure(out);
 }
@@ -181,6 +180,11 @@
   // Used by entry instances only.
 }
 
+void control::handle(base::instance_id const& from, confirmation const& confirmation,
+                     base::monotonic_time /*now*/, control_effects& /*out*/) {
+  m_downstreams.note_known(from, confirmation.known);
+}
+
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
                      control_effects& out) {
   if (m_replica.role() == consensus::role::leader || m_subscriber.is_outdated(update)) {
@@ -282,7 +286,7 @@
 void control::acknowledge(call_number number, endpoint_departure const& departure,
                           base::monotonic_time now, control_effects& out) {
   if (m_state.departures().covers(departure)) {
-    out.answers.push_back({number, done_here()});
+    m_calls.await_confirmation(number, current_state(), now);
     return;
   }
   propose(number, record_departure{departure}, now, out);
@@ -299,19 +303,16 @@
     out.answers.push_back({number, {.kind = reply_kind::unavailable}});
     return;
   }
-  m_pending_calls[*index] = {
-      .number = number, .term = m_replica.term(), .expires_at = now + m_options.call_timeout};
+  m_calls.await_commit(*index, m_replica.term(), number, now);
 }
 
-void control::expire_calls(base::monotonic_time now, control_effects& out) {
-  std::erase_if(m_pending_calls, [&](auto const& item) {
-    auto const& pending = item.second;
-    bool const is_over = now >= pending.expires_at || pending.term != m_replica.term();
-    if (is_over) {
-      out.answers.push_back({pending.number, {.kind = reply_kind::unavailable}});
-    }
-    return is_over;
-  });
+void control::answer_pending_calls(base::monotonic_time now, control_effects& out) {
+  for (auto const number : m_calls.take_expired(m_replica.term(), now)) {
+    out.answers.push_back({number, {.kind = reply_kind::unavailable}});
+  }
+  for (auto const number : m_calls.take_confirmed(m_downstreams, now)) {
+    out.answers.push_back({number, done_here()});
+  }
 }
 
 // The replicated log.
@@ -346,6 +347,7 @@
   }
   note_voters(out);
   push_changes(now, out);
+  answer_pending_calls(now, out);
 }
 
 void control::note_role(base::monotonic_time now, control_effects& out) {
@@ -393,7 +395,7 @@
   CATKINLANDING_VERIFY(entry.index == m_applied + 1);
   m_applied = entry.index;
   m_bytes_applied += entry.command.size();
-  auto const pending = m_pending_calls.extract(entry.index);
+  auto const pending = m_calls.take_committed(entry.index, entry.term);
   if (entry.kind != consensus::entry_kind::command) {
     return;
   }
@@ -415,8 +417,13 @@
                             name_of(rollout.state), rollout.number});
     }
   }
-  if (!pending.empty() && pending.mapped().term == entry.term) {
-    out.answers.push_back({pending.mapped().number, done_here()});
+  if (!pending) {
+    return;
+  }
+  if (std::holds_alternative<record_departure>(*decoded)) {
+    m_calls.await_confirmation(*pending, current_state(), now);
+  } else {
+    out.answers.push_back({*pending, done_here()});
   }
 }
 
@@ -488,11 +495,15 @@
   }
 }
 
+known_state control::current_state() const {
+  return {.document_revision = m_state.revision(),
+          .registry_term = m_replica.term(),
+          .registry_revision = m_registry.revision(),
+          .rollouts_revision = m_state.rollouts_revision()};
+}
+
 void control::push_changes(base::monotonic_time now, control_effects& out) {
-  known_state const current{.document_revision = m_state.revision(),
-                            .registry_term = m_replica.term(),
-                            .registry_revision = m_registry.revision(),
-                            .rollouts_revision = m_state.rollouts_revision()};
+  auto const current = current_state();
   if (!is_serving_leader(now) || current == m_last_pushed) {
     return;
   }
@@ -504,10 +515,7 @@
 
 void control::push_to(base::instance_id const& to, downstream& downstream, bool with_loads,
                       base::monotonic_time now, control_effects& out) {
-  update sent{.state = {.document_revision = m_state.revision(),
-                        .registry_term = m_replica.term(),
-                        .registry_revision = m_registry.revision(),
-                        .rollouts_revision = m_state.rollouts_revision()}};
+  update sent{.state = current_state()};
   auto const& known = downstream.known;
   add_document(sent, downstream, now);
   sent.base_registry_revision =
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -5,6 +5,7 @@
 #include <libraries/proxy/document_source.h>
 #include <libraries/proxy/downstream_table.h>
 #include <libraries/proxy/endpoint_registry.h>
+#include <libraries/proxy/pending_calls.h>
 #include <libraries/proxy/prompt_quarantine.h>
 #include <libraries/proxy/rate_coordinator.h>
 #include <libraries/proxy/rollout_evaluator.h>
@@ -17,9 +18,6 @@
 
 namespace catkinlanding::proxy {
 
-/// Identifies a call until it is answered.
-using call_number = std::uint64_t;
-
 struct call_answer {
   call_number number = 0;
   call_reply reply;
@@ -85,8 +83,7 @@
     downstream_table::options downstreams;
     /// Time after winning leadership by which every live endpoint has announced itself.
     base::duration registry_warmup = std::chrono::seconds(6);
-    /// A call whose proposal is not committed within this time is answered as unavailable.
-    base::duration call_timeout = std::chrono::milliseconds(900);
+    pending_calls::options calls;
     voter_manager::options voters;
     /// Shortest interval between two transmissions of the same document to one instance.
     base::duration push_interval = std::chrono::milliseconds(500);
@@ -113,12 +110,6 @@
   [[nodiscard]] endpoint_registry const& registry() const { return m_registry; }
 
 private:
-  struct pending_call {
-    call_number number = 0;
-    consensus::term_number term = 0;
-    base::monotonic_time expires_at{};
-  };
-
   control(options options, consensus::recovered_state const& recovered, base::monotonic_time now);
 
   void handle(base::instance_id const& from, consensus::message const& message,
@@ -138,6 +129,8 @@
               base::monotonic_time now, control_effects& out);
   void handle(base::instance_id const& from, document_part const& part, base::monotonic_time now,
               control_effects& out);
+  void handle(base::instance_id const& from, confirmation const& confirmation,
+              base::monotonic_time now, control_effects& out);
 
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
@@ -161,7 +154,9 @@
                        base::monotonic_time now, control_effects& out);
   /// The reply to a call that is in effect at this leader.
   [[nodiscard]] call_reply done_here() const;
-  /// Answers the call when the departure is in the log.
+  /// The revisions that an instance holds which knows all that this leader does.
+  [[nodiscard]] known_state current_state() const;
+  /// Answers the call when the departure is in the log, and the entry instances know of it.
   void acknowledge(call_number number, endpoint_departure const& departure,
                    base::monotonic_time now, control_effects& out);
   void propose(call_number number, command const& command, base::monotonic_time now,
@@ -182,7 +177,7 @@
   void manage_voters(base::monotonic_time now, control_effects& out);
   void announce_departure(control_effects& out) const;
   void advance_rollouts(base::monotonic_time now, control_effects& out);
-  void expire_calls(base::monotonic_time now, control_effects& out);
+  void answer_pending_calls(base::monotonic_time now, control_effects& out);
   void drop_silent_downstreams(base::monotonic_time now, control_effects& out);
   void push_changes(base::monotonic_time now, control_effects& out);
   void push_to(base::instance_id const& to, downstream& downstream, bool with_loads,
@@ -208,7 +203,7 @@
   base::monotonic_time m_leader_since{};
   std::vector<consensus::voter> m_noted_voters;
   downstream_table m_downstreams;
-  std::map<consensus::log_index, pending_call> m_pending_calls;
+  pending_calls m_calls;
   voter_manager m_voters;
   bool m_is_stopping = false;
   document_source m_documents;
--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -17,6 +17,13 @@
   return {downstream, is_new};
 }
 
+void downstream_table::note_known(base::instance_id const& from, known_state const& known) {
+  auto const found = m_downstreams.find(from);
+  if (found != m_downstreams.end()) {
+    found->second.known = known;
+  }
+}
+
 std::vector<base::instance_id> downstream_table::drop_silent(base::monotonic_time now) {
   std::vector<base::instance_id> dropped;
   std::erase_if(m_downstreams, [&](auto const& item) {
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -34,7 +34,11 @@
   std::vector<base::instance_id> drop_silent(base::monotonic_time now);
   void clear() { m_downstreams.clear(); }
 
+  /// Records what an instance knows, between its subscriptions.
+  void note_known(base::instance_id const& from, known_state const& known);
+
   [[nodiscard]] std::map<base::instance_id, downstream>& all() { return m_downstreams; }
+  [[nodiscard]] std::map<base::instance_id, downstream> const& all() const { return m_downstreams; }
   [[nodiscard]] std::size_t size() const { return m_downstreams.size(); }
   [[nodiscard]] std::uint32_t count_entries() const;
   /// The sum of the loads that all instances but this one reported.
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -102,6 +102,16 @@
   }
 };
 
+/// Tells the leader at once that an update arrived which says that an endpoint leaves or has ended.
+struct confirmation {
+  known_state known;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(known);
+  }
+};
+
 /// Requests a part of a document from the leader.
 struct document_request {
   std::uint64_t revision = 0;
@@ -158,7 +168,7 @@
 };
 
 using message = std::variant<consensus::message, subscription, update, referral, last_known_state,
-                             departure_notice, document_request, document_part>;
+                             departure_notice, document_request, document_part, confirmation>;
 
 /// A message in its wire format, with the protocol identifier.
 using envelope = base::envelope<message, 0x43505805>;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -17,6 +17,13 @@
 /// Fraction of the retry limit that escalations may not use, so that it is left for failures.
 constexpr double failure_reserve = 0.25;
 
+/// Whether the update says that an endpoint leaves or has ended.
+bool has_departure(update const& update) {
+  return std::ranges::any_of(update.endpoints, [](endpoint_record const& record) {
+    return record.state == endpoint_state::leaving || record.state == endpoint_state::gone;
+  });
+}
+
 } // namespace
 
 router::router(options options)
@@ -271,6 +278,9 @@
                    m_subscriber.note_update(one, from, now);
                    result.is_changed = apply(one, now);
                    result.messages = request_document(now);
+                   if (has_departure(one)) {
+                     result.messages.push_back({from, confirmation{m_subscriber.known()}});
+                   }
                  },
                  [&](document_part const& one) {
                    auto const received = m_document_receiver.add(one);
