--- a/tests/libraries/proxy/prompt_quarantine_router_test.cpp
+++ b/tests/libraries/proxy/prompt_quarantine_router_test.cpp
@@ -33,6 +33,19 @@
     return attempts;
   }
 
+  /// Sends one request to its complete answer. Returns the first decision.
+  decision complete_request(std::vector<std::string> const& parts,
+                            std::string const& path = "/resume/sound") {
+    auto request = facts(path);
+    for (auto const& part : parts) {
+      request.prompt.push_back({.id = part, .tokens = 100});
+    }
+    auto made = m_router.begin(++m_number, request, m_now);
+    m_router.note_completed(m_number, m_now);
+    m_router.end(m_number, m_now);
+    return made;
+  }
+
   base::monotonic_time m_now = start;
   request_number m_number = 100;
 };
@@ -52,6 +65,26 @@
   EXPECT_EQ(attempts_of_ending_request({"deadly", "own"}), 2U);
 }
 
+// Guards against a request that comes again and ends endpoints each time (BUDGET): each repeat was
+// a new request, and one without a prompt had no limit of its own.
+TEST_F(routers_of_prompts, stop_sending_a_repeated_request_under_which_endpoints_end) {
+  std::size_t attempts = 0;
+  for (int i = 0; i < 10; ++i) {
+    attempts += attempts_of_ending_request({});
+  }
+  EXPECT_LE(attempts, 3U);
+}
+
+TEST_F(routers_of_prompts, stop_sending_a_repeated_request_with_a_prompt) {
+  ASSERT_TRUE(is_attempt(complete_request({"sound", "first"})));
+  std::size_t attempts = 0;
+  for (int i = 0; i < 10; ++i) {
+    attempts += attempts_of_ending_request({"sound", "own"});
+  }
+  EXPECT_LE(attempts, 3U);
+  EXPECT_TRUE(is_attempt(complete_request({"sound", "other"}, "/resume/other")));
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -48,6 +48,7 @@
   [[nodiscard]] std::string leader() const;
   [[nodiscard]] bool is_running(std::string const& id) const { return m_nodes.contains({id}); }
   [[nodiscard]] proxy::control const& node(std::string const& id) const { return m_nodes.at({id}); }
+  [[nodiscard]] base::monotonic_time now() const { return m_now; }
   [[nodiscard]] proxy::router& entry(std::string const& id) { return m_entries.at({id}); }
   [[nodiscard]] std::optional<proxy::call_reply> reply(proxy::call_number number) const;
   [[nodiscard]] std::vector<proxy::update> const& updates(std::string const& id);
