proxy: Keep all traits of requests that end endpoints away from them

Cause: what is known of endings was kept by shared prompt parts alone. A repeat was a new request to every instance, one without a prompt had no traits and so counted as sound, and evidence between instances named parts only. Change: request_quarantine (was prompt_quarantine) suspects whole requests (method, host, path, caller, body), prompt parts, paths and callers alike; the most specific one explains the others, completed requests clear them. A whole request is refused after two endings, the others after three under two requests. Evidence is reported while it is new, and all of it each 10 s, in place of all in each message; what has the fewest endings is dropped first. entry attempt names the fingerprint of the request; entry quarantined names kind and subject in place of part. The fixture of the router's test gives different requests different bodies, as they were one request otherwise. In the property endpoints announce themselves on, and different requests have different bodies; without that it failed for silence of the endpoints.

--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/proxy/request.h>
+#include <libraries/proxy/request_traits.h>
 #include <libraries/proxy/route_table.h>
 #include <libraries/proxy/tally_recorder.h>
 
@@ -13,6 +14,7 @@
 /// A caller's request from its arrival to its end, as the router sees it.
 struct active_request {
   request_facts facts;
+  request_traits traits;
   /// The route table at the request's arrival, kept alive if a newer document replaces it.
   std::shared_ptr<route_table const> routes;
   proxy::route const* route = nullptr;
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -135,7 +135,7 @@
   }
   m_evaluator.report(from, subscription.tallies, now);
   m_rates.report(from, subscription.rate_notices, now);
-  m_quarantine.merge(subscription.prompt_evidence, now);
+  m_quarantine.merge(subscription.trait_evidence, now);
   for (auto const& source : subscription.leaving_endpoints) {
     if (m_registry.note_departure({.source = source, .state = endpoint_state::leaving})) {
       note_endpoint(source.endpoint, out);
@@ -531,7 +531,7 @@
   }
   if (with_loads && downstream.is_entry) {
     sent.loads = m_downstreams.loads_without(to);
-    sent.prompt_evidence = m_quarantine.report(now);
+    sent.trait_evidence = m_quarantine.report(now);
   }
   sent.control_instances = instances_of(m_replica.current_configuration().voters);
   out.messages.push_back({to, std::move(sent)});
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -6,8 +6,8 @@
 #include <libraries/proxy/downstream_table.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/pending_calls.h>
-#include <libraries/proxy/prompt_quarantine.h>
 #include <libraries/proxy/rate_coordinator.h>
+#include <libraries/proxy/request_quarantine.h>
 #include <libraries/proxy/rollout_evaluator.h>
 #include <libraries/proxy/subscriber.h>
 #include <libraries/proxy/voter_manager.h>
@@ -77,7 +77,7 @@
     endpoint_registry::options registry;
     rollout_evaluator::options evaluator;
     rate_coordinator::options rates;
-    prompt_quarantine::options quarantine;
+    request_quarantine::options quarantine;
     /// Size of applied commands, in bytes, after which the log is compacted into a snapshot.
     std::size_t bytes_per_snapshot = 512 * 1024;
     downstream_table::options downstreams;
@@ -195,7 +195,7 @@
   rollout_evaluator m_evaluator;
   rate_coordinator m_rates;
   /// The evidence of all entry instances.
-  prompt_quarantine m_quarantine;
+  request_quarantine m_quarantine;
   consensus::log_index m_applied = 0;
   std::size_t m_bytes_applied = 0;
   bool m_was_leader = false;
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -5,8 +5,8 @@
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/endpoint.h>
 #include <libraries/proxy/endpoint_rate.h>
-#include <libraries/proxy/part_evidence.h>
 #include <libraries/proxy/rollout.h>
+#include <libraries/proxy/trait_evidence.h>
 
 #include <tl/expected.hpp>
 
@@ -61,11 +61,11 @@
   std::vector<rate_notice> rate_notices;
   /// Endpoints that stated to the sender that they are leaving, and that the leader calls ready.
   std::vector<endpoint_incarnation> leaving_endpoints;
-  std::vector<part_evidence> prompt_evidence;
+  std::vector<proxy::trait_evidence> trait_evidence;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints, prompt_evidence);
+    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints, trait_evidence);
   }
 };
 
@@ -92,13 +92,13 @@
   std::vector<rate_grant> rate_grants;
   /// Control instances to contact if the leader is lost.
   std::vector<base::instance_id> control_instances;
-  std::vector<part_evidence> prompt_evidence;
+  std::vector<proxy::trait_evidence> trait_evidence;
 
   template<class Archive>
   void serialize(Archive& archive) {
     archive(state, document, offered_document, base_registry_revision, endpoints,
             is_registry_complete, rollouts, entry_instances, loads, rate_grants, control_instances,
-            prompt_evidence);
+            trait_evidence);
   }
 };
 
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -4,6 +4,7 @@
 #include <libraries/base/identifier.h>
 #include <libraries/base/time.h>
 #include <libraries/proxy/endpoint_notice.h>
+#include <libraries/proxy/request_trait.h>
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,8 @@
   std::string host;
   std::string path;
   std::optional<std::string> key;
+  /// Of the method and the body.
+  std::uint64_t content_hash = 0;
   /// How long the caller waits for the complete answer.
   std::optional<base::duration> caller_timeout;
   /// How long the request has already waited in this instance.
@@ -77,6 +80,8 @@
   std::uint32_t load = 0;
   /// The ids of the parts of the prompt, separated by commas.
   std::string prompt;
+  /// The same for all repeats of the request by its caller.
+  std::uint64_t fingerprint = 0;
 };
 
 enum class refusal_kind : std::uint8_t {
@@ -86,7 +91,7 @@
   no_document,
   /// No endpoint of the service accepts requests.
   no_endpoint,
-  /// The prompt has a part under which endpoints end.
+  /// The request has a trait under which endpoints end.
   quarantined,
   /// Every endpoint of the service has stated that it wants requests later: its rate is used up, or
   /// it pauses.
@@ -127,10 +132,10 @@
   return "unknown";
 }
 
-/// A prompt part whose requests are kept away from endpoints.
-struct quarantined_part {
-  std::string part;
-  /// Endpoint processes that ended under requests with the part, as far as they are counted.
+/// A trait whose requests are kept away from endpoints.
+struct quarantined_trait {
+  request_trait trait;
+  /// Endpoint processes that ended under requests with the trait, as far as they are counted.
   std::size_t endings = 0;
   /// Time until the quarantine ends.
   base::duration remaining{};
@@ -143,8 +148,8 @@
   std::optional<base::duration> retry_after;
   /// The endpoint that will be the first to accept a request, if all of them want requests later.
   std::optional<proxy::deferral> deferral;
-  /// The part for which the request is refused.
-  std::optional<quarantined_part> quarantine;
+  /// The trait for which the request is refused.
+  std::optional<quarantined_trait> quarantine;
   /// The request's route and customer, for logs and metrics; empty if unknown.
   std::string route;
   base::customer_id customer;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -78,6 +78,7 @@
   request.service = select_service(*route, facts.id);
   request.began_at = now - facts.waited;
   request.deadline = request.began_at + caller_timeout;
+  request.traits = traits_of(facts);
   request.facts = std::move(facts);
   retry_limiter_for(request.service).note_request(now);
   auto& active = m_requests[number] = std::move(request);
@@ -193,7 +194,7 @@
     return final_refusal(request, now);
   }
   bool const may_repeat = (!request.may_have_run || route.is_repeatable()) &&
-                          m_quarantine.may_try_again(request.facts.prompt, request.endings);
+                          m_quarantine.may_try_again(request.traits, request.endings);
   bool const may_continue = !was_delivered || route.kind == route_kind::resumable_stream;
   // An unreachable endpoint was never sent the request, so it doesn't count as an attempt.
   if (failure == attempt_failure::unreachable) {
@@ -221,7 +222,7 @@
 void router::note_completed(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found != m_requests.end()) {
-    m_quarantine.note_completed(found->second.facts.prompt, now);
+    m_quarantine.note_completed(found->second.traits, now);
   }
 }
 
@@ -264,7 +265,7 @@
                                  .loads = m_endpoints.own_loads(),
                                  .rate_notices = m_notices.rates().notices(now),
                                  .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
-                                 .prompt_evidence = m_quarantine.report(now)}};
+                                 .trait_evidence = m_quarantine.report(now)}};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
@@ -346,7 +347,7 @@
   m_entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
   m_notices.rates().set_instances(m_entry_instances);
   m_notices.rates().apply(update.rate_grants, now);
-  m_quarantine.merge(update.prompt_evidence, now);
+  m_quarantine.merge(update.trait_evidence, now);
   for (auto& [service, retries] : m_retry_limiters) {
     retries.set_instances(m_entry_instances);
   }
@@ -358,7 +359,7 @@
 }
 
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
-  if (auto quarantined = m_quarantine.find_quarantined(request.facts.prompt, now)) {
+  if (auto quarantined = m_quarantine.find_quarantined(request.traits, now)) {
     auto refused = refuse(request, refusal_kind::quarantined);
     refused.retry_after = quarantined->remaining;
     refused.quarantine = std::move(quarantined);
@@ -421,7 +422,8 @@
                .registry_revision = m_subscriber.known().registry_revision,
                .registry_age = m_subscriber.age(now),
                .load = chosen->load(),
-               .prompt = names_of(request.facts.prompt)};
+               .prompt = names_of(request.facts.prompt),
+               .fingerprint = request.traits.fingerprint};
   request.pending_work = prompt_work(request, request.facts.prompt_tokens);
   m_endpoints.begin_attempt(request.endpoint, request.pending_work);
   return made;
@@ -515,7 +517,7 @@
 void router::note_ending(active_request& request, base::monotonic_time now) {
   if (!request.has_event) {
     ++request.endings;
-    m_quarantine.note_ending(request.facts.prompt, {request.endpoint, request.incarnation}, now);
+    m_quarantine.note_ending(request.traits, {request.endpoint, request.incarnation}, now);
   }
 }
 
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -7,9 +7,9 @@
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
 #include <libraries/proxy/escalation_policy.h>
-#include <libraries/proxy/prompt_quarantine.h>
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
+#include <libraries/proxy/request_quarantine.h>
 #include <libraries/proxy/retry_limiter.h>
 #include <libraries/proxy/rollout_observer.h>
 #include <libraries/proxy/route_table.h>
@@ -38,7 +38,7 @@
     endpoint_table::options endpoints;
     version_policy::options versions;
     endpoint_notices::options notices;
-    prompt_quarantine::options quarantine;
+    request_quarantine::options quarantine;
     /// Applied to each service separately.
     retry_limiter::options retries;
     /// Timeout of a request whose caller specifies none.
@@ -170,7 +170,7 @@
   endpoint_table m_endpoints;
   version_policy m_versions;
   endpoint_notices m_notices;
-  prompt_quarantine m_quarantine;
+  request_quarantine m_quarantine;
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
   std::map<base::service_id, retry_limiter> m_retry_limiters;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -1,3 +1,4 @@
+#include <libraries/base/hash.h>
 #include <services/proxy/answer_header.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/exchange.h>
@@ -31,6 +32,11 @@
 /// Number of late answers to earlier requests that are skipped before the attempt fails.
 constexpr int max_stale_answers = 2;
 
+std::uint64_t content_hash_of(http_request const& request) {
+  auto const method = base::stable_hash(std::string(request.method_string()));
+  return base::stable_hash(request.body(), method);
+}
+
 } // namespace
 
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
@@ -47,6 +53,7 @@
     co_return co_await write_to_caller(serialize_response(bad.base(), {}, m_keep_alive)) &&
         m_keep_alive;
   }
+  facts->content_hash = content_hash_of(m_request);
   m_id = facts->id;
   m_session = facts->session.value;
   watch_for_caller_disconnect();
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -33,12 +33,13 @@
                      base::monotonic_time now) {
   spdlog::info(
       "entry attempt request={} session={} number={} endpoint={} version={} model={} route={} "
-      "revision={} load={} left_ms={} prompt={} registry_term={} registry_revision={} "
+      "revision={} load={} left_ms={} prompt={} fingerprint={:x} registry_term={} "
+      "registry_revision={} "
       "registry_age_ms={}",
       id.value, session, attempt.number, attempt.endpoint.value, attempt.version.value,
       attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
-      attempt.load, to_milliseconds(attempt.deadline - now), attempt.prompt, attempt.registry_term,
-      attempt.registry_revision,
+      attempt.load, to_milliseconds(attempt.deadline - now), attempt.prompt, attempt.fingerprint,
+      attempt.registry_term, attempt.registry_revision,
       attempt.registry_age ? to_milliseconds(*attempt.registry_age) : unknown_age);
 }
 
@@ -68,9 +69,10 @@
                to_milliseconds(deferral.wait));
 }
 
-void quarantined(base::request_id const& id, quarantined_part const& quarantine) {
-  spdlog::warn("entry quarantined request={} part={} endings={} remaining_ms={}", id.value,
-               quarantine.part, quarantine.endings, to_milliseconds(quarantine.remaining));
+void quarantined(base::request_id const& id, quarantined_trait const& quarantine) {
+  spdlog::warn("entry quarantined request={} kind={} subject={} endings={} remaining_ms={}",
+               id.value, name_of(quarantine.trait.kind), quarantine.trait.id, quarantine.endings,
+               to_milliseconds(quarantine.remaining));
 }
 
 } // namespace catkinlanding::proxy::request_log
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -40,6 +40,6 @@
 /// The request was refused because all endpoints want requests later; this one accepts the first.
 void deferred(base::request_id const& id, deferral const& deferral);
 /// The request was refused for a part of its prompt under which endpoints ended.
-void quarantined(base::request_id const& id, quarantined_part const& quarantine);
+void quarantined(base::request_id const& id, quarantined_trait const& quarantine);
 
 } // namespace catkinlanding::proxy::request_log
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -249,14 +249,15 @@
 TEST(control_groups, pass_evidence_against_prompt_parts_on_to_all_entry_instances) {
   auto group = founded_group();
   auto const evidence = [](std::uint64_t ending) {
-    return subscription{
-        .is_entry = true,
-        .prompt_evidence = {{.part = "bad", .endings = {ending}, .requests = {ending}}}};
+    return subscription{.is_entry = true,
+                        .trait_evidence = {{.trait = {trait_kind::prompt_part, "bad"},
+                                            .endings = {ending},
+                                            .requests = {ending}}}};
   };
   group.send("first", "a", evidence(1));
   group.send("second", "a", evidence(2));
   group.send("third", "a", subscription{.is_entry = true});
-  auto const& received = group.updates("third").back().prompt_evidence;
+  auto const& received = group.updates("third").back().trait_evidence;
   ASSERT_EQ(received.size(), 1U);
   EXPECT_EQ(received.front().endings, (std::vector<std::uint64_t>{1, 2}));
   EXPECT_EQ(received.front().requests, (std::vector<std::uint64_t>{1, 2}));
--- a/tests/libraries/proxy/ending_requests_property.cpp
+++ b/tests/libraries/proxy/ending_requests_property.cpp
@@ -31,8 +31,9 @@
     m_group.run(8s);
     m_group.call("a", ++m_calls, routes());
     for (std::size_t i = 0; i < endpoint_count; ++i) {
-      announce(i);
+      ++m_incarnations[i];
     }
+    announce_all();
     m_group.run(1s);
     // The parts, paths and callers of sound requests are known before the trouble begins.
     for (std::uint8_t i = 0; i < 64; ++i) {
@@ -42,6 +43,7 @@
 
   /// Sound requests that are in flight together, and one of the culprit's among them.
   void perform(random_action const& action) {
+    announce_all();
     std::vector<sent_request> in_flight;
     for (std::uint8_t i = 0; i < 3; ++i) {
       begin(in_flight, sound_facts(action.parameter + i), action.kind + i);
@@ -100,6 +102,7 @@
 
   proxy::request_facts sound_facts(std::size_t choice) {
     auto made = facts("/path" + std::to_string(choice % 5), choice % 3);
+    made.content_hash = ++m_contents;
     made.prompt = {{.id = "part" + std::to_string(choice % 4), .tokens = 10},
                    {.id = "own" + std::to_string(++m_parts), .tokens = 10}};
     return made;
@@ -135,12 +138,18 @@
     return made;
   }
 
+  void announce_all() {
+    for (std::size_t i = 0; i < endpoint_count; ++i) {
+      announce(i);
+    }
+  }
+
   void announce(std::size_t index) {
     proxy::endpoint_announcement const announcement{
         .id = {"e" + std::to_string(index)},
         .service = {"s"},
         .address = {.ip = "10.0.0.1", .port = static_cast<std::uint16_t>(1000 + index)},
-        .number = {.incarnation = ++m_incarnations[index], .sequence = 1}};
+        .number = {.incarnation = m_incarnations[index], .sequence = ++m_sequence}};
     m_group.call("a", ++m_calls, proxy::announce_endpoint{announcement});
   }
 
@@ -197,7 +206,9 @@
             one.entry->fail(one.number, proxy::attempt_failure::broken, false, m_group.now());
       }
     }
-    announce(std::stoul(endpoint.value.substr(1)));
+    auto const index = std::stoul(endpoint.value.substr(1));
+    ++m_incarnations[index];
+    announce(index);
     m_group.run(20ms);
   }
 
@@ -213,9 +224,11 @@
   std::vector<std::string> const m_entries{"one", "two", "three"};
   control_group m_group;
   std::map<std::size_t, std::uint64_t> m_incarnations;
+  std::uint64_t m_sequence = 0;
   proxy::call_number m_calls = 0;
   proxy::request_number m_requests = 0;
   std::size_t m_parts = 0;
+  std::uint64_t m_contents = 0;
   std::size_t m_endings = 0;
   std::size_t m_sound = 0;
   std::size_t m_refused_sound = 0;
--- a/tests/libraries/proxy/prompt_quarantine_router_test.cpp
+++ b/tests/libraries/proxy/request_quarantine_router_test.cpp
@@ -1,3 +1,4 @@
+#include <libraries/base/hash.h>
 #include <tests/support/router_fixture.h>
 
 namespace catkinlanding::proxy {
@@ -18,6 +19,7 @@
   std::size_t attempts_of_ending_request(std::vector<std::string> const& parts) {
     auto request = facts("/resume/x");
     request.caller_timeout = 20s;
+    request.content_hash = parts.empty() ? 0 : base::stable_hash(parts.back());
     for (auto const& part : parts) {
       request.prompt.push_back({.id = part, .tokens = 100});
     }
