proxy: Divide the control role and the router by jobs

Change: state_publisher sends the leader's state, retry_limiter_table and startup_policy leave the router, an active_request begins its own attempt and names its final refusal, reads of the replicated state are functions beside the calls. No decision changes.

--- /dev/null
+++ b/libraries/proxy/active_request.cpp
@@ -0,0 +1,62 @@
+#include <libraries/proxy/active_request.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+/// How many times longer the largest model takes to process a prompt token than the smallest.
+constexpr std::uint64_t largest_model_weight = 10;
+
+} // namespace
+
+attempt active_request::begin_attempt(known_endpoint const& chosen, base::monotonic_time now) {
+  endpoint = chosen.announcement.id;
+  version = chosen.announcement.version;
+  incarnation = chosen.announcement.number.incarnation;
+  tried.push_back(endpoint);
+  attempt_at = now;
+  progress_at = now;
+  is_attempting = true;
+  has_answer = false;
+  has_event = false;
+  pace = {};
+  pending_work = work_of(facts.prompt_tokens);
+  return {.number = static_cast<std::uint32_t>(tried.size()),
+          .endpoint = endpoint,
+          .incarnation = incarnation,
+          .address = chosen.announcement.address,
+          .version = version,
+          .model = model,
+          .customer = customer,
+          .priority = priority,
+          .deadline = deadline,
+          .is_stream = route->is_stream(),
+          .is_resumable = route->kind == route_kind::resumable_stream,
+          .route = route->name,
+          .document_revision = routes->revision(),
+          .load = chosen.load(),
+          .prompt = names_of(facts.prompt),
+          .fingerprint = traits.fingerprint};
+}
+
+std::uint64_t active_request::work_of(std::uint64_t tokens) const {
+  auto const& models = route->models;
+  bool const is_largest = models.size() > 1 && model == models.back();
+  return is_largest ? tokens * largest_model_weight : tokens;
+}
+
+std::uint64_t active_request::shared_prompt_tokens() const {
+  auto const own_tokens = facts.prompt.empty() ? 0 : facts.prompt.back().tokens;
+  return facts.prompt_tokens - std::min(facts.prompt_tokens, own_tokens);
+}
+
+refusal_kind active_request::final_refusal(bool is_over) const {
+  if (may_have_run) {
+    return is_over ? refusal_kind::expired : refusal_kind::outcome_unknown;
+  }
+  return is_over ? refusal_kind::expired_unsent : refusal_kind::not_run;
+}
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/endpoint_table.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/request_traits.h>
 #include <libraries/proxy/route_table.h>
@@ -49,6 +50,16 @@
   bool has_delivered = false;
   /// Whether any attempt may have executed the request.
   bool may_have_run = false;
+
+  /// Begins an attempt at the endpoint, and describes it without what is known of the registry.
+  [[nodiscard]] attempt begin_attempt(known_endpoint const& chosen, base::monotonic_time now);
+  /// The work of processing this many prompt tokens, weighted by the size of the request's model.
+  [[nodiscard]] std::uint64_t work_of(std::uint64_t tokens) const;
+  /// The tokens of the prompt without the part that belongs to the request alone.
+  [[nodiscard]] std::uint64_t shared_prompt_tokens() const;
+  /// The refusal that tells whether the request may have been executed and whether its time is
+  /// over.
+  [[nodiscard]] refusal_kind final_refusal(bool is_over) const;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/call.h
+++ b/libraries/proxy/call.h
@@ -67,4 +67,8 @@
   std::optional<base::instance_id> leader;
 };
 
+[[nodiscard]] call_reply read_document_reply(replicated_state const& state);
+[[nodiscard]] call_reply read_rollout_reply(replicated_state const& state,
+                                            read_rollout const& request);
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -4,6 +4,7 @@
 #include <libraries/proxy/voter_policy.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace catkinlanding::proxy {
 
@@ -20,7 +21,7 @@
                                                     .seeds = upstream_candidates(m_options.replica),
                                                     .seed = m_options.replica.seed}),
       m_evaluator(m_options.evaluator), m_rates(m_options.rates),
-      m_quarantine(m_options.quarantine), m_downstreams(m_options.downstreams),
+      m_quarantine(m_options.quarantine), m_publisher(m_options.publisher),
       m_calls(m_options.calls), m_voters(m_options.voters) {
   restore(recovered.snapshot);
 }
@@ -46,8 +47,8 @@
   std::visit(base::overloaded{
                  [&](replace_document const& one) { process_request(number, one, now, out); },
                  [&](start_rollout const& one) { process_request(number, one, now, out); },
-                 [&](read_document const& one) { answer(reply_to(one)); },
-                 [&](read_rollout const& one) { answer(reply_to(one)); },
+                 [&](read_document const&) { answer(read_document_reply(m_state)); },
+                 [&](read_rollout const& one) { answer(read_rollout_reply(m_state, one)); },
                  [&](announce_endpoint const& one) { process_request(number, one, now, out); },
                  [&](withdraw_endpoint const& one) { process_request(number, one, now, out); },
              },
@@ -129,19 +130,19 @@
     send_referral(from, subscription, out);
     return;
   }
-  auto [downstream, is_new] = m_downstreams.note(from, subscription, now);
-  if (is_new) {
-    out.events.push_back({control_event::instance_joined, from.value, {}, m_downstreams.size()});
+  auto& downstreams = m_publisher.downstreams();
+  if (downstreams.note(from, subscription, now)) {
+    out.events.push_back({control_event::instance_joined, from.value, {}, downstreams.size()});
   }
   m_evaluator.report(from, subscription.tallies, now);
   m_rates.report(from, subscription.rate_notices, now);
-  m_quarantine.merge(subscription.trait_evidence, now);
+  m_quarantine.merge(subscription.evidence, now);
   for (auto const& source : subscription.leaving_endpoints) {
     if (m_registry.note_departure({.source = source, .state = endpoint_state::leaving})) {
       note_endpoint(source.endpoint, out);
     }
   }
-  push_to(from, downstream, true, now, out);
+  out.messages.push_back(m_publisher.reply_to(from, published(now), now));
 }
 
 void control::send_referral(base::instance_id const& from, subscription const& subscription,
@@ -157,11 +158,6 @@
   }
 }
 
-void control::handle(base::instance_id const& /*from*/, last_known_state const& /*state*/,
-                     base::monotonic_time /*now*/, control_effects& /*out*/) {
-  // Used by entry instances only.
-}
-
 void control::handle(base::instance_id const& from, departure_notice const& /*notice*/,
                      base::monotonic_time now, control_effects& /*out*/) {
   m_voters.note_departure(from, now);
@@ -169,20 +165,15 @@
 
 void control::handle(base::instance_id const& from, document_request const& request,
                      base::monotonic_time now, control_effects& out) {
-  auto part = is_serving_leader(now) ? m_documents.part(request) : std::nullopt;
+  auto part = is_serving_leader(now) ? m_publisher.part(request) : std::nullopt;
   if (part) {
     out.messages.push_back({from, std::move(*part)});
   }
 }
 
-void control::handle(base::instance_id const& /*from*/, document_part const& /*part*/,
-                     base::monotonic_time /*now*/, control_effects& /*out*/) {
-  // Used by entry instances only.
-}
-
 void control::handle(base::instance_id const& from, confirmation const& confirmation,
                      base::monotonic_time /*now*/, control_effects& /*out*/) {
-  m_downstreams.note_known(from, confirmation.known);
+  m_publisher.downstreams().note_known(from, confirmation.known);
 }
 
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
@@ -207,21 +198,6 @@
 
 // Calls from operators and endpoints.
 
-call_reply control::reply_to(read_document const& /*request*/) const {
-  if (m_state.revision() == 0) {
-    return {.kind = reply_kind::not_found};
-  }
-  return {.kind = reply_kind::found, .source = m_state.source()};
-}
-
-call_reply control::reply_to(read_rollout const& request) const {
-  auto const* rollout = m_state.find_rollout(request.service);
-  if (rollout == nullptr) {
-    return {.kind = reply_kind::not_found};
-  }
-  return {.kind = reply_kind::found, .rollout = *rollout};
-}
-
 void control::process_request(call_number number, replace_document const& request,
                               base::monotonic_time now, control_effects& out) {
   if (request.document.revision <= m_state.revision()) {
@@ -286,7 +262,7 @@
 void control::acknowledge(call_number number, endpoint_departure const& departure,
                           base::monotonic_time now, control_effects& out) {
   if (m_state.departures().covers(departure)) {
-    m_calls.await_confirmation(number, current_state(), now);
+    m_calls.await_confirmation(number, published(now).revisions(), now);
     return;
   }
   propose(number, record_departure{departure}, now, out);
@@ -310,7 +286,7 @@
   for (auto const number : m_calls.take_expired(m_replica.term(), now)) {
     out.answers.push_back({number, {.kind = reply_kind::unavailable}});
   }
-  for (auto const number : m_calls.take_confirmed(m_downstreams, now)) {
+  for (auto const number : m_calls.take_confirmed(m_publisher.downstreams(), now)) {
     out.answers.push_back({number, done_here()});
   }
 }
@@ -362,7 +338,7 @@
     m_rates.begin_term(now);
     m_voters.begin_term(now);
   } else {
-    m_downstreams.clear();
+    m_publisher.downstreams().clear();
   }
   auto const event = is_leader ? control_event::leadership_won : control_event::leadership_lost;
   out.events.push_back({event, m_replica.self().instance.value, {}, m_replica.term()});
@@ -421,7 +397,7 @@
     return;
   }
   if (std::holds_alternative<record_departure>(*decoded)) {
-    m_calls.await_confirmation(*pending, current_state(), now);
+    m_calls.await_confirmation(*pending, published(now).revisions(), now);
   } else {
     out.answers.push_back({*pending, done_here()});
   }
@@ -489,79 +465,28 @@
 }
 
 void control::drop_silent_downstreams(base::monotonic_time now, control_effects& out) {
-  for (auto const& instance : m_downstreams.drop_silent(now)) {
+  auto& downstreams = m_publisher.downstreams();
+  for (auto const& instance : downstreams.drop_silent(now)) {
     m_rates.release(instance);
-    out.events.push_back({control_event::instance_lost, instance.value, {}, m_downstreams.size()});
+    out.events.push_back({control_event::instance_lost, instance.value, {}, downstreams.size()});
   }
 }
 
-known_state control::current_state() const {
-  return {.document_revision = m_state.revision(),
-          .registry_term = m_replica.term(),
-          .registry_revision = m_registry.revision(),
-          .rollouts_revision = m_state.rollouts_revision()};
+state_publisher::source control::published(base::monotonic_time now) {
+  return {.replica = m_replica,
+          .state = m_state,
+          .registry = m_registry,
+          .rates = m_rates,
+          .quarantine = m_quarantine,
+          .is_registry_complete = now >= m_leader_since + m_options.registry_warmup};
 }
 
 void control::push_changes(base::monotonic_time now, control_effects& out) {
-  auto const current = current_state();
-  if (!is_serving_leader(now) || current == m_last_pushed) {
-    return;
-  }
-  m_last_pushed = current;
-  for (auto& [id, downstream] : m_downstreams.all()) {
-    push_to(id, downstream, false, now, out);
-  }
-}
-
-void control::push_to(base::instance_id const& to, downstream& downstream, bool with_loads,
-                      base::monotonic_time now, control_effects& out) {
-  update sent{.state = current_state()};
-  auto const& known = downstream.known;
-  add_document(sent, downstream, now);
-  sent.base_registry_revision =
-      known.registry_term == m_replica.term() ? known.registry_revision : 0;
-  sent.endpoints = m_registry.changes_since(sent.base_registry_revision);
-  if (known.rollouts_revision != m_state.rollouts_revision()) {
-    sent.rollouts = m_state.rollouts();
-  }
-  sent.is_registry_complete = now >= m_leader_since + m_options.registry_warmup;
-  sent.entry_instances = m_downstreams.count_entries();
-  if (downstream.is_entry) {
-    sent.rate_grants = m_rates.grants_for(to, now);
-  }
-  if (with_loads && downstream.is_entry) {
-    sent.loads = m_downstreams.loads_without(to);
-    sent.trait_evidence = m_quarantine.report(now);
-  }
-  sent.control_instances = instances_of(m_replica.current_configuration().voters);
-  out.messages.push_back({to, std::move(sent)});
-}
-
-void control::add_document(update& sent, downstream& downstream, base::monotonic_time now) {
-  auto const held = downstream.known.document_revision;
-  if (held >= m_state.revision()) {
-    return;
-  }
-  sent.state.document_revision = held;
-  if (!downstream.is_entry) {
-    return;
-  }
-  m_documents.offer(m_state.document());
-  if (!m_documents.is_small()) {
-    sent.offered_document = m_state.revision();
-    return;
-  }
-  // An instance without a document restarted after the last transmission or never received it, so
-  // it is sent again at once.
-  bool const was_just_sent = held != 0 && downstream.document_sent == m_state.revision() &&
-                             now < downstream.document_sent_at + m_options.push_interval;
-  if (was_just_sent) {
+  if (!is_serving_leader(now)) {
     return;
   }
-  sent.state.document_revision = m_state.revision();
-  sent.document = m_state.document();
-  downstream.document_sent = m_state.revision();
-  downstream.document_sent_at = now;
+  auto messages = m_publisher.push(published(now), now);
+  std::ranges::move(messages, std::back_inserter(out.messages));
 }
 
 void control::note_endpoint(base::endpoint_id const& id, control_effects& out) const {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -2,13 +2,12 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/call.h>
-#include <libraries/proxy/document_source.h>
-#include <libraries/proxy/downstream_table.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/pending_calls.h>
 #include <libraries/proxy/rate_coordinator.h>
 #include <libraries/proxy/request_quarantine.h>
 #include <libraries/proxy/rollout_evaluator.h>
+#include <libraries/proxy/state_publisher.h>
 #include <libraries/proxy/subscriber.h>
 #include <libraries/proxy/voter_manager.h>
 
@@ -80,13 +79,11 @@
     request_quarantine::options quarantine;
     /// Size of applied commands, in bytes, after which the log is compacted into a snapshot.
     std::size_t bytes_per_snapshot = 512 * 1024;
-    downstream_table::options downstreams;
+    state_publisher::options publisher;
     /// Time after winning leadership by which every live endpoint has announced itself.
     base::duration registry_warmup = std::chrono::seconds(6);
     pending_calls::options calls;
     voter_manager::options voters;
-    /// Shortest interval between two transmissions of the same document to one instance.
-    base::duration push_interval = std::chrono::milliseconds(500);
     /// A request to start a rollout that ended less than this long ago is treated as a duplicate.
     base::duration resend_window = std::chrono::seconds(10);
   };
@@ -121,14 +118,15 @@
   void handle(base::instance_id const& from, referral const& referral, base::monotonic_time now,
               control_effects& out);
 
-  void handle(base::instance_id const& from, last_known_state const& state,
-              base::monotonic_time now, control_effects& out);
   void handle(base::instance_id const& from, departure_notice const& notice,
               base::monotonic_time now, control_effects& out);
   void handle(base::instance_id const& from, document_request const& request,
               base::monotonic_time now, control_effects& out);
-  void handle(base::instance_id const& from, document_part const& part, base::monotonic_time now,
-              control_effects& out);
+  // Used by entry instances only.
+  void handle(base::instance_id const& /*from*/, last_known_state const& /*state*/,
+              base::monotonic_time /*now*/, control_effects& /*out*/) const {}
+  void handle(base::instance_id const& /*from*/, document_part const& /*part*/,
+              base::monotonic_time /*now*/, control_effects& /*out*/) const {}
   void handle(base::instance_id const& from, confirmation const& confirmation,
               base::monotonic_time now, control_effects& out);
 
@@ -141,8 +139,6 @@
   void process_request(consensus::join_request const& request, base::instance_id const& from,
                        base::monotonic_time now, control_effects& out);
 
-  [[nodiscard]] call_reply reply_to(read_document const& request) const;
-  [[nodiscard]] call_reply reply_to(read_rollout const& request) const;
   /// Answer the call at once if it changes nothing; otherwise propose a log entry.
   void process_request(call_number number, replace_document const& request,
                        base::monotonic_time now, control_effects& out);
@@ -154,8 +150,6 @@
                        base::monotonic_time now, control_effects& out);
   /// The reply to a call that is in effect at this leader.
   [[nodiscard]] call_reply done_here() const;
-  /// The revisions that an instance holds which knows all that this leader does.
-  [[nodiscard]] known_state current_state() const;
   /// Answers the call when the departure is in the log, and the entry instances know of it.
   void acknowledge(call_number number, endpoint_departure const& departure,
                    base::monotonic_time now, control_effects& out);
@@ -180,11 +174,8 @@
   void answer_pending_calls(base::monotonic_time now, control_effects& out);
   void drop_silent_downstreams(base::monotonic_time now, control_effects& out);
   void push_changes(base::monotonic_time now, control_effects& out);
-  void push_to(base::instance_id const& to, downstream& downstream, bool with_loads,
-               base::monotonic_time now, control_effects& out);
-  /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
-  /// lacks it. Control instances have it from the log.
-  void add_document(update& sent, downstream& downstream, base::monotonic_time now);
+  /// What this instance publishes as the leader.
+  [[nodiscard]] state_publisher::source published(base::monotonic_time now);
   void note_endpoint(base::endpoint_id const& id, control_effects& out) const;
 
   options m_options;
@@ -202,13 +193,10 @@
   bool m_had_quorum = false;
   base::monotonic_time m_leader_since{};
   std::vector<consensus::voter> m_noted_voters;
-  downstream_table m_downstreams;
+  state_publisher m_publisher;
   pending_calls m_calls;
   voter_manager m_voters;
   bool m_is_stopping = false;
-  document_source m_documents;
-  /// The state that was last pushed to all subscribed instances.
-  known_state m_last_pushed;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -5,16 +5,15 @@
 
 namespace catkinlanding::proxy {
 
-std::pair<downstream&, bool> downstream_table::note(base::instance_id const& from,
-                                                    subscription const& subscription,
-                                                    base::monotonic_time now) {
+bool downstream_table::note(base::instance_id const& from, subscription const& subscription,
+                            base::monotonic_time now) {
   auto const [entry, is_new] = m_downstreams.try_emplace(from);
   auto& downstream = entry->second;
   downstream.known = subscription.known;
   downstream.is_entry = subscription.is_entry;
   downstream.last_request_at = now;
   downstream.loads = subscription.loads;
-  return {downstream, is_new};
+  return is_new;
 }
 
 void downstream_table::note_known(base::instance_id const& from, known_state const& known) {
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -27,9 +27,9 @@
 
   explicit downstream_table(options options) : m_options(options) {}
 
-  /// Records a subscription. Returns the instance's entry, and whether it is new.
-  std::pair<downstream&, bool> note(base::instance_id const& from, subscription const& subscription,
-                                    base::monotonic_time now);
+  /// Records a subscription. Returns whether the instance is new.
+  bool note(base::instance_id const& from, subscription const& subscription,
+            base::monotonic_time now);
   /// Drops the instances that have been silent for too long, and returns them.
   std::vector<base::instance_id> drop_silent(base::monotonic_time now);
   void clear() { m_downstreams.clear(); }
--- a/libraries/proxy/message.cpp
+++ b/libraries/proxy/message.cpp
@@ -1,8 +1,16 @@
 #include <libraries/base/envelope_codec.h>
 #include <libraries/proxy/message.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
+bool update::has_departure() const {
+  return std::ranges::any_of(endpoints, [](endpoint_record const& record) {
+    return record.state == endpoint_state::leaving || record.state == endpoint_state::gone;
+  });
+}
+
 std::string encode(envelope const& envelope) {
   return base::encode(envelope);
 }
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -61,11 +61,11 @@
   std::vector<rate_notice> rate_notices;
   /// Endpoints that stated to the sender that they are leaving, and that the leader calls ready.
   std::vector<endpoint_incarnation> leaving_endpoints;
-  std::vector<proxy::trait_evidence> trait_evidence;
+  std::vector<trait_evidence> evidence;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints, trait_evidence);
+    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints, evidence);
   }
 };
 
@@ -92,13 +92,16 @@
   std::vector<rate_grant> rate_grants;
   /// Control instances to contact if the leader is lost.
   std::vector<base::instance_id> control_instances;
-  std::vector<proxy::trait_evidence> trait_evidence;
+  std::vector<trait_evidence> evidence;
+
+  /// Whether the update says that an endpoint leaves or has ended.
+  [[nodiscard]] bool has_departure() const;
 
   template<class Archive>
   void serialize(Archive& archive) {
     archive(state, document, offered_document, base_registry_revision, endpoints,
             is_registry_complete, rollouts, entry_instances, loads, rate_grants, control_instances,
-            trait_evidence);
+            evidence);
   }
 };
 
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -12,37 +12,25 @@
 
 /// Time that must be left before the deadline to escalate to the largest model.
 constexpr std::chrono::milliseconds min_escalation_time{1500};
-/// How many times longer the largest model takes to process a prompt token than the smallest.
-constexpr std::uint64_t largest_model_weight = 10;
 /// Fraction of the retry limit that escalations may not use, so that it is left for failures.
 constexpr double failure_reserve = 0.25;
 
-/// Whether the update says that an endpoint leaves or has ended.
-bool has_departure(update const& update) {
-  return std::ranges::any_of(update.endpoints, [](endpoint_record const& record) {
-    return record.state == endpoint_state::leaving || record.state == endpoint_state::gone;
-  });
-}
-
 } // namespace
 
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
       m_document_receiver(m_options.documents), m_endpoints(m_options.endpoints),
       m_versions(m_options.versions), m_notices(m_options.notices),
-      m_quarantine(m_options.quarantine), m_refusals(m_options.refusals) {}
+      m_quarantine(m_options.quarantine), m_refusals(m_options.refusals),
+      m_retries(m_options.retries) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
-  bool const is_starting = m_started_at && now < *m_started_at + m_options.startup_wait;
-  if (!is_starting || !is_missing_state_for(facts)) {
+  if (!m_started_at || !is_missing_state_for(facts)) {
     return std::nullopt;
   }
   auto const caller_timeout = facts.caller_timeout.value_or(m_options.default_timeout);
-  auto const own_limit = std::chrono::duration_cast<base::duration>(
-      caller_timeout * m_options.max_wait_fraction - facts.waited);
-  auto const end = std::min(*m_started_at + m_options.startup_wait, now + own_limit);
-  return now < end ? std::optional(end) : std::nullopt;
+  return m_options.startup.wait_end(*m_started_at, caller_timeout, facts.waited, now);
 }
 
 bool router::is_missing_state_for(request_facts const& facts) const {
@@ -80,7 +68,7 @@
   request.deadline = request.began_at + caller_timeout;
   request.traits = traits_of(facts);
   request.facts = std::move(facts);
-  retry_limiter_for(request.service).note_request(now);
+  m_retries.of(request.service).note_request(now);
   auto& active = m_requests[number] = std::move(request);
   bool const has_time = now + m_options.min_attempt_time <= active.deadline;
   return has_time ? attempt_next(active, now) : final_refusal(active, now);
@@ -111,7 +99,7 @@
     return false;
   }
   return *confidence < m_escalation_policies[request.service].required_confidence(now) &&
-         retry_limiter_for(request.service).try_spend(now, failure_reserve);
+         m_retries.of(request.service).try_spend(now, failure_reserve);
 }
 
 void router::note_first_token(active_request const& request, base::monotonic_time now) {
@@ -177,7 +165,7 @@
   }
   auto const& request = m_requests.at(number);
   return now + m_options.min_attempt_time < request.deadline &&
-         retry_limiter_for(request.service).try_spend(now);
+         m_retries.of(request.service).try_spend(now);
 }
 
 decision router::fail(request_number number, attempt_failure failure, bool was_delivered,
@@ -207,7 +195,7 @@
                                 failure == attempt_failure::stalled ||
                                 (failure == attempt_failure::unreachable && request.tried.empty());
   if (may_repeat && may_continue && has_attempts &&
-      (is_retry_prepaid || retry_limiter_for(request.service).try_spend(now))) {
+      (is_retry_prepaid || m_retries.of(request.service).try_spend(now))) {
     auto next = attempt_next(request, now);
     if (std::holds_alternative<attempt>(next) || !request.may_have_run) {
       return next;
@@ -265,7 +253,7 @@
                                  .loads = m_endpoints.own_loads(),
                                  .rate_notices = m_notices.rates().notices(now),
                                  .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
-                                 .trait_evidence = m_quarantine.report(now)}};
+                                 .evidence = m_quarantine.report(now)}};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
@@ -279,7 +267,7 @@
                    m_subscriber.note_update(one, from, now);
                    result.is_changed = apply(one, now);
                    result.messages = request_document(now);
-                   if (has_departure(one)) {
+                   if (one.has_departure()) {
                      result.messages.push_back({from, confirmation{m_subscriber.known()}});
                    }
                  },
@@ -344,13 +332,11 @@
   if (!update.loads.empty()) {
     m_endpoints.apply_loads(update.loads);
   }
-  m_entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
-  m_notices.rates().set_instances(m_entry_instances);
+  auto const entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
+  m_retries.set_instances(entry_instances);
+  m_notices.rates().set_instances(entry_instances);
   m_notices.rates().apply(update.rate_grants, now);
-  m_quarantine.merge(update.trait_evidence, now);
-  for (auto& [service, retries] : m_retry_limiters) {
-    retries.set_instances(m_entry_instances);
-  }
+  m_quarantine.merge(update.evidence, now);
   bool const is_contiguous = m_subscriber.advance(update);
   if (is_contiguous && update.is_registry_complete) {
     m_endpoints.erase_unconfirmed(update.state.registry_term);
@@ -382,49 +368,20 @@
     request.model = models.front();
   }
   auto const* service = request.routes->find(request.service);
-  auto const own_tokens = request.facts.prompt.empty() ? 0 : request.facts.prompt.back().tokens;
-  auto const shared_tokens =
-      request.facts.prompt_tokens - std::min(request.facts.prompt_tokens, own_tokens);
   choice_criteria const criteria{.own_zone = m_options.zone,
                                  .affinity = affinity_of(request.facts.prompt),
-                                 .shared_work = prompt_work(request, shared_tokens),
+                                 .shared_work = request.work_of(request.shared_prompt_tokens()),
                                  .slots = service == nullptr ? 0 : service->slots,
                                  .salt = m_random()};
   auto const* chosen = choose_endpoint(sendable, criteria, now);
   if (chosen == nullptr) {
     return refuse_unsent(request, filter);
   }
-  request.endpoint = chosen->announcement.id;
-  request.version = chosen->announcement.version;
-  request.incarnation = chosen->announcement.number.incarnation;
+  auto made = request.begin_attempt(*chosen, now);
+  made.registry_term = m_subscriber.known().registry_term;
+  made.registry_revision = m_subscriber.known().registry_revision;
+  made.registry_age = m_subscriber.age(now);
   m_notices.rates().note_sent({request.endpoint, request.incarnation}, now);
-  request.tried.push_back(chosen->announcement.id);
-  request.attempt_at = now;
-  request.progress_at = now;
-  request.is_attempting = true;
-  request.has_answer = false;
-  request.has_event = false;
-  request.pace = {};
-  attempt made{.number = static_cast<std::uint32_t>(request.tried.size()),
-               .endpoint = chosen->announcement.id,
-               .incarnation = request.incarnation,
-               .address = chosen->announcement.address,
-               .version = chosen->announcement.version,
-               .model = request.model,
-               .customer = request.customer,
-               .priority = request.priority,
-               .deadline = request.deadline,
-               .is_stream = request.route->is_stream(),
-               .is_resumable = request.route->kind == route_kind::resumable_stream,
-               .route = request.route->name,
-               .document_revision = request.routes->revision(),
-               .registry_term = m_subscriber.known().registry_term,
-               .registry_revision = m_subscriber.known().registry_revision,
-               .registry_age = m_subscriber.age(now),
-               .load = chosen->load(),
-               .prompt = names_of(request.facts.prompt),
-               .fingerprint = request.traits.fingerprint};
-  request.pending_work = prompt_work(request, request.facts.prompt_tokens);
   m_endpoints.begin_attempt(request.endpoint, request.pending_work);
   return made;
 }
@@ -452,12 +409,6 @@
   return refused;
 }
 
-std::uint64_t router::prompt_work(active_request const& request, std::uint64_t tokens) const {
-  auto const& models = request.route->models;
-  bool const is_largest = models.size() > 1 && request.model == models.back();
-  return is_largest ? tokens * largest_model_weight : tokens;
-}
-
 refusal router::refuse(refusal_kind kind) {
   return m_refusals.make(kind, m_random);
 }
@@ -471,10 +422,7 @@
 
 refusal router::final_refusal(active_request const& request, base::monotonic_time now) {
   bool const is_over = now + m_options.min_attempt_time > request.deadline;
-  if (request.may_have_run) {
-    return refuse(request, is_over ? refusal_kind::expired : refusal_kind::outcome_unknown);
-  }
-  return refuse(request, is_over ? refusal_kind::expired_unsent : refusal_kind::not_run);
+  return refuse(request, request.final_refusal(is_over));
 }
 
 void router::note_failure(active_request& request, attempt_failure failure,
@@ -529,12 +477,4 @@
   }
 }
 
-retry_limiter& router::retry_limiter_for(base::service_id const& service) {
-  auto const [entry, is_new] = m_retry_limiters.try_emplace(service, m_options.retries);
-  if (is_new) {
-    entry->second.set_instances(m_entry_instances);
-  }
-  return entry->second;
-}
-
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -10,10 +10,11 @@
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/request_quarantine.h>
-#include <libraries/proxy/retry_limiter.h>
+#include <libraries/proxy/retry_limiter_table.h>
 #include <libraries/proxy/rollout_observer.h>
 #include <libraries/proxy/route_table.h>
 #include <libraries/proxy/stall_policy.h>
+#include <libraries/proxy/startup_policy.h>
 #include <libraries/proxy/subscriber.h>
 #include <libraries/proxy/version_policy.h>
 
@@ -50,12 +51,7 @@
     /// An instance that has found no leader by this time after its start accepts the last known
     /// state of a control instance. Longer than an election takes.
     base::duration isolation_timeout = std::chrono::milliseconds(1000);
-    /// For this long after the start, requests wait for a missing document or endpoint instead of
-    /// being refused. Long enough for a leader election and one round of endpoint announcements.
-    base::duration startup_wait = std::chrono::milliseconds(2500);
-    /// Largest fraction of its own timeout that a request waits during startup, so that the caller
-    /// has time left to retry.
-    double max_wait_fraction = 0.5;
+    startup_policy startup;
     std::uint64_t seed = 0;
   };
 
@@ -143,9 +139,6 @@
   [[nodiscard]] bool should_escalate(active_request const& request,
                                      std::optional<double> confidence, base::monotonic_time now);
   void note_first_token(active_request const& request, base::monotonic_time now);
-  /// The work of processing this many prompt tokens, weighted by the size of the request's model.
-  [[nodiscard]] std::uint64_t prompt_work(active_request const& request,
-                                          std::uint64_t tokens) const;
   /// Records that the current attempt's connection ended before the answer was complete.
   void note_ending(active_request& request, base::monotonic_time now);
   [[nodiscard]] refusal refuse(refusal_kind kind);
@@ -156,7 +149,6 @@
   [[nodiscard]] refusal final_refusal(active_request const& request, base::monotonic_time now);
   void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
   void finish_attempt(active_request& request);
-  retry_limiter& retry_limiter_for(base::service_id const& service);
   bool apply(update const& update, base::monotonic_time now);
   /// Puts the document in force if it is newer than the current one. Returns whether it is.
   bool apply(document const& document);
@@ -173,9 +165,8 @@
   request_quarantine m_quarantine;
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
-  std::map<base::service_id, retry_limiter> m_retry_limiters;
+  retry_limiter_table m_retries;
   std::map<base::service_id, escalation_policy> m_escalation_policies;
-  std::uint32_t m_entry_instances = 1;
   std::unordered_map<request_number, active_request> m_requests;
   rollout_observer m_observer;
 };
--- /dev/null
+++ b/libraries/proxy/state_publisher.cpp
@@ -0,0 +1,85 @@
+#include <libraries/proxy/state_publisher.h>
+#include <libraries/proxy/voter_policy.h>
+
+namespace catkinlanding::proxy {
+
+known_state state_publisher::source::revisions() const {
+  return {.document_revision = state.revision(),
+          .registry_term = replica.term(),
+          .registry_revision = registry.revision(),
+          .rollouts_revision = state.rollouts_revision()};
+}
+
+outgoing state_publisher::reply_to(base::instance_id const& from, source const& source,
+                                   base::monotonic_time now) {
+  auto& downstream = m_downstreams.all().at(from);
+  auto sent = make_update(from, downstream, source, now);
+  if (downstream.is_entry) {
+    sent.loads = m_downstreams.loads_without(from);
+    sent.evidence = source.quarantine.report(now);
+  }
+  return {from, std::move(sent)};
+}
+
+std::vector<outgoing> state_publisher::push(source const& source, base::monotonic_time now) {
+  std::vector<outgoing> messages;
+  auto const current = source.revisions();
+  if (current == m_last_pushed) {
+    return messages;
+  }
+  m_last_pushed = current;
+  for (auto& [id, downstream] : m_downstreams.all()) {
+    messages.push_back({id, make_update(id, downstream, source, now)});
+  }
+  return messages;
+}
+
+update state_publisher::make_update(base::instance_id const& to, downstream& downstream,
+                                    source const& source, base::monotonic_time now) {
+  update sent{.state = source.revisions()};
+  auto const& known = downstream.known;
+  add_document(sent, downstream, source.state.document(), now);
+  bool const is_same_term = known.registry_term == sent.state.registry_term;
+  sent.base_registry_revision = is_same_term ? known.registry_revision : 0;
+  sent.endpoints = source.registry.changes_since(sent.base_registry_revision);
+  if (known.rollouts_revision != sent.state.rollouts_revision) {
+    sent.rollouts = source.state.rollouts();
+  }
+  sent.is_registry_complete = source.is_registry_complete;
+  sent.entry_instances = m_downstreams.count_entries();
+  if (downstream.is_entry) {
+    sent.rate_grants = source.rates.grants_for(to, now);
+  }
+  sent.control_instances = instances_of(source.replica.current_configuration().voters);
+  return sent;
+}
+
+void state_publisher::add_document(update& sent, downstream& downstream, document const& document,
+                                   base::monotonic_time now) {
+  auto const held = downstream.known.document_revision;
+  if (held >= document.revision) {
+    return;
+  }
+  sent.state.document_revision = held;
+  if (!downstream.is_entry) {
+    return;
+  }
+  m_documents.offer(document);
+  if (!m_documents.is_small()) {
+    sent.offered_document = document.revision;
+    return;
+  }
+  // An instance without a document restarted after the last transmission or never received it, so
+  // it is sent again at once.
+  bool const was_just_sent = held != 0 && downstream.document_sent == document.revision &&
+                             now < downstream.document_sent_at + m_options.push_interval;
+  if (was_just_sent) {
+    return;
+  }
+  sent.state.document_revision = document.revision;
+  sent.document = document;
+  downstream.document_sent = document.revision;
+  downstream.document_sent_at = now;
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/state_publisher.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <libraries/consensus/replica.h>
+#include <libraries/proxy/document_source.h>
+#include <libraries/proxy/downstream_table.h>
+#include <libraries/proxy/endpoint_registry.h>
+#include <libraries/proxy/rate_coordinator.h>
+#include <libraries/proxy/replicated_state.h>
+#include <libraries/proxy/request_quarantine.h>
+#include <libraries/proxy/subscriber.h>
+
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// Sends the leader's state to the instances that subscribe to it: at once when it changes, and in
+/// reply to each subscription.
+class state_publisher {
+public:
+  struct options {
+    downstream_table::options downstreams;
+    /// Shortest interval between two transmissions of the same document to one instance.
+    base::duration push_interval = std::chrono::milliseconds(500);
+  };
+
+  /// What is published, as it is now.
+  struct source {
+    consensus::replica const& replica;
+    replicated_state const& state;
+    endpoint_registry const& registry;
+    rate_coordinator& rates;
+    request_quarantine const& quarantine;
+    /// Whether the leader has led long enough for every live endpoint to have announced itself.
+    bool is_registry_complete = false;
+
+    /// The revisions that an instance holds which knows all of it.
+    [[nodiscard]] known_state revisions() const;
+  };
+
+  explicit state_publisher(options options)
+      : m_options(options), m_downstreams(options.downstreams) {}
+
+  /// The update for an instance that is subscribed.
+  [[nodiscard]] outgoing reply_to(base::instance_id const& from, source const& source,
+                                  base::monotonic_time now);
+  /// The updates for all subscribed instances; none if the state is the one last pushed.
+  [[nodiscard]] std::vector<outgoing> push(source const& source, base::monotonic_time now);
+  [[nodiscard]] std::optional<document_part> part(document_request const& request) const {
+    return m_documents.part(request);
+  }
+
+  [[nodiscard]] downstream_table& downstreams() { return m_downstreams; }
+  [[nodiscard]] downstream_table const& downstreams() const { return m_downstreams; }
+
+private:
+  [[nodiscard]] update make_update(base::instance_id const& to, downstream& downstream,
+                                   source const& source, base::monotonic_time now);
+  /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
+  /// lacks it. Control instances have it from the log.
+  void add_document(update& sent, downstream& downstream, document const& document,
+                    base::monotonic_time now);
+
+  options m_options;
+  downstream_table m_downstreams;
+  document_source m_documents;
+  /// The state that was last pushed to all subscribed instances.
+  known_state m_last_pushed;
+};
+
+} // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -250,14 +250,14 @@
   auto group = founded_group();
   auto const evidence = [](std::uint64_t ending) {
     return subscription{.is_entry = true,
-                        .trait_evidence = {{.trait = {trait_kind::prompt_part, "bad"},
+                        .evidence = {{.trait = {trait_kind::prompt_part, "bad"},
                                             .endings = {ending},
                                             .requests = {ending}}}};
   };
   group.send("first", "a", evidence(1));
   group.send("second", "a", evidence(2));
   group.send("third", "a", subscription{.is_entry = true});
-  auto const& received = group.updates("third").back().trait_evidence;
+  auto const& received = group.updates("third").back().evidence;
   ASSERT_EQ(received.size(), 1U);
   EXPECT_EQ(received.front().endings, (std::vector<std::uint64_t>{1, 2}));
   EXPECT_EQ(received.front().requests, (std::vector<std::uint64_t>{1, 2}));
