proxy: Count the end of an endpoint whose answer was dropped just before

Cause: an ending is noticed by the attempts that it breaks, and these attempts were over. Change: dropped answers are remembered for 2 s; if their endpoint ends within 0.5 s, by what this instance or another one saw, the ending counts against their requests too. Sound ones complete with the larger model, which clears them.

--- a/libraries/proxy/request_quarantine.cpp
+++ b/libraries/proxy/request_quarantine.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace catkinlanding::proxy {
 
@@ -18,6 +19,10 @@
       std::ranges::count_if(wanted, [&](auto hash) { return !present.contains(hash); }));
 }
 
+std::uint64_t hash_of(endpoint_incarnation const& endpoint) {
+  return base::stable_hash(endpoint.endpoint.value, endpoint.incarnation);
+}
+
 } // namespace
 
 request_quarantine::request_quarantine(options const& options)
@@ -27,7 +32,22 @@
 void request_quarantine::note_ending(request_traits const& request,
                                      endpoint_incarnation const& endpoint,
                                      base::monotonic_time now) {
-  auto const ending = base::stable_hash(endpoint.endpoint.value, endpoint.incarnation);
+  auto const ending = hash_of(endpoint);
+  suspect_request(request, ending, now, now);
+  suspect_dropped(ending, now, now);
+}
+
+void request_quarantine::note_dropped(request_traits const& request,
+                                      endpoint_incarnation const& endpoint,
+                                      base::monotonic_time now) {
+  m_dropped.push_back({.request = request, .endpoint = hash_of(endpoint), .dropped_at = now});
+  if (m_dropped.size() > m_options.max_dropped) {
+    m_dropped.pop_front();
+  }
+}
+
+void request_quarantine::suspect_request(request_traits const& request, std::uint64_t ending,
+                                         base::monotonic_time ended_at, base::monotonic_time now) {
   std::uint32_t position = 0;
   for (auto const& trait : request.traits) {
     bool const is_part = trait.kind == trait_kind::prompt_part;
@@ -35,7 +55,7 @@
     if (is_known_sound(trait)) {
       continue;
     }
-    auto& suspect = find_or_add(trait, now);
+    auto& suspect = find_or_add(trait, ended_at);
     suspect.position = std::max(suspect.position, own_position);
     suspect.changed_at = now;
     add(suspect.endings, ending);
@@ -44,6 +64,19 @@
   }
 }
 
+void request_quarantine::suspect_dropped(std::uint64_t ending, base::monotonic_time ended_at,
+                                         base::monotonic_time now) {
+  for (auto const& dropped : std::exchange(m_dropped, {})) {
+    bool const is_shortly_before = dropped.endpoint == ending && dropped.dropped_at <= ended_at &&
+                                   ended_at < dropped.dropped_at + m_options.dropped_window;
+    if (is_shortly_before) {
+      suspect_request(dropped.request, ending, ended_at, now);
+    } else if (now < dropped.dropped_at + m_options.dropped_lifetime) {
+      m_dropped.push_back(dropped);
+    }
+  }
+}
+
 void request_quarantine::note_completed(request_traits const& request, base::monotonic_time now) {
   for (auto const& trait : request.traits) {
     m_sound.at(static_cast<std::size_t>(trait.kind)).note(trait, now);
@@ -100,6 +133,7 @@
 
 void request_quarantine::merge(std::vector<trait_evidence> const& reported,
                                base::monotonic_time now) {
+  std::map<std::uint64_t, base::monotonic_time> ended;
   for (auto const& evidence : reported) {
     if (evidence.age < base::duration::zero() || evidence.age >= m_options.evidence_lifetime) {
       continue;
@@ -109,6 +143,7 @@
                                   suspect.is_sound);
     for (auto const ending : evidence.endings) {
       add(suspect.endings, ending);
+      ended.emplace(ending, now - evidence.age);
     }
     for (auto const request : evidence.requests) {
       add(suspect.requests, request);
@@ -123,6 +158,12 @@
       suspect.changed_at = now;
     }
   }
+  if (m_dropped.empty()) {
+    return;
+  }
+  for (auto const& [ending, ended_at] : ended) {
+    suspect_dropped(ending, ended_at, now);
+  }
 }
 
 void request_quarantine::sweep(base::monotonic_time now) {
--- a/libraries/proxy/request_quarantine.h
+++ b/libraries/proxy/request_quarantine.h
@@ -6,6 +6,7 @@
 #include <libraries/proxy/trait_evidence.h>
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,6 +46,11 @@
     base::duration report_time = std::chrono::seconds(2);
     /// For one second of each such period all evidence is reported, for new instances.
     base::duration full_report_period = std::chrono::seconds(10);
+    /// How long after an answer was dropped the end of its endpoint still counts.
+    base::duration dropped_window = std::chrono::milliseconds(500);
+    /// How long dropped answers are remembered, as other instances tell of endings late.
+    base::duration dropped_lifetime = std::chrono::seconds(2);
+    std::size_t max_dropped = 256;
     /// A request under which this many endpoints ended gets no further one, unless it is known to
     /// be sound.
     std::size_t max_endings_per_request = 2;
@@ -55,6 +61,10 @@
   /// Records that the endpoint ended before the first event of a request with these traits.
   void note_ending(request_traits const& request, endpoint_incarnation const& endpoint,
                    base::monotonic_time now);
+  /// Records that this instance dropped the endpoint's answer to a request with these traits. If
+  /// the endpoint ends shortly after, that counts as an ending under the request.
+  void note_dropped(request_traits const& request, endpoint_incarnation const& endpoint,
+                    base::monotonic_time now);
   /// Records that a request with these traits was answered completely.
   void note_completed(request_traits const& request, base::monotonic_time now);
 
@@ -84,6 +94,19 @@
     base::monotonic_time changed_at{};
   };
 
+  struct dropped_answer {
+    request_traits request;
+    /// The endpoint process, as a hash.
+    std::uint64_t endpoint = 0;
+    base::monotonic_time dropped_at{};
+  };
+
+  /// Puts the request's traits under suspicion.
+  void suspect_request(request_traits const& request, std::uint64_t ending,
+                       base::monotonic_time ended_at, base::monotonic_time now);
+  /// Puts the requests under suspicion whose answer was dropped shortly before the endpoint ended.
+  void suspect_dropped(std::uint64_t ending, base::monotonic_time ended_at,
+                       base::monotonic_time now);
   [[nodiscard]] bool is_known_sound(request_trait const& trait) const;
   /// Whether the evidence against the trait is sufficient by itself.
   [[nodiscard]] bool is_sufficient(suspect const& suspect, base::monotonic_time now) const;
@@ -100,6 +123,7 @@
   std::map<request_trait, suspect> m_suspects;
   /// By the kind of trait, as whole requests are many and would displace the others.
   std::array<sound_traits, 4> m_sound;
+  std::deque<dropped_answer> m_dropped;
   bool m_has_news = false;
 };
 
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -457,6 +457,7 @@
     return;
   case attempt_failure::low_confidence:
     // Not an endpoint failure. The next attempt uses the largest model.
+    m_quarantine.note_dropped(request.traits, {request.endpoint, request.incarnation}, now);
     request.model = request.route->models.back();
     return;
   }
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -251,8 +251,8 @@
   auto const evidence = [](std::uint64_t ending) {
     return subscription{.is_entry = true,
                         .evidence = {{.trait = {trait_kind::prompt_part, "bad"},
-                                            .endings = {ending},
-                                            .requests = {ending}}}};
+                                      .endings = {ending},
+                                      .requests = {ending}}}};
   };
   group.send("first", "a", evidence(1));
   group.send("second", "a", evidence(2));
--- a/tests/libraries/proxy/request_quarantine_test.cpp
+++ b/tests/libraries/proxy/request_quarantine_test.cpp
@@ -189,6 +189,40 @@
   EXPECT_TRUE(m_quarantine.find_quarantined(deadly, m_now));
 }
 
+// Guards against endings that are not seen because the answer was dropped just before: a small
+// model's answer begins, and its endpoint ends while the next model is asked.
+TEST_F(request_quarantines, count_the_end_of_an_endpoint_whose_answer_was_dropped) {
+  request_traits const deadly{.fingerprint = 7, .traits = {{trait_kind::whole_request, "7"}}};
+  request_traits const beside{.fingerprint = 8, .traits = {{trait_kind::whole_request, "8"}}};
+  for (std::uint64_t process = 1; process <= 2; ++process) {
+    m_quarantine.note_dropped(deadly, {{"e"}, process}, m_now);
+    m_now += 60ms;
+    m_quarantine.note_ending(beside, {{"e"}, process}, m_now);
+  }
+  EXPECT_TRUE(m_quarantine.find_quarantined(deadly, m_now));
+}
+
+TEST_F(request_quarantines, count_the_end_of_such_an_endpoint_that_another_instance_saw) {
+  request_quarantine other{{}};
+  request_traits const deadly{.fingerprint = 7, .traits = {{trait_kind::whole_request, "7"}}};
+  for (std::uint64_t process = 1; process <= 2; ++process) {
+    m_quarantine.note_dropped(deadly, {{"e"}, process}, m_now);
+    end(other, process, {"part", "x"});
+    m_quarantine.merge(other.report(m_now + 300ms), m_now + 300ms);
+  }
+  EXPECT_TRUE(m_quarantine.find_quarantined(deadly, m_now));
+}
+
+TEST_F(request_quarantines, suspect_no_answer_that_was_dropped_long_before_the_end) {
+  request_traits const sound{.fingerprint = 7, .traits = {{trait_kind::whole_request, "7"}}};
+  for (std::uint64_t process = 1; process <= 2; ++process) {
+    m_quarantine.note_dropped(sound, {{"e"}, process}, m_now);
+    m_now += 2s;
+    end(m_quarantine, process, {"part", "x"});
+  }
+  EXPECT_FALSE(m_quarantine.find_quarantined(sound, m_now));
+}
+
 // Guards against evidence that takes up the network for as long as it is kept.
 TEST_F(request_quarantines, report_changes_for_a_short_time_and_all_from_time_to_time) {
   m_now = base::monotonic_time{1h + 2s};
