--- a/libraries/proxy/call.h
+++ b/libraries/proxy/call.h
@@ -67,7 +67,10 @@
   std::optional<base::instance_id> leader;
 };
 
+/// The reply to `read_document`: the original text of the document in force, or `not_found` before
+/// the first one.
 [[nodiscard]] call_reply read_document_reply(replicated_state const& state);
+/// The reply to `read_rollout`: the service's latest rollout, or `not_found` if it had none.
 [[nodiscard]] call_reply read_rollout_reply(replicated_state const& state,
                                             read_rollout const& request);
 
--- a/libraries/proxy/request_quarantine.h
+++ b/libraries/proxy/request_quarantine.h
@@ -123,6 +123,7 @@
   std::map<request_trait, suspect> m_suspects;
   /// By the kind of trait, as whole requests are many and would displace the others.
   std::array<sound_traits, 4> m_sound;
+  /// Oldest first.
   std::deque<dropped_answer> m_dropped;
   bool m_has_news = false;
 };
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -45,10 +45,12 @@
                                   base::monotonic_time now);
   /// The updates for all subscribed instances; none if the state is the one last pushed.
   [[nodiscard]] std::vector<outgoing> push(source const& source, base::monotonic_time now);
+  /// The requested part of a large document; nothing if none has been offered.
   [[nodiscard]] std::optional<document_part> part(document_request const& request) const {
     return m_documents.part(request);
   }
 
+  /// The subscribed instances.
   [[nodiscard]] downstream_table& downstreams() { return m_downstreams; }
   [[nodiscard]] downstream_table const& downstreams() const { return m_downstreams; }
 
