ctl: Order lines of the same millisecond as they were written

What an operator sees: catkinctl explain named a state as the one that an attempt relied on, though the instance learned it after the attempt, if both lines had the same millisecond. Change: lines are numbered as they are read, and the number decides between equal times.

--- a/tests/utilities/ctl/explanation_test.cpp
+++ b/tests/utilities/ctl/explanation_test.cpp
@@ -66,6 +66,19 @@
   EXPECT_NE(text.find("Ended as refused, expired: The caller's time was over"), std::string::npos);
 }
 
+// Guards against state that an attempt is said to have relied on, though the instance learned it
+// after the attempt within the same millisecond.
+TEST(explanations, tell_what_was_learned_in_the_millisecond_of_the_attempt_by_the_order_of_lines) {
+  auto const text =
+      explain({line("08.000", "edge-1", "control endpoint id=e state=ready version=v2"),
+               line("08.000", "edge-1", "entry attempt request=r1 number=1 endpoint=e version=v2"),
+               line("08.000", "edge-1", "control endpoint id=e state=leaving version=v2")})
+          .text();
+  EXPECT_NE(text.find("known since 0.000 s: control endpoint id=e state=ready"), std::string::npos);
+  EXPECT_NE(text.find("learned 0.000 s later: control endpoint id=e state=leaving"),
+            std::string::npos);
+}
+
 TEST(explanations, leave_out_a_loss_of_contact_that_was_over) {
   auto const text =
       explain({line("01.000", "edge-1", "control lost revision=4"),
--- a/utilities/ctl/explanation.cpp
+++ b/utilities/ctl/explanation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <tuple>
 
 namespace catkinlanding::ctl {
 
@@ -63,9 +64,15 @@
          "\n";
 }
 
+/// Whether the line was written later than the other one of the same instance.
+bool is_after(log_line const& line, log_line const& other) {
+  return std::tie(line.time, line.number) > std::tie(other.time, other.number);
+}
+
 } // namespace
 
 void explanation::add(log_line line) {
+  line.number = ++m_lines;
   if (line.field("request") == m_request) {
     m_request_lines.push_back(line);
   }
@@ -113,7 +120,7 @@
     }
   };
   for (auto const& line : m_state_lines) {
-    if (line.instance != decision.instance || line.time > decision.time) {
+    if (line.instance != decision.instance || is_after(line, decision)) {
       continue;
     }
     if (line.event == "process started") {
@@ -124,7 +131,7 @@
     }
   }
   // An earlier process of the instance took its state with it.
-  bool const is_lost = latest != nullptr && start != nullptr && start->time > latest->time;
+  bool const is_lost = latest != nullptr && start != nullptr && is_after(*start, *latest);
   return is_lost ? nullptr : latest;
 }
 
@@ -137,7 +144,7 @@
   }
   auto const* lost = latest_before(decision, "control lost");
   auto const* regained = latest_before(decision, "control regained");
-  if (lost != nullptr && (regained == nullptr || lost->time > regained->time)) {
+  if (lost != nullptr && (regained == nullptr || is_after(*lost, *regained))) {
     text += known_since(*lost, decision);
   }
   return text;
@@ -162,7 +169,7 @@
   std::string text;
   auto const endpoint = attempt.field("endpoint");
   for (auto const& line : m_state_lines) {
-    bool const is_later = line.instance == attempt.instance && line.time > attempt.time &&
+    bool const is_later = line.instance == attempt.instance && is_after(line, attempt) &&
                           line.time <= attempt.time + learning_time;
     bool const concerns_endpoint =
         line.field("id") == endpoint || line.field("endpoint") == endpoint;
--- a/utilities/ctl/explanation.h
+++ b/utilities/ctl/explanation.h
@@ -39,6 +39,8 @@
   std::string m_request;
   std::vector<log_line> m_request_lines;
   std::vector<log_line> m_state_lines;
+  /// Lines added so far.
+  std::uint64_t m_lines = 0;
 };
 
 } // namespace catkinlanding::ctl
--- a/utilities/ctl/log_line.h
+++ b/utilities/ctl/log_line.h
@@ -2,6 +2,7 @@
 
 #include <libraries/base/time.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +14,8 @@
 struct log_line {
   /// Milliseconds since 1970 by the clock of the instance that wrote the line.
   std::chrono::milliseconds time{};
+  /// Counts the lines that were read, as several lines of an instance may have the same time.
+  std::uint64_t number = 0;
   std::string instance;
   /// The two words of the event, such as "entry attempt".
   std::string event;
