--- a/libraries/proxy/request_quarantine.cpp
+++ b/libraries/proxy/request_quarantine.cpp
@@ -186,7 +186,7 @@
 }
 
 bool request_quarantine::explains(suspect const& other, suspect const& one) const {
-  // All endings of a trait that came with one deadly request are that request's; one more under
+  // A request that ends endpoints accounts for all endings of what it shares; one more under
   // another request means that the request is not the cause.
   bool const is_request = other.trait.kind == trait_kind::whole_request;
   bool const is_shared = one.trait.kind != trait_kind::whole_request;
