proxy: Read each bound of the settings as a fraction

Change: retry_slack is a fraction like the other bounds; a negative ratio or slack, which was accepted, is refused.

--- a/libraries/proxy/retry_limiter.cpp
+++ b/libraries/proxy/retry_limiter.cpp
@@ -28,8 +28,7 @@
     }
   }
   auto const instances = std::max<std::uint32_t>(m_instances, 1);
-  double const allowed = safety_factor * (m_options.ratio * requests +
-                                          static_cast<double>(m_options.slack) / instances);
+  double const allowed = safety_factor * (m_options.ratio * requests + m_options.slack / instances);
   if (retries + 1 > allowed * (1.0 - reserved_part)) {
     return false;
   }
--- a/libraries/proxy/retry_limiter.h
+++ b/libraries/proxy/retry_limiter.h
@@ -15,7 +15,7 @@
     /// Retries allowed per request in the window, over all instances.
     double ratio = 0.1;
     /// Additional retries allowed in the window, over all instances.
-    std::uint32_t slack = 10;
+    double slack = 10;
     base::duration window = std::chrono::seconds(10);
   };
 
--- a/libraries/proxy/settings.cpp
+++ b/libraries/proxy/settings.cpp
@@ -45,6 +45,13 @@
   }
 }
 
+void read_allowance(object_reader& reader, char const* name, double& value) {
+  reader.optional(name, value);
+  if (!(value >= 0.0)) {
+    reader.fail(name, "must not be negative");
+  }
+}
+
 void read_seeds(object_reader& reader, process_settings& value) {
   std::vector<std::string> seeds;
   reader.required("seeds", seeds);
@@ -74,8 +81,8 @@
 
 void read_bounds(object_reader& reader, process_settings& value) {
   read_milliseconds(reader, "stop_patience_ms", value.shutdown_timeout);
-  reader.optional("retry_ratio", value.retry_ratio);
-  reader.optional("retry_slack", value.retry_slack);
+  read_allowance(reader, "retry_ratio", value.retry_ratio);
+  read_allowance(reader, "retry_slack", value.retry_slack);
   read_milliseconds(reader, "retry_window_ms", value.retry_window);
   read_share(reader, "trial_share", value.trial_share);
   read_milliseconds(reader, "announcement_interval_ms", value.announcement_interval);
--- a/libraries/proxy/settings.h
+++ b/libraries/proxy/settings.h
@@ -45,7 +45,7 @@
   base::duration shutdown_timeout = std::chrono::seconds(8);
   /// Bounds on retries that apply to all instances together.
   double retry_ratio = 0.1;
-  std::uint32_t retry_slack = 10;
+  double retry_slack = 10;
   base::duration retry_window = std::chrono::seconds(10);
   /// Largest share of a service's requests for a version on trial.
   double trial_share = 0.1;
