proxy: Sum the loads once for all instances that ask

Cause: for each subscription the leader added up what all other instances had reported, endpoint by endpoint, into a new map, and serialized that sum and the registry's changes anew: with 300 entry instances some 740 times a second over some 3,000 loads.

Change: running totals, so a report costs what it contains; one summary serves all instances for 50 ms, and each takes its own part out of it (load_reports), by the number of the report that the summary contains. Lists that go to many instances (loads, registry changes) are shared and serialized once (shared_list). An empty summary is told from none, so the last loads no longer stay for ever. The format between instances changes (0x43505806).

--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -1,7 +1,4 @@
 #include <libraries/proxy/downstream_table.h>
-#include <libraries/proxy/load_sum.h>
-
-#include <algorithm>
 
 namespace catkinlanding::proxy {
 
@@ -9,10 +6,14 @@
                             base::monotonic_time now) {
   auto const [entry, is_new] = m_downstreams.try_emplace(from);
   auto& downstream = entry->second;
+  forget(downstream);
   downstream.known = subscription.known;
   downstream.is_entry = subscription.is_entry;
   downstream.last_request_at = now;
   downstream.loads = subscription.loads;
+  downstream.report = subscription.report;
+  m_totals.add(downstream.loads);
+  m_entries += downstream.is_entry ? 1 : 0;
   return is_new;
 }
 
@@ -28,6 +29,7 @@
   std::erase_if(m_downstreams, [&](auto const& item) {
     bool const is_silent = now >= item.second.last_request_at + m_options.timeout;
     if (is_silent) {
+      forget(item.second);
       dropped.push_back(item.first);
     }
     return is_silent;
@@ -35,20 +37,31 @@
   return dropped;
 }
 
-std::uint32_t downstream_table::count_entries() const {
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(m_downstreams, [](auto const& item) { return item.second.is_entry; }));
+void downstream_table::clear() {
+  m_downstreams.clear();
+  m_entries = 0;
+  m_totals.clear();
+  m_summarized_at.reset();
 }
 
-std::vector<endpoint_load>
-downstream_table::loads_without(base::instance_id const& instance) const {
-  load_sum sum;
-  for (auto const& [id, downstream] : m_downstreams) {
-    if (id != instance) {
-      sum.add(downstream.loads);
-    }
+load_summary downstream_table::loads_for(downstream const& receiver, base::monotonic_time now) {
+  if (!m_summarized_at || now >= *m_summarized_at + m_options.summary_lifetime) {
+    summarize_loads(now);
+  }
+  return {.totals = m_summary, .counted_report = receiver.summarized_report};
+}
+
+void downstream_table::forget(downstream const& lost) {
+  m_totals.remove(lost.loads);
+  m_entries -= lost.is_entry ? 1 : 0;
+}
+
+void downstream_table::summarize_loads(base::monotonic_time now) {
+  m_summarized_at = now;
+  m_summary = m_totals.all();
+  for (auto& [id, downstream] : m_downstreams) {
+    downstream.summarized_report = downstream.report;
   }
-  return sum.take();
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <libraries/proxy/load_totals.h>
 #include <libraries/proxy/message.h>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -15,6 +17,9 @@
   base::monotonic_time document_sent_at{};
   std::uint64_t document_sent = 0;
   std::vector<endpoint_load> loads;
+  /// Number of the last report of loads, and of the one that the last summary contains.
+  std::uint64_t report = 0;
+  std::uint64_t summarized_report = 0;
 };
 
 /// The instances that subscribe to the leader's state, and what they last reported.
@@ -23,6 +28,8 @@
   struct options {
     /// An instance is dropped after this long without a subscription from it.
     base::duration timeout = std::chrono::seconds(3);
+    /// How long a summary of the loads serves all instances that ask for one.
+    base::duration summary_lifetime = std::chrono::milliseconds(50);
   };
 
   explicit downstream_table(options options) : m_options(options) {}
@@ -32,7 +39,7 @@
             base::monotonic_time now);
   /// Drops the instances that have been silent for too long, and returns them.
   std::vector<base::instance_id> drop_silent(base::monotonic_time now);
-  void clear() { m_downstreams.clear(); }
+  void clear();
 
   /// Records what an instance knows, between its subscriptions.
   void note_known(base::instance_id const& from, known_state const& known);
@@ -40,13 +47,21 @@
   [[nodiscard]] std::map<base::instance_id, downstream>& all() { return m_downstreams; }
   [[nodiscard]] std::map<base::instance_id, downstream> const& all() const { return m_downstreams; }
   [[nodiscard]] std::size_t size() const { return m_downstreams.size(); }
-  [[nodiscard]] std::uint32_t count_entries() const;
-  /// The sum of the loads that all instances but this one reported.
-  [[nodiscard]] std::vector<endpoint_load> loads_without(base::instance_id const& instance) const;
+  [[nodiscard]] std::uint32_t count_entries() const { return m_entries; }
+  /// The loads that all instances reported, for one of them.
+  [[nodiscard]] load_summary loads_for(downstream const& receiver, base::monotonic_time now);
 
 private:
+  /// Takes what the instance contributed out of the sums.
+  void forget(downstream const& lost);
+  void summarize_loads(base::monotonic_time now);
+
   options m_options;
   std::map<base::instance_id, downstream> m_downstreams;
+  std::uint32_t m_entries = 0;
+  load_totals m_totals;
+  shared_list<endpoint_load> m_summary;
+  std::optional<base::monotonic_time> m_summarized_at;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -6,6 +6,7 @@
 #include <libraries/proxy/endpoint.h>
 #include <libraries/proxy/endpoint_rate.h>
 #include <libraries/proxy/rollout.h>
+#include <libraries/proxy/shared_list.h>
 #include <libraries/proxy/trait_evidence.h>
 
 #include <tl/expected.hpp>
@@ -49,6 +50,19 @@
   }
 };
 
+/// The loads that all instances put on endpoints. The receiver's own ones are part of them, so that
+/// the same list serves all receivers.
+struct load_summary {
+  shared_list<endpoint_load> totals;
+  /// Number of the receiver's report that is part of the totals; 0 if there is none.
+  std::uint64_t counted_report = 0;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(totals, counted_report);
+  }
+};
+
 /// Requests missing state from the leader and reports the sender's measurements. Sent periodically,
 /// so that a lost reply is requested again.
 struct subscription {
@@ -57,6 +71,8 @@
   bool is_entry = false;
   std::vector<version_tally> tallies;
   std::vector<endpoint_load> loads;
+  /// Number of this report of loads, counted from 1 at each start of the sender.
+  std::uint64_t report = 0;
   /// Rates of requests that endpoints stated to the sender.
   std::vector<rate_notice> rate_notices;
   /// Endpoints that stated to the sender that they are leaving, and that the leader calls ready.
@@ -65,7 +81,7 @@
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads, rate_notices, leaving_endpoints, evidence);
+    archive(known, is_entry, tallies, loads, report, rate_notices, leaving_endpoints, evidence);
   }
 };
 
@@ -80,14 +96,13 @@
   /// `endpoints` holds the registry changes after this revision. A receiver with a lower revision
   /// can't apply them completely and requests them again.
   std::uint64_t base_registry_revision = 0;
-  std::vector<endpoint_record> endpoints;
+  shared_list<endpoint_record> endpoints;
   /// Whether the leader has led long enough for every live endpoint to have announced itself.
   bool is_registry_complete = false;
   std::optional<std::vector<rollout>> rollouts;
   /// Number of entry instances, which divide the limits that apply to all of them together.
   std::uint32_t entry_instances = 1;
-  /// Requests in flight at each endpoint from all other instances.
-  std::vector<endpoint_load> loads;
+  std::optional<load_summary> loads;
   /// The receiver's shares of the rates that endpoints state, which replace the shares before.
   std::vector<rate_grant> rate_grants;
   /// Control instances to contact if the leader is lost.
@@ -174,7 +189,7 @@
                              departure_notice, document_request, document_part, confirmation>;
 
 /// A message in its wire format, with the protocol identifier.
-using envelope = base::envelope<message, 0x43505805>;
+using envelope = base::envelope<message, 0x43505806>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
 [[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -247,10 +247,12 @@
 
 outgoing router::make_subscription(base::instance_id const& upstream, base::monotonic_time now) {
   m_quarantine.note_reported();
+  auto const& reported = m_reports.add(m_endpoints.own_loads());
   return {upstream, subscription{.known = m_subscriber.known(),
                                  .is_entry = true,
                                  .tallies = m_observer.tallies(),
-                                 .loads = m_endpoints.own_loads(),
+                                 .loads = reported.loads,
+                                 .report = reported.number,
                                  .rate_notices = m_notices.rates().notices(now),
                                  .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
                                  .evidence = m_quarantine.report(now)}};
@@ -329,8 +331,8 @@
     m_versions.apply(*update.rollouts);
     m_observer.apply(*update.rollouts, m_versions);
   }
-  if (!update.loads.empty()) {
-    m_endpoints.apply_loads(update.loads);
+  if (update.loads) {
+    m_endpoints.apply_loads(m_reports.others_in(*update.loads));
   }
   auto const entry_instances = std::max<std::uint32_t>(update.entry_instances, 1);
   m_retries.set_instances(entry_instances);
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -7,6 +7,7 @@
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
 #include <libraries/proxy/escalation_policy.h>
+#include <libraries/proxy/load_reports.h>
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/request_quarantine.h>
@@ -160,6 +161,7 @@
   document_receiver m_document_receiver;
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
   endpoint_table m_endpoints;
+  load_reports m_reports;
   version_policy m_versions;
   endpoint_notices m_notices;
   request_quarantine m_quarantine;
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -15,7 +15,7 @@
   auto& downstream = m_downstreams.all().at(from);
   auto sent = make_update(from, downstream, source, now);
   if (downstream.is_entry) {
-    sent.loads = m_downstreams.loads_without(from);
+    sent.loads = m_downstreams.loads_for(downstream, now);
     sent.evidence = source.quarantine.report(now);
   }
   return {from, std::move(sent)};
@@ -41,7 +41,7 @@
   add_document(sent, downstream, source.state.document(), now);
   bool const is_same_term = known.registry_term == sent.state.registry_term;
   sent.base_registry_revision = is_same_term ? known.registry_revision : 0;
-  sent.endpoints = source.registry.changes_since(sent.base_registry_revision);
+  sent.endpoints = changes_since(sent.base_registry_revision, source.registry, now);
   if (known.rollouts_revision != sent.state.rollouts_revision) {
     sent.rollouts = source.state.rollouts();
   }
@@ -54,6 +54,23 @@
   return sent;
 }
 
+shared_list<endpoint_record> state_publisher::changes_since(std::uint64_t revision,
+                                                            endpoint_registry const& registry,
+                                                            base::monotonic_time now) {
+  bool const is_current =
+      m_changes_revision == registry.revision() && now < m_changes_at + m_options.changes_lifetime;
+  if (!is_current) {
+    m_changes.clear();
+    m_changes_revision = registry.revision();
+    m_changes_at = now;
+  }
+  auto const [changes, is_new] = m_changes.try_emplace(revision);
+  if (is_new && revision != registry.revision()) {
+    changes->second = registry.changes_since(revision);
+  }
+  return changes->second;
+}
+
 void state_publisher::add_document(update& sent, downstream& downstream, document const& document,
                                    base::monotonic_time now) {
   auto const held = downstream.known.document_revision;
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -9,6 +9,7 @@
 #include <libraries/proxy/request_quarantine.h>
 #include <libraries/proxy/subscriber.h>
 
+#include <map>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -21,6 +22,8 @@
     downstream_table::options downstreams;
     /// Shortest interval between two transmissions of the same document to one instance.
     base::duration push_interval = std::chrono::milliseconds(500);
+    /// How long a list of registry changes serves all instances that lack the same ones.
+    base::duration changes_lifetime = std::chrono::seconds(1);
   };
 
   /// What is published, as it is now.
@@ -57,6 +60,9 @@
 private:
   [[nodiscard]] update make_update(base::instance_id const& to, downstream& downstream,
                                    source const& source, base::monotonic_time now);
+  [[nodiscard]] shared_list<endpoint_record> changes_since(std::uint64_t revision,
+                                                           endpoint_registry const& registry,
+                                                           base::monotonic_time now);
   /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
   /// lacks it. Control instances have it from the log.
   void add_document(update& sent, downstream& downstream, document const& document,
@@ -67,6 +73,10 @@
   document_source m_documents;
   /// The state that was last pushed to all subscribed instances.
   known_state m_last_pushed;
+  /// Registry changes by the revision after which they were made, up to `m_changes_revision`.
+  std::map<std::uint64_t, shared_list<endpoint_record>> m_changes;
+  std::uint64_t m_changes_revision = 0;
+  base::monotonic_time m_changes_at{};
 };
 
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -196,8 +196,8 @@
                                            .service = {"s"},
                                            .is_leaving = true,
                                            .number = {.incarnation = 1, .sequence = 2}};
-  received.endpoints.push_back(
-      {.announcement = announcement, .state = endpoint_state::leaving, .revision = 2});
+  received.endpoints = {
+      {.announcement = announcement, .state = endpoint_state::leaving, .revision = 2}};
   ASSERT_TRUE(m_router.receive({"control"}, received, start).is_changed);
   for (request_number i = 1; i < 20; ++i) {
     auto const made = m_router.begin(i, facts("/once/x"), start);
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -47,15 +47,17 @@
                                  make_route("/again/", route_kind::idempotent, 2),
                                  make_route("/stream/", route_kind::stream, 3),
                                  make_route("/resume/", route_kind::resumable_stream, 3)};
+    std::vector<endpoint_record> records;
     for (auto const& id : endpoints) {
       endpoint_announcement const announcement{.id = {id},
                                                .service = {"s"},
                                                .address = {.ip = "10.0.0.1", .port = 80},
                                                .zone = {"here"},
                                                .number = {.incarnation = 1, .sequence = 1}};
-      received.endpoints.push_back(
+      records.push_back(
           {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
     }
+    received.endpoints = std::move(records);
     ASSERT_TRUE(m_router.receive({"control"}, received, start).is_changed);
   }
 
