proxy: Bound the pushes of a leader whose state changes often

Cause: each change of the registry was pushed to each subscriber within the event that brought it. When a roll-out doubles 240 endpoints before 295 entry instances, that is 70,800 messages in about 1.2 s, and the leader can't confirm its lease meanwhile (quorum_lost 8 to 11 times a second from there on). Each confirmation of a departure also compared each pending call with each instance.

Change: a push accounts for 0.65 ms for each instance, and waits while more than 50 ms of former pushes is left; the next one holds everything that the receiver lacks. Nine instances get seven pushes at once as before. The revision that all live instances know is worked out once for all pending calls.

--- a/libraries/proxy/pending_calls.cpp
+++ b/libraries/proxy/pending_calls.cpp
@@ -1,18 +1,10 @@
 #include <libraries/proxy/pending_calls.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-bool knows(known_state const& known, known_state const& wanted) {
-  return known.registry_term == wanted.registry_term &&
-         known.registry_revision >= wanted.registry_revision;
-}
-
-} // namespace
-
 void pending_calls::await_commit(consensus::log_index index, consensus::term_number term,
                                  call_number number, base::monotonic_time now) {
   m_uncommitted[index] = {
@@ -39,8 +31,16 @@
 std::vector<call_number> pending_calls::take_confirmed(downstream_table const& downstreams,
                                                        base::monotonic_time now) {
   std::vector<call_number> taken;
+  if (m_unconfirmed.empty()) {
+    return taken;
+  }
+  // Calls of former terms have been taken as expired.
+  auto const term = m_unconfirmed.back().state.registry_term;
+  auto const confirmed = common_revision(term, downstreams, now);
   std::erase_if(m_unconfirmed, [&](unconfirmed_call const& call) {
-    bool const is_done = now >= call.expires_at || is_confirmed(call.state, downstreams, now);
+    bool const is_confirmed =
+        call.state.registry_term == term && call.state.registry_revision <= confirmed;
+    bool const is_done = now >= call.expires_at || is_confirmed;
     if (is_done) {
       taken.push_back(call.number);
     }
@@ -70,13 +70,18 @@
   return taken;
 }
 
-bool pending_calls::is_confirmed(known_state const& state, downstream_table const& downstreams,
-                                 base::monotonic_time now) const {
-  return std::ranges::all_of(downstreams.all(), [&](auto const& item) {
-    auto const& downstream = item.second;
+std::uint64_t pending_calls::common_revision(consensus::term_number term,
+                                             downstream_table const& downstreams,
+                                             base::monotonic_time now) const {
+  auto common = std::numeric_limits<std::uint64_t>::max();
+  for (auto const& [id, downstream] : downstreams.all()) {
     bool const is_live = now < downstream.last_request_at + m_options.live_timeout;
-    return !downstream.is_entry || !is_live || knows(downstream.known, state);
-  });
+    if (downstream.is_entry && is_live) {
+      bool const is_same_term = downstream.known.registry_term == term;
+      common = std::min(common, is_same_term ? downstream.known.registry_revision : 0);
+    }
+  }
+  return common;
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/pending_calls.h
+++ b/libraries/proxy/pending_calls.h
@@ -60,8 +60,11 @@
     base::monotonic_time expires_at{};
   };
 
-  [[nodiscard]] bool is_confirmed(known_state const& state, downstream_table const& downstreams,
-                                  base::monotonic_time now) const;
+  /// What all live entry instances know of the leader's registry; the revision is 0 if one of them
+  /// knows nothing of this term.
+  [[nodiscard]] std::uint64_t common_revision(consensus::term_number term,
+                                              downstream_table const& downstreams,
+                                              base::monotonic_time now) const;
 
   options m_options;
   std::map<consensus::log_index, uncommitted_call> m_uncommitted;
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -1,6 +1,8 @@
 #include <libraries/proxy/state_publisher.h>
 #include <libraries/proxy/voter_policy.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
 known_state state_publisher::source::revisions() const {
@@ -24,10 +26,13 @@
 std::vector<outgoing> state_publisher::push(source const& source, base::monotonic_time now) {
   std::vector<outgoing> messages;
   auto const current = source.revisions();
-  if (current == m_last_pushed) {
+  bool const must_wait = m_pushing_until > now + m_options.max_push_backlog;
+  if (current == m_last_pushed || must_wait) {
     return messages;
   }
   m_last_pushed = current;
+  auto const instances = static_cast<std::int64_t>(m_downstreams.size());
+  m_pushing_until = std::max(m_pushing_until, now) + instances * m_options.push_time_per_instance;
   for (auto& [id, downstream] : m_downstreams.all()) {
     messages.push_back({id, make_update(id, downstream, source, now)});
   }
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -22,6 +22,11 @@
     downstream_table::options downstreams;
     /// Shortest interval between two transmissions of the same document to one instance.
     base::duration push_interval = std::chrono::milliseconds(500);
+    /// Limits the leader's time that changes take up which follow each other closely: each push
+    /// accounts for this time for each instance, and waits while more than `max_push_backlog` of
+    /// earlier ones is left.
+    base::duration push_time_per_instance = std::chrono::microseconds(650);
+    base::duration max_push_backlog = std::chrono::milliseconds(50);
     /// How long a list of registry changes serves all instances that lack the same ones.
     base::duration changes_lifetime = std::chrono::seconds(1);
   };
@@ -46,7 +51,8 @@
   /// The update for an instance that is subscribed.
   [[nodiscard]] outgoing reply_to(base::instance_id const& from, source const& source,
                                   base::monotonic_time now);
-  /// The updates for all subscribed instances; none if the state is the one last pushed.
+  /// The updates for all subscribed instances; none if the state is the one last pushed, or if
+  /// there were too many pushes just before.
   [[nodiscard]] std::vector<outgoing> push(source const& source, base::monotonic_time now);
   /// The requested part of a large document; nothing if none has been offered.
   [[nodiscard]] std::optional<document_part> part(document_request const& request) const {
@@ -73,6 +79,8 @@
   document_source m_documents;
   /// The state that was last pushed to all subscribed instances.
   known_state m_last_pushed;
+  /// When the time that the pushes so far account for is over.
+  base::monotonic_time m_pushing_until{};
   /// Registry changes by the revision after which they were made, up to `m_changes_revision`.
   std::map<std::uint64_t, shared_list<endpoint_record>> m_changes;
   std::uint64_t m_changes_revision = 0;
--- /dev/null
+++ b/tests/libraries/proxy/state_push_test.cpp
@@ -0,0 +1,77 @@
+#include <tests/support/control_group.h>
+
+#include <gtest/gtest.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::control_group;
+
+control_group founded_group() {
+  control_group made({"a", "b", "c"});
+  made.start("a", 1, true);
+  made.start("b", 2);
+  made.start("c", 3);
+  made.run(8s);
+  return made;
+}
+
+std::string entry(int number) {
+  return "entry-" + std::to_string(number);
+}
+
+announce_endpoint announcement(int endpoint) {
+  auto const name = std::to_string(endpoint);
+  return {{.id = {"e" + name},
+           .service = {"s"},
+           .address = {.ip = "10.0.0." + name, .port = 80},
+           .number = {.incarnation = 1, .sequence = 1}}};
+}
+
+// The endpoints of a service are doubled: 240 announce themselves within 1.2 s while 300 entry
+// instances are subscribed. Guards against one update for each pair of them, which took the leader
+// more time than its lease lasts.
+TEST(state_pushes, are_bounded_while_many_endpoints_announce_themselves) {
+  constexpr int entries = 300;
+  constexpr int endpoints = 240;
+  auto group = founded_group();
+  auto const leader = group.leader();
+  for (int i = 0; i < entries; ++i) {
+    group.send(entry(i), leader, subscription{.is_entry = true});
+  }
+  auto const before = group.updates(entry(0)).size();
+  for (int i = 0; i < endpoints; ++i) {
+    group.call(leader, static_cast<call_number>(i + 1), announcement(i));
+    if (i % 4 == 3) {
+      group.run(20ms);
+    }
+  }
+  group.run(400ms);
+  auto const pushed = group.updates(entry(0)).size() - before;
+  // One push each 195 ms of the 1.6 s, and one at once.
+  EXPECT_LE(pushed, 10U);
+  EXPECT_GE(pushed, 2U);
+  EXPECT_EQ(group.node(leader).registry().size(), static_cast<std::size_t>(endpoints));
+  // The last push holds what the one before lacked.
+  EXPECT_EQ(group.updates(entry(0)).back().state.registry_revision,
+            group.node(leader).registry().revision());
+}
+
+// All instances that lack the same changes get the same list, which is serialized once.
+TEST(state_pushes, share_the_list_of_changes) {
+  auto group = founded_group();
+  auto const leader = group.leader();
+  group.send("near", leader, subscription{.is_entry = true});
+  group.send("far", leader, subscription{.is_entry = true});
+  group.call(leader, 1, announcement(1));
+  auto const& near = group.updates("near").back().endpoints;
+  auto const& far = group.updates("far").back().endpoints;
+  ASSERT_EQ(near.size(), 1U);
+  EXPECT_EQ(&near.elements(), &far.elements());
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
