proxy: Count calls by reply, and say when callers are turned away

Cause: 11,302 of 26,168 calls of endpoints to the control address failed on the large site, and nothing told why; connections beyond 512 were closed without a line, while 480 endpoints keep theirs open during a roll-out.

Change: a counter of calls by kind and reply, gauges of the callers' connections and of those turned away, a line a second while some are; room for 2048 callers.

--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -15,6 +15,9 @@
 
 /// After this time without a reply the call is answered as unavailable.
 constexpr std::chrono::milliseconds reply_timeout{3000};
+/// Endpoints keep their connections open. Leaves room for those to other instances within the
+/// usual limit of 4096 descriptors.
+constexpr std::size_t max_callers = 2048;
 constexpr std::chrono::milliseconds stop_check_interval{20};
 constexpr std::chrono::milliseconds stop_margin{500};
 /// Time for queued replies to be written before the process stops.
@@ -126,12 +129,17 @@
             metrics.set_gauge("term", static_cast<double>(m_control->replica().term()));
             bool const is_leader = m_control->replica().role() == consensus::role::leader;
             metrics.set_gauge("is_leader", is_leader ? 1.0 : 0.0);
+            if (m_call_server) {
+              metrics.set_gauge("callers", static_cast<double>(m_call_server->connection_count()));
+              metrics.set_gauge("callers_refused",
+                                static_cast<double>(m_call_server->refused_connections()));
+            }
           },
   }));
   if (auto const& calls = m_process.settings().calls) {
     auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_process.io(), *calls));
     m_call_server = std::make_unique<http_server>(
-        m_process.io(), std::move(acceptor), http_server::options{},
+        m_process.io(), std::move(acceptor), http_server::options{.max_connections = max_callers},
         [this](http_request request) { return handle_call(std::move(request)); });
   }
   return {};
@@ -217,7 +225,8 @@
                note.subject, note.detail, note.number, m_control->replica().term());
 }
 
-void control_process::log_call(call_request const& call, call_reply const& reply) const {
+void control_process::log_call(call_request const& call, call_reply const& reply) {
+  m_process.metrics().count_call(name_of_call(call), name_of(reply.kind));
   bool const is_announcement = std::holds_alternative<announce_endpoint>(call);
   bool const is_routine = is_announcement && reply.kind == reply_kind::done;
   if (is_routine) {
--- a/services/proxy/control_process.h
+++ b/services/proxy/control_process.h
@@ -39,7 +39,7 @@
   void stop_after_handover();
   void apply_effects(control_effects effects);
   void log(control_event_details const& note) const;
-  void log_call(call_request const& call, call_reply const& reply) const;
+  void log_call(call_request const& call, call_reply const& reply);
   /// The address at which the leader named in the reply accepts calls; empty if it is unknown.
   [[nodiscard]] std::string leader_address(call_reply const& reply) const;
 
--- a/services/proxy/http_server.cpp
+++ b/services/proxy/http_server.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <spdlog/spdlog.h>
 
 namespace catkinlanding::proxy {
 
@@ -10,6 +11,13 @@
 using daemon::awaitable;
 using daemon::completion;
 
+namespace {
+
+/// Limits the rate of warnings while there are too many connections.
+constexpr std::chrono::seconds warning_interval{1};
+
+} // namespace
+
 http_server::http_server(asio::io_context& context, asio::ip::tcp::acceptor acceptor,
                          options options, handler handle_request)
     : m_context(context), m_acceptor(std::move(acceptor)), m_options(options),
@@ -34,10 +42,21 @@
     } else if (m_connections < m_options.max_connections) {
       daemon::spawn(m_context, "calls",
                     serve(std::make_shared<daemon::tcp_stream>(std::move(socket))));
+    } else {
+      note_refused();
     }
   }
 }
 
+void http_server::note_refused() {
+  ++m_refused;
+  auto const time = std::chrono::steady_clock::now();
+  if (time >= m_next_warning) {
+    m_next_warning = time + warning_interval;
+    spdlog::warn("calls connection_refused connections={} refused={}", m_connections, m_refused);
+  }
+}
+
 awaitable<void> http_server::serve(std::shared_ptr<daemon::tcp_stream> stream) {
   daemon::scoped_count const active(m_connections);
   boost::beast::flat_buffer buffer;
--- a/services/proxy/http_server.h
+++ b/services/proxy/http_server.h
@@ -19,6 +19,7 @@
   using handler = std::function<daemon::awaitable<http_response>(http_request)>;
 
   struct options {
+    /// Further connections are closed at once.
     std::size_t max_connections = 512;
     std::uint32_t max_header_bytes = 16 * 1024;
     std::uint32_t max_body_bytes = 8 * 1024 * 1024;
@@ -29,9 +30,13 @@
               options options, handler handle_request);
 
   void stop_accepting();
+  [[nodiscard]] std::size_t connection_count() const { return m_connections; }
+  /// Connections that were closed because there were too many.
+  [[nodiscard]] std::uint64_t refused_connections() const { return m_refused; }
 
 private:
   daemon::awaitable<void> accept();
+  void note_refused();
   daemon::awaitable<void> serve(std::shared_ptr<daemon::tcp_stream> stream);
 
   boost::asio::io_context& m_context;
@@ -39,6 +44,8 @@
   options m_options;
   handler m_handler;
   std::size_t m_connections = 0;
+  std::uint64_t m_refused = 0;
+  std::chrono::steady_clock::time_point m_next_warning{};
 };
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/metrics.cpp
+++ b/services/proxy/metrics.cpp
@@ -68,6 +68,11 @@
           .Name("catkinlanding_proxy_endpoint_notices_total")
           .Help("Changes of what endpoints state about themselves in their answers, by kind")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& calls =
+      prometheus::BuildCounter()
+          .Name("catkinlanding_proxy_calls_total")
+          .Help("Calls of operators and endpoints, by the kind of their reply")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                       .Name("catkinlanding_proxy_state")
                                                       .Help("State of this process")
@@ -109,6 +114,11 @@
   m_implementation->endpoint_notices.Add({{"kind", std::string(kind)}}).Increment();
 }
 
+void metrics::count_call(std::string_view call, std::string_view reply) {
+  m_implementation->calls.Add({{"call", std::string(call)}, {"reply", std::string(reply)}})
+      .Increment();
+}
+
 void metrics::set_gauge(std::string const& name, double value) {
   m_implementation->gauges.Add({{"name", name}}).Set(value);
 }
--- a/services/proxy/metrics.h
+++ b/services/proxy/metrics.h
@@ -27,6 +27,8 @@
   void count_connection();
   /// Counts a change of what an endpoint states about itself in its answers.
   void count_notice(std::string_view kind);
+  /// Counts a call of an operator or endpoint by the kind of its reply.
+  void count_call(std::string_view call, std::string_view reply);
   /// Sets the gauge of the process state with this name.
   void set_gauge(std::string const& name, double value);
 
