proxy: Serve the callers that wait to be accepted when an instance stops

Cause (a report from operators of similar systems, seen here): an instance that stops closed its port while the kernel held connections that it had accepted already, with their requests; closing reset them.

Change: stop_accepting accepts what waits, then closes. An exception while a connection is served ends that connection and no longer leaves it open and counted.

--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -37,6 +37,17 @@
 }
 
 void entry_server::stop_accepting() {
+  // Callers whose connections the kernel has accepted already are served, as closing would reset
+  // them.
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    daemon::tcp_socket socket(m_context.io);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      start(std::move(socket));
+    }
+  }
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
 }
@@ -63,22 +74,38 @@
       co_await daemon::pause_accepting(m_context.io);
       continue;
     }
-    if (m_connections.size() >= m_options.max_connections) {
-      spdlog::warn("entry connection_refused connections={}", m_connections.size());
-      continue;
-    }
-    boost::system::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto accepted = std::make_shared<connection>(std::move(socket));
-    daemon::spawn(m_context.io, "entry", serve(std::move(accepted)));
+    start(std::move(socket));
+  }
+}
+
+void entry_server::start(daemon::tcp_socket socket) {
+  if (m_connections.size() >= m_options.max_connections) {
+    spdlog::warn("entry connection_refused connections={}", m_connections.size());
+    return;
   }
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto accepted = std::make_shared<connection>(std::move(socket));
+  m_connections.insert(accepted);
+  daemon::spawn(m_context.io, "entry", serve(std::move(accepted)));
 }
 
 awaitable<void> entry_server::serve(std::shared_ptr<connection> connection) {
-  m_connections.insert(connection);
+  try {
+    co_await serve_requests(*connection);
+  } catch (std::exception const& exception) {
+    spdlog::error("entry connection_failed error=\"{}\"", exception.what());
+  }
+  m_connections.erase(connection);
+  boost::system::error_code ignored;
+  connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  connection->stream.close();
+}
+
+awaitable<void> entry_server::serve_requests(connection& connection) {
   bool is_open = true;
   while (is_open) {
-    auto request = co_await read_request(*connection);
+    auto request = co_await read_request(connection);
     if (!request) {
       break;
     }
@@ -86,14 +113,10 @@
     auto const size = request->body().size();
     m_body_bytes += size;
     auto const current_exchange =
-        std::make_shared<exchange>(m_context, connection->stream, std::move(*request));
+        std::make_shared<exchange>(m_context, connection.stream, std::move(*request));
     is_open = co_await current_exchange->run();
     m_body_bytes -= size;
   }
-  m_connections.erase(connection);
-  boost::system::error_code ignored;
-  connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  connection->stream.close();
 }
 
 awaitable<std::optional<http_request>> entry_server::read_request(connection& connection) {
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -22,7 +22,8 @@
 
   entry_server(entry_context& context, boost::asio::ip::tcp::acceptor acceptor, options options);
 
-  /// Closes the listening socket. Accepted connections stay open.
+  /// Closes the listening socket after the connections that wait for it have been accepted.
+  /// Accepted connections stay open.
   void stop_accepting();
   /// Closes connections that wait for a request of which no byte has arrived.
   void close_idle();
@@ -40,7 +41,9 @@
   };
 
   daemon::awaitable<void> accept();
+  void start(daemon::tcp_socket socket);
   daemon::awaitable<void> serve(std::shared_ptr<connection> connection);
+  daemon::awaitable<void> serve_requests(connection& connection);
   /// Reads one request. Returns nothing if the connection ended or the request was rejected.
   daemon::awaitable<std::optional<http_request>> read_request(connection& connection);
   daemon::awaitable<void> reject(connection& connection, http::status status, char const* reason);
