proxy: Tell answers of faulty endpoints from those that are due

A connection that carried a rejection without an id is no longer kept; one with an id is told apart by it.

A stream broke off, and the next endpoint answered with a 4xx status: its whole answer was written into the caller's stream. Once a stream has begun only a success may follow, and it is cut visibly. (500 was handled already.)

A stalled stream that sends a byte now and then never ended: any byte counted as progress, and the stall timer, armed for the time to the first event, was not armed anew when the answer began. Whole events count now, from the answer on. router_test extended the deadline by bytes; it does so by events now, and a second case asks that bytes alone don't.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -82,6 +82,7 @@
   }
   auto& request = found->second;
   request.has_answer = true;
+  request.progress_at = now;
   m_endpoints.note_success(request.endpoint);
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
@@ -122,7 +123,6 @@
 void router::note_progress(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found != m_requests.end()) {
-    found->second.progress_at = now;
     m_endpoints.note_activity(found->second.endpoint, now);
   }
 }
@@ -133,7 +133,10 @@
     return;
   }
   auto& request = found->second;
-  request.has_event |= count > 0;
+  if (count > 0) {
+    request.has_event = true;
+    request.progress_at = now;
+  }
   auto const interval = request.pace.note_events(count, now);
   if (interval) {
     m_observer.note_event_interval(request, m_versions, *interval);
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -75,7 +75,8 @@
   /// Returns what is new.
   std::vector<notice_change> note_notice(request_number number, endpoint_notice const& notice,
                                          base::monotonic_time now);
-  /// Records that more data of the current attempt's response arrived.
+  /// Records that more data of the current attempt's response arrived. The endpoint is alive then,
+  /// but only whole events show that the attempt gets on.
   void note_progress(request_number number, base::monotonic_time now);
   /// Records that this many further events of the current attempt's stream arrived.
   void note_events(request_number number, std::size_t count, base::monotonic_time now);
--- a/libraries/proxy/stall_policy.h
+++ b/libraries/proxy/stall_policy.h
@@ -21,7 +21,7 @@
   /// The times of an attempt.
   struct attempt_times {
     base::monotonic_time attempt_at{};
-    /// When the attempt began or last received data.
+    /// When the attempt began, its answer began or the last whole event of its stream arrived.
     base::monotonic_time progress_at{};
     bool has_answer = false;
   };
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -231,7 +231,9 @@
   auto const status = header.result_int();
   auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
   if (metadata.is_wrong_endpoint || metadata.is_not_executed) {
-    if (co_await read_body(max_discarded_body_bytes)) {
+    // A rejection that names no request could be repeated on this connection, and then be taken for
+    // the answer to another request.
+    if (metadata.names_request && co_await read_body(max_discarded_body_bytes)) {
       return_upstream_to_pool();
     }
     co_return metadata.is_wrong_endpoint ? attempt_failure::wrong_endpoint
@@ -247,6 +249,10 @@
     erase_hop_by_hop_headers(m_stored_failure->header);
     co_return attempt_failure::failed_answer;
   }
+  if (m_is_header_sent && !is_success(status)) {
+    // The caller's stream has begun, and only further events may follow.
+    co_return attempt_failure::failed_answer;
+  }
   bool const is_encoded = header.count(http::field::content_encoding) != 0;
   if (is_success(status) && (!metadata.is_sealed || is_encoded)) {
     co_return attempt_failure::malformed;
@@ -254,6 +260,8 @@
   if (!m_context.router.note_answer(m_number, metadata.confidence, now())) {
     co_return attempt_failure::low_confidence;
   }
+  // From here on the pauses between events count.
+  start_stall_timer();
   bool const is_stream = attempt.is_stream && is_success(status);
   auto const result = is_stream ? co_await forward_events() : co_await forward_body();
   if (result == forward_result::caller_write_failed) {
--- a/services/proxy/protocol_adapter.h
+++ b/services/proxy/protocol_adapter.h
@@ -35,6 +35,8 @@
 struct answer_metadata {
   /// Whether it answers this request, not an earlier one on the same connection.
   bool matches_request = false;
+  /// Whether it carries the id of a request.
+  bool names_request = false;
   /// Whether the answer carries the seal of the endpoint that produced it.
   bool is_sealed = false;
   /// Whether the endpoint states that it did not execute the request.
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -207,19 +207,32 @@
 }
 
 // An endpoint stops sending in the middle of a stream while its connection stays open.
-TEST_F(routers, extend_the_stall_deadline_of_a_stream_on_progress) {
+TEST_F(routers, extend_the_stall_deadline_of_a_stream_on_each_event) {
   receive_state({"a", "b"});
   auto long_request = facts("/resume/x");
   long_request.caller_timeout = 30s;
   ASSERT_TRUE(is_attempt(m_router.begin(number, long_request, start)));
   ASSERT_TRUE(m_router.note_answer(number, std::nullopt, start + 100ms));
-  m_router.note_progress(number, start + 500ms);
+  m_router.note_events(number, 1, start + 500ms);
   EXPECT_EQ(m_router.stall_deadline(number), start + 3s);
   EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 2900ms));
-  m_router.note_progress(number, start + 2900ms);
+  m_router.note_events(number, 1, start + 2900ms);
   EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 3s));
 }
 
+// Guards against a stalled stream that never ends, as its endpoint sends a byte now and then.
+TEST_F(routers, do_not_take_bytes_without_an_event_for_progress) {
+  receive_state({"a", "b"});
+  auto long_request = facts("/resume/x");
+  long_request.caller_timeout = 30s;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, long_request, start)));
+  ASSERT_TRUE(m_router.note_answer(number, std::nullopt, start + 100ms));
+  m_router.note_events(number, 1, start + 500ms);
+  m_router.note_progress(number, start + 2900ms);
+  m_router.note_events(number, 0, start + 2900ms);
+  EXPECT_TRUE(m_router.try_abandon_stalled(number, start + 3s));
+}
+
 TEST_F(routers, abandon_a_hanging_idempotent_request) {
   receive_state({"a", "b"});
   ASSERT_TRUE(is_attempt(begin("/again/x")));
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -23,6 +23,9 @@
 namespace http = boost::beast::http;
 
 constexpr int last_event_number = 5;
+/// Names no request.
+constexpr std::string_view rejection =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr std::chrono::milliseconds poll_interval{10};
 /// The unit in which endless answers are sent, and where they end if nobody closes the connection.
 constexpr std::size_t flood_block_bytes = 64 * 1024;
@@ -178,10 +181,13 @@
 
 void platform_endpoint::serve(int socket) {
   std::string pending;
+  bool repeats_rejection = false;
   while (auto const request = read_request(socket, pending, m_is_stopping)) {
-    if (!answer(socket, *request)) {
+    bool const is_repeated = !repeats_rejection || send_all(socket, rejection);
+    if (!is_repeated || !answer(socket, *request)) {
       break;
     }
+    repeats_rejection = request->target.ends_with("/shed-twice");
   }
   ::close(socket);
 }
@@ -196,6 +202,9 @@
     return send_all(
         socket, with_body("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + m_id + "\r\n", ""));
   }
+  if (behaviour == "shed-twice") {
+    return send_all(socket, rejection);
+  }
   if (behaviour == "shed") {
     return send_all(
         socket,
@@ -276,17 +285,36 @@
   return false;
 }
 
+void platform_endpoint::trickle(int socket) {
+  constexpr std::chrono::milliseconds byte_interval{100};
+  bool is_open = send_all(socket, chunk("id: 2\ndata: "));
+  while (is_open && !m_is_stopping) {
+    std::this_thread::sleep_for(byte_interval);
+    is_open = !is_closed(socket) && send_all(socket, chunk("x"));
+  }
+}
+
 bool platform_endpoint::stream(int socket, received_request const& request,
                                std::string const& behaviour) {
   auto const from = header(request, "Last-Event-Id");
   int const first = from.empty() ? 1 : std::stoi(from) + 1;
+  std::string const broken = "broken-stream";
+  if (behaviour.starts_with(broken + "-") && !from.empty()) {
+    return send_all(
+        socket, with_body(response_head(request, behaviour.substr(broken.size() + 1) + " Failure"),
+                          "no stream"));
+  }
   if (!send_all(socket,
                 response_head(request, "200 OK") + added_lines() +
                     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
     return false;
   }
   for (int number = first; number <= last_event_number; ++number) {
-    if (behaviour == "broken-stream" && from.empty() && number == 3) {
+    if (behaviour == "trickling-stream" && from.empty() && number == 2) {
+      trickle(socket);
+      return false;
+    }
+    if (behaviour.starts_with(broken) && from.empty() && number == 3) {
       // A complete HTTP chunk that holds an incomplete event.
       send_all(socket, chunk(event(number).substr(0, 9)));
       return false;
--- a/tests/stand_ins/platform_endpoint.h
+++ b/tests/stand_ins/platform_endpoint.h
@@ -24,12 +24,18 @@
 /// - answer: answers with the request's body;
 /// - fail: answers with status 500;
 /// - shed: rejects the request without executing it;
+/// - shed-twice: the same, and repeats the rejection before the answer to the next request on the
+///   connection;
 /// - cut: closes the connection in the middle of the answer;
 /// - unsealed: omits the seal from the answer;
 /// - other: answers with the attempt id of another request;
 /// - stream: streams five events, or those after `Last-Event-Id`;
 /// - broken-stream: closes the connection in the middle of the third event, unless the request has
 ///   a `Last-Event-Id`;
+/// - broken-stream-400, -404, -500: the same, and answers with this status if the request has a
+///   `Last-Event-Id`;
+/// - trickling-stream: sends bytes of the second event without end, unless the request has a
+///   `Last-Event-Id`;
 /// - slow-stream: waits after the first event until `release`;
 /// - hang: never answers;
 /// - endless-interim, endless-header, endless-failure, endless-body, endless-chunk, endless-event,
@@ -65,6 +71,8 @@
   void flood(int socket, std::string const& beginning, std::string_view rest);
   [[nodiscard]] bool answer_endlessly(int socket, received_request const& request,
                                       std::string const& behaviour);
+  /// Sends an event's bytes without its end until the connection is closed.
+  void trickle(int socket);
   [[nodiscard]] bool stream(int socket, received_request const& request,
                             std::string const& behaviour);
 
--- a/tests/support/proxy_deployment.cpp
+++ b/tests/support/proxy_deployment.cpp
@@ -18,15 +18,19 @@
 
 constexpr char const* service_name = "lookup";
 
-json route(std::string const& name, std::string const& kind, int attempts) {
+constexpr int usual_objective_ms = 10'000;
+constexpr int short_objective_ms = 500;
+
+json route(std::string const& name, std::string const& kind, int attempts,
+           int objective_ms = usual_objective_ms) {
   return {{"name", name},
           {"host", "api.example"},
           {"path_prefix", "/" + name + "/"},
           {"route_kind", kind == "resumable" ? "streaming" : kind},
           {"resumable", kind == "resumable"},
           {"timeout_ms", 20'000},
-          {"target_latency_ms", 10'000},
-          {"target_gap_ms", 10'000},
+          {"target_latency_ms", objective_ms},
+          {"target_gap_ms", objective_ms},
           {"priority", 1},
           {"service", service_name},
           {"max_attempts", attempts},
@@ -136,7 +140,8 @@
       {"version", version},
       {"routes",
        {route("once", "non_idempotent", 3), route("again", "idempotent", 3),
-        route("stream", "streaming", 3), route("resume", "resumable", 3)}},
+        route("stream", "streaming", 3), route("resume", "resumable", 3),
+        route("brisk", "resumable", 3, short_objective_ms)}},
       {"services", {{{"name", service_name}, {"health_path", "/healthz"}, {"max_conns", 100}}}},
       {"limits",
        {{"max_header_bytes", 16384},
