proxy: Go on after an exception in a message or a step

Cause (read, no run): an exception while a peer's message was processed ended the coroutine that receives all datagrams, silently for good; one in a tick or a timer left the event loop and ended the process.

Change: the message or step is given up with a line, and the loop goes on; the next tick is scheduled before the present one runs. No test throws in these places yet.

--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -226,11 +226,19 @@
 }
 
 bool frame_transport::deliver(std::string_view bytes, udp::endpoint const* sender) {
-  bool const is_readable = m_on_frame(bytes, [&](base::instance_id const& from) {
+  auto const report_sender = [&](base::instance_id const& from) {
     if (sender != nullptr && m_peers.size() < max_peers) {
       m_peers.try_emplace(from, sender->address(), sender->port());
     }
-  });
+  };
+  bool is_readable = false;
+  try {
+    is_readable = m_on_frame(bytes, report_sender);
+  } catch (std::exception const& exception) {
+    // The frames after it are received all the same.
+    spdlog::error("peers: processing a message failed: {}", exception.what());
+    return true;
+  }
   if (!is_readable) {
     log_unreadable("can't decode a message", bytes.size());
   }
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -63,7 +63,14 @@
   wait_for_signal();
   m_handlers.on_tick();
   schedule_tick();
-  m_io.run();
+  while (!m_io.stopped()) {
+    try {
+      m_io.run();
+    } catch (std::exception const& exception) {
+      // Only what the exception left undone is lost.
+      spdlog::error("process step_failed error=\"{}\"", exception.what());
+    }
+  }
 }
 
 void process::stop() {
@@ -113,9 +120,9 @@
   m_tick_timer.expires_after(m_options.tick_interval);
   m_tick_timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
+      schedule_tick();
       m_handlers.on_tick();
       check_settings_file();
-      schedule_tick();
     }
   });
 }
