proxy: Send the whole state once to an instance that asks often

Change: an instance that started anew is told by its reports, which count from 1; only then what it was sent counts for nothing. The same document or whole registry goes to one instance at most each 500 ms.

Result: state_push_test.give_the_whole_state_once_to_an_instance_that_asks_often failed before at each repeated request, passes now. Also: the hash of a request's content moves from exchange.cpp to http.cpp.

--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -11,6 +11,8 @@
   downstream.is_entry = subscription.is_entry;
   downstream.last_request_at = now;
   downstream.loads = subscription.loads;
+  // Each start counts its reports from 1.
+  downstream.has_restarted |= subscription.report <= downstream.report;
   downstream.report = subscription.report;
   m_totals.add(downstream.loads);
   m_entries += downstream.is_entry ? 1 : 0;
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -44,13 +44,12 @@
   update sent{.state = source.revisions()};
   auto const& known = downstream.known;
   add_document(sent, downstream, source.state.document(), now);
-  bool const is_same_term = known.registry_term == sent.state.registry_term;
-  sent.base_registry_revision = is_same_term ? known.registry_revision : 0;
-  sent.endpoints = changes_since(sent.base_registry_revision, source.registry, now);
+  sent.is_registry_complete = source.is_registry_complete;
+  add_registry(sent, downstream, source.registry, now);
+  downstream.has_restarted = false;
   if (known.rollouts_revision != sent.state.rollouts_revision) {
     sent.rollouts = source.state.rollouts();
   }
-  sent.is_registry_complete = source.is_registry_complete;
   sent.entry_instances = m_downstreams.count_entries();
   if (downstream.is_entry) {
     sent.rate_grants = source.rates.grants_for(to, now);
@@ -59,6 +58,29 @@
   return sent;
 }
 
+void state_publisher::add_registry(update& sent, downstream& downstream,
+                                   endpoint_registry const& registry, base::monotonic_time now) {
+  auto const& known = downstream.known;
+  bool const is_same_term = known.registry_term == sent.state.registry_term;
+  sent.base_registry_revision = is_same_term ? known.registry_revision : 0;
+  bool const is_whole = sent.base_registry_revision == 0;
+  bool const was_just_sent = is_whole && !downstream.has_restarted &&
+                             downstream.registry_sent == registry.revision() &&
+                             now < downstream.registry_sent_at + m_options.push_interval;
+  if (was_just_sent) {
+    sent.state.registry_term = known.registry_term;
+    sent.state.registry_revision = known.registry_revision;
+    sent.base_registry_revision = known.registry_revision;
+    sent.is_registry_complete = false;
+    return;
+  }
+  sent.endpoints = changes_since(sent.base_registry_revision, registry, now);
+  if (is_whole && !sent.endpoints.empty()) {
+    downstream.registry_sent = registry.revision();
+    downstream.registry_sent_at = now;
+  }
+}
+
 shared_list<endpoint_record> state_publisher::changes_since(std::uint64_t revision,
                                                             endpoint_registry const& registry,
                                                             base::monotonic_time now) {
@@ -91,9 +113,8 @@
     sent.offered_document = document.revision;
     return;
   }
-  // An instance without a document restarted after the last transmission or never received it, so
-  // it is sent again at once.
-  bool const was_just_sent = held != 0 && downstream.document_sent == document.revision &&
+  bool const was_just_sent = !downstream.has_restarted &&
+                             downstream.document_sent == document.revision &&
                              now < downstream.document_sent_at + m_options.push_interval;
   if (was_just_sent) {
     return;
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -20,7 +20,8 @@
 public:
   struct options {
     downstream_table::options downstreams;
-    /// Shortest interval between two transmissions of the same document to one instance.
+    /// Shortest interval between two transmissions of the same document, or of the same whole
+    /// registry, to one instance. Instances that know no leader ask several times meanwhile.
     base::duration push_interval = std::chrono::milliseconds(500);
     /// Limits the leader's time that changes take up which follow each other closely: each push
     /// accounts for this time for each instance, and waits while more than `max_push_backlog` of
@@ -69,6 +70,9 @@
   [[nodiscard]] shared_list<endpoint_record> changes_since(std::uint64_t revision,
                                                            endpoint_registry const& registry,
                                                            base::monotonic_time now);
+  /// Adds the registry changes that the receiver lacks.
+  void add_registry(update& sent, downstream& downstream, endpoint_registry const& registry,
+                    base::monotonic_time now);
   /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
   /// lacks it. Control instances have it from the log.
   void add_document(update& sent, downstream& downstream, document const& document,
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -1,4 +1,3 @@
-#include <libraries/base/hash.h>
 #include <services/proxy/answer_header.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/exchange.h>
@@ -32,11 +31,6 @@
 /// Number of late answers to earlier requests that are skipped before the attempt fails.
 constexpr int max_stale_answers = 2;
 
-std::uint64_t content_hash_of(http_request const& request) {
-  auto const method = base::stable_hash(std::string(request.method_string()));
-  return base::stable_hash(request.body(), method);
-}
-
 } // namespace
 
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
--- a/services/proxy/http.cpp
+++ b/services/proxy/http.cpp
@@ -1,3 +1,4 @@
+#include <libraries/base/hash.h>
 #include <services/proxy/http.h>
 
 #include <boost/beast/http/rfc7230.hpp>
@@ -72,4 +73,9 @@
   return std::move(text).str();
 }
 
+std::uint64_t content_hash_of(http_request const& request) {
+  auto const method = base::stable_hash(std::string(request.method_string()));
+  return base::stable_hash(request.body(), method);
+}
+
 } // namespace catkinlanding::proxy
--- a/services/proxy/http.h
+++ b/services/proxy/http.h
@@ -34,4 +34,7 @@
 
 inline constexpr std::string_view last_chunk = "0\r\n\r\n";
 
+/// A hash of the method and the body.
+[[nodiscard]] std::uint64_t content_hash_of(http_request const& request);
+
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/state_push_test.cpp
+++ b/tests/libraries/proxy/state_push_test.cpp
@@ -59,6 +59,32 @@
             group.node(leader).registry().revision());
 }
 
+// More than half of 300 entry instances start anew at once, know no leader, and ask each 100 ms.
+// Guards against a leader that answers each time with its whole state, and has no time left to keep
+// its lease.
+TEST(state_pushes, give_the_whole_state_once_to_an_instance_that_asks_often) {
+  constexpr int requests = 5;
+  auto group = founded_group();
+  auto const leader = group.leader();
+  group.call(leader, 1, replace_document{.document = {.revision = 7}, .source = "seven"});
+  group.call(leader, 2, announcement(1));
+  auto const ask = [&](std::uint64_t report) {
+    group.send("entry", leader, subscription{.is_entry = true, .report = report});
+    auto const& last = group.updates("entry").back();
+    return last.document.has_value() && !last.endpoints.empty();
+  };
+  EXPECT_TRUE(ask(1));
+  for (std::uint64_t report = 2; report < requests; ++report) {
+    group.run(100ms);
+    EXPECT_FALSE(ask(report)) << report;
+  }
+  // What was sent may be lost.
+  group.run(500ms);
+  EXPECT_TRUE(ask(requests));
+  // A new start has lost it.
+  EXPECT_TRUE(ask(1));
+}
+
 // All instances that lack the same changes get the same list, which is serialized once.
 TEST(state_pushes, share_the_list_of_changes) {
   auto group = founded_group();
