proxy: Spread the whole registries for instances that start together

After all are killed each entry instance needs a registry of some 450 kB; a leader queued 300 of them at once and again with each request, and one that knew no leader answered each request, ten a second from each entry, with its last known state. 3000 endpoints keep their connections open, of which 2048 fit.

The list is shared and serialized once in both. Room for 3200 callers.

Result: state_push_test.spread_the_whole_registries_for_instances_that_start_ together: at most 64 MB queued when 300 ask at once, at a leader and at a follower without one, and all have a registry 4 s later. It was not run without the change; 300 times 450 kB are 135 MB.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -127,7 +127,7 @@
 void control::handle(base::instance_id const& from, subscription const& subscription,
                      base::monotonic_time now, control_effects& out) {
   if (!is_serving_leader(now)) {
-    send_referral(from, subscription, out);
+    send_referral(from, subscription, now, out);
     return;
   }
   auto& downstreams = m_publisher.downstreams();
@@ -146,15 +146,15 @@
 }
 
 void control::send_referral(base::instance_id const& from, subscription const& subscription,
-                            control_effects& out) const {
+                            base::monotonic_time now, control_effects& out) {
   auto const leader = other_leader();
   out.messages.push_back({from, referral{leader}});
   bool const needs_last_known_state =
       !leader && subscription.is_entry && subscription.known.document_revision == 0;
   if (needs_last_known_state && m_state.revision() != 0) {
-    out.messages.push_back({from, last_known_state{.document = m_state.document(),
-                                                   .endpoints = m_registry.changes_since(0),
-                                                   .rollouts = m_state.rollouts()}});
+    if (auto state = m_publisher.last_known(m_state, m_registry, now)) {
+      out.messages.push_back({from, std::move(*state)});
+    }
   }
 }
 
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -133,7 +133,7 @@
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
   void send_referral(base::instance_id const& from, subscription const& subscription,
-                     control_effects& out) const;
+                     base::monotonic_time now, control_effects& out);
 
   /// Handles a request to join the group of voters, forwarding it to the leader.
   void process_request(consensus::join_request const& request, base::instance_id const& from,
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -170,7 +170,7 @@
 /// that started without reaching one. It may be older than the state in force elsewhere.
 struct last_known_state {
   proxy::document document;
-  std::vector<endpoint_record> endpoints;
+  shared_list<endpoint_record> endpoints;
   std::vector<rollout> rollouts;
 
   template<class Archive>
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -5,6 +5,13 @@
 
 namespace catkinlanding::proxy {
 
+namespace {
+
+/// The size of a registry's record in a message, roughly.
+constexpr std::size_t bytes_per_record = 150;
+
+} // namespace
+
 known_state state_publisher::source::revisions() const {
   return {.document_revision = state.revision(),
           .registry_term = replica.term(),
@@ -67,7 +74,8 @@
   bool const was_just_sent = is_whole && !downstream.has_restarted &&
                              downstream.registry_sent == registry.revision() &&
                              now < downstream.registry_sent_at + m_options.push_interval;
-  if (was_just_sent) {
+  if (was_just_sent || (is_whole && !try_take_registry(registry, now))) {
+    // It keeps what it knows, and asks again.
     sent.state.registry_term = known.registry_term;
     sent.state.registry_revision = known.registry_revision;
     sent.base_registry_revision = known.registry_revision;
@@ -81,6 +89,22 @@
   }
 }
 
+bool state_publisher::try_take_registry(endpoint_registry const& registry,
+                                        base::monotonic_time now) {
+  return m_registries.try_take(registry.size() * bytes_per_record, now);
+}
+
+std::optional<last_known_state> state_publisher::last_known(replicated_state const& state,
+                                                            endpoint_registry const& registry,
+                                                            base::monotonic_time now) {
+  if (!try_take_registry(registry, now)) {
+    return std::nullopt;
+  }
+  return last_known_state{.document = state.document(),
+                          .endpoints = changes_since(0, registry, now),
+                          .rollouts = state.rollouts()};
+}
+
 shared_list<endpoint_record> state_publisher::changes_since(std::uint64_t revision,
                                                             endpoint_registry const& registry,
                                                             base::monotonic_time now) {
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/consensus/replica.h>
+#include <libraries/proxy/byte_budget.h>
 #include <libraries/proxy/document_source.h>
 #include <libraries/proxy/downstream_table.h>
 #include <libraries/proxy/endpoint_registry.h>
@@ -30,6 +31,9 @@
     base::duration max_push_backlog = std::chrono::milliseconds(50);
     /// How long a list of registry changes serves all instances that lack the same ones.
     base::duration changes_lifetime = std::chrono::seconds(1);
+    /// For whole registries. What waits to be sent takes up memory, and when all instances start at
+    /// once, each needs one.
+    byte_budget::options registries;
   };
 
   /// What is published, as it is now.
@@ -47,7 +51,7 @@
   };
 
   explicit state_publisher(options options)
-      : m_options(options), m_downstreams(options.downstreams) {}
+      : m_options(options), m_downstreams(options.downstreams), m_registries(options.registries) {}
 
   /// The update for an instance that is subscribed.
   [[nodiscard]] outgoing reply_to(base::instance_id const& from, source const& source,
@@ -55,6 +59,11 @@
   /// The updates for all subscribed instances; none if the state is the one last pushed, or if
   /// there were too many pushes just before.
   [[nodiscard]] std::vector<outgoing> push(source const& source, base::monotonic_time now);
+  /// The state for an entry instance that has none, from an instance that knows no leader either;
+  /// nothing while many others get theirs.
+  [[nodiscard]] std::optional<last_known_state> last_known(replicated_state const& state,
+                                                           endpoint_registry const& registry,
+                                                           base::monotonic_time now);
   /// The requested part of a large document; nothing if none has been offered.
   [[nodiscard]] std::optional<document_part> part(document_request const& request) const {
     return m_documents.part(request);
@@ -67,6 +76,8 @@
 private:
   [[nodiscard]] update make_update(base::instance_id const& to, downstream& downstream,
                                    source const& source, base::monotonic_time now);
+  /// Whether a whole registry may be sent now.
+  [[nodiscard]] bool try_take_registry(endpoint_registry const& registry, base::monotonic_time now);
   [[nodiscard]] shared_list<endpoint_record> changes_since(std::uint64_t revision,
                                                            endpoint_registry const& registry,
                                                            base::monotonic_time now);
@@ -80,6 +91,7 @@
 
   options m_options;
   downstream_table m_downstreams;
+  byte_budget m_registries;
   document_source m_documents;
   /// The state that was last pushed to all subscribed instances.
   known_state m_last_pushed;
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds reply_timeout{3000};
 /// Endpoints keep their connections open. Leaves room for those to other instances within the
 /// usual limit of 4096 descriptors.
-constexpr std::size_t max_callers = 2048;
+constexpr std::size_t max_callers = 3200;
 constexpr std::chrono::milliseconds stop_check_interval{20};
 constexpr std::chrono::milliseconds stop_margin{500};
 /// Time for queued replies to be written before the process stops.
--- a/tests/libraries/proxy/state_push_test.cpp
+++ b/tests/libraries/proxy/state_push_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <tuple>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -26,7 +28,7 @@
   auto const name = std::to_string(endpoint);
   return {{.id = {"e" + name},
            .service = {"s"},
-           .address = {.ip = "10.0.0." + name, .port = 80},
+           .address = {.ip = "10.0.0.1", .port = static_cast<std::uint16_t>(endpoint + 1)},
            .number = {.incarnation = 1, .sequence = 1}}};
 }
 
@@ -85,6 +87,57 @@
   EXPECT_TRUE(ask(1));
 }
 
+// All of 300 entry instances lose their state at once before 3000 endpoints, so each needs a
+// registry of some 450 kB. Guards against a control instance that queues all of them within one
+// moment, which is more memory than it has, whether it leads or knows no leader.
+TEST(state_pushes, spread_the_whole_registries_for_instances_that_start_together) {
+  constexpr int entries = 300;
+  constexpr int endpoints = 3000;
+  constexpr std::size_t max_queued_bytes = 64U * 1024 * 1024;
+  auto group = founded_group();
+  auto const leader = group.leader();
+  group.call(leader, 1, replace_document{.document = {.revision = 7}, .source = "seven"});
+  for (int i = 0; i < endpoints; ++i) {
+    group.call(leader, static_cast<call_number>(i + 2), announcement(i));
+  }
+  group.run(1s);
+  auto const bytes_to_all = [&] {
+    std::size_t sum = 0;
+    for (int i = 0; i < entries; ++i) {
+      sum += group.take_bytes_to(entry(i));
+    }
+    return sum;
+  };
+  auto const ask_all = [&](std::string const& from_whom) {
+    for (int i = 0; i < entries; ++i) {
+      group.send(entry(i), from_whom, subscription{.is_entry = true, .report = 1});
+    }
+  };
+  ask_all(leader);
+  EXPECT_LT(bytes_to_all(), max_queued_bytes);
+  for (int round = 0; round < 20; ++round) {
+    group.run(200ms);
+    for (int i = 0; i < entries; ++i) {
+      auto const& known = group.updates(entry(i)).back().state;
+      group.send(entry(i), leader, subscription{.known = known, .is_entry = true, .report = 2});
+    }
+  }
+  for (int i = 0; i < entries; ++i) {
+    EXPECT_GT(group.updates(entry(i)).back().state.registry_revision, 0U) << i;
+  }
+  std::ignore = bytes_to_all();
+  // A follower that knows no leader.
+  auto const follower = leader == "a" ? "b" : "a";
+  for (auto const* other : {"a", "b", "c"}) {
+    if (std::string(other) != follower) {
+      group.stop(other);
+    }
+  }
+  group.run(2s);
+  ask_all(follower);
+  EXPECT_LT(bytes_to_all(), max_queued_bytes);
+}
+
 // All instances that lack the same changes get the same list, which is serialized once.
 TEST(state_pushes, share_the_list_of_changes) {
   auto group = founded_group();
