--- a/tests/libraries/proxy/state_push_test.cpp
+++ b/tests/libraries/proxy/state_push_test.cpp
@@ -45,7 +45,7 @@
   }
   auto const before = group.updates(entry(0)).size();
   for (int i = 0; i < endpoints; ++i) {
-    group.call(leader, static_cast<call_number>(i + 1), announcement(i));
+    group.call(leader, static_cast<call_number>(i) + 1, announcement(i));
     if (i % 4 == 3) {
       group.run(20ms);
     }
@@ -98,7 +98,7 @@
   auto const leader = group.leader();
   group.call(leader, 1, replace_document{.document = {.revision = 7}, .source = "seven"});
   for (int i = 0; i < endpoints; ++i) {
-    group.call(leader, static_cast<call_number>(i + 2), announcement(i));
+    group.call(leader, static_cast<call_number>(i) + 2, announcement(i));
   }
   group.run(1s);
   auto const bytes_to_all = [&] {
