proxy: Accept announcements of endpoints at all control instances

Each announcement was redirected to the leader, on a connection of its own: some 2,500 calls a second and 3,000 descriptors at one instance.

Change: an instance that knows the leader accepts announcements that don't say that the endpoint leaves, keeps the newest of each endpoint, and passes them on each tick, 256 in a message. Departures and withdrawals go to the leader as before, which alone can tell that the entry instances know. The reply names the instance that accepted. The format between instances changes (0x43505807).

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -22,7 +22,7 @@
                                                     .seed = m_options.replica.seed}),
       m_evaluator(m_options.evaluator), m_rates(m_options.rates),
       m_quarantine(m_options.quarantine), m_publisher(m_options.publisher),
-      m_calls(m_options.calls), m_voters(m_options.voters) {
+      m_calls(m_options.calls), m_voters(m_options.voters), m_relay(m_options.relay) {
   restore(recovered.snapshot);
 }
 
@@ -37,7 +37,9 @@
                       control_effects& out) {
   auto const answer = [&](call_reply reply) { out.answers.push_back({number, std::move(reply)}); };
   if (m_replica.role() != consensus::role::leader) {
-    answer({.kind = reply_kind::not_leader, .leader = other_leader()});
+    bool const is_accepted = accept_for_leader(request);
+    answer(is_accepted ? done_here()
+                       : call_reply{.kind = reply_kind::not_leader, .leader = other_leader()});
     return;
   }
   if (!is_serving_leader(now)) {
@@ -81,6 +83,7 @@
       out.messages.push_back({*upstream, subscription{.known = m_subscriber.known()}});
     }
   }
+  relay_announcements(now, out);
   process_replica_output(now, out);
   announce_departure(out);
 }
@@ -176,6 +179,21 @@
   m_publisher.downstreams().note_known(from, confirmation.known);
 }
 
+void control::handle(base::instance_id const& /*from*/, relayed_announcements const& relayed,
+                     base::monotonic_time now, control_effects& out) {
+  // A former leader drops them. Each endpoint announces itself again soon.
+  if (m_replica.role() != consensus::role::leader) {
+    return;
+  }
+  for (auto const& announcement : relayed.announcements) {
+    // An announcement that its endpoint leaves is not passed on, so such a one is not genuine.
+    if (!announcement.is_leaving) {
+      register_announcement(announcement, now, out);
+      apply_departure(announcement.id, out);
+    }
+  }
+}
+
 void control::handle(base::instance_id const& from, update const& update, base::monotonic_time now,
                      control_effects& out) {
   if (m_replica.role() == consensus::role::leader || m_subscriber.is_outdated(update)) {
@@ -228,11 +246,7 @@
 void control::process_request(call_number number, announce_endpoint const& request,
                               base::monotonic_time now, control_effects& out) {
   auto const& announcement = request.announcement;
-  auto const outcome = m_registry.announce(announcement, now);
-  if (outcome == announcement_outcome::changed) {
-    note_endpoint(announcement.id, out);
-  }
-  if (outcome == announcement_outcome::refused) {
+  if (register_announcement(announcement, now, out) == announcement_outcome::refused) {
     out.answers.push_back({number, {.kind = reply_kind::unavailable}});
     return;
   }
@@ -247,6 +261,16 @@
   out.answers.push_back({number, done_here()});
 }
 
+announcement_outcome control::register_announcement(endpoint_announcement const& announcement,
+                                                    base::monotonic_time now,
+                                                    control_effects& out) {
+  auto const outcome = m_registry.announce(announcement, now);
+  if (outcome == announcement_outcome::changed) {
+    note_endpoint(announcement.id, out);
+  }
+  return outcome;
+}
+
 void control::process_request(call_number number, withdraw_endpoint const& request,
                               base::monotonic_time now, control_effects& out) {
   if (m_registry.withdraw(request.endpoint, now) == announcement_outcome::changed) {
@@ -259,6 +283,29 @@
               now, out);
 }
 
+bool control::accept_for_leader(call_request const& request) {
+  auto const* announced = std::get_if<announce_endpoint>(&request);
+  // That an endpoint leaves is acknowledged by the leader only, once the entry instances know.
+  bool const may_accept =
+      announced != nullptr && !announced->announcement.is_leaving && other_leader().has_value();
+  return may_accept && m_relay.add(announced->announcement);
+}
+
+void control::relay_announcements(base::monotonic_time now, control_effects& out) {
+  bool const is_leader = m_replica.role() == consensus::role::leader;
+  auto const leader = is_leader ? std::optional(m_replica.self().instance) : other_leader();
+  if (!leader) {
+    return;
+  }
+  for (auto& relayed : m_relay.take()) {
+    if (is_leader) {
+      handle(m_replica.self().instance, relayed, now, out);
+    } else {
+      out.messages.push_back({*leader, std::move(relayed)});
+    }
+  }
+}
+
 void control::acknowledge(call_number number, endpoint_departure const& departure,
                           base::monotonic_time now, control_effects& out) {
   if (m_state.departures().covers(departure)) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/consensus/replica.h>
+#include <libraries/proxy/announcement_relay.h>
 #include <libraries/proxy/call.h>
 #include <libraries/proxy/endpoint_registry.h>
 #include <libraries/proxy/pending_calls.h>
@@ -84,6 +85,7 @@
     base::duration registry_warmup = std::chrono::seconds(6);
     pending_calls::options calls;
     voter_manager::options voters;
+    announcement_relay::options relay;
     /// A request to start a rollout that ended less than this long ago is treated as a duplicate.
     base::duration resend_window = std::chrono::seconds(10);
   };
@@ -105,6 +107,7 @@
   [[nodiscard]] replicated_state const& state() const { return m_state; }
   [[nodiscard]] consensus::replica const& replica() const { return m_replica; }
   [[nodiscard]] endpoint_registry const& registry() const { return m_registry; }
+  [[nodiscard]] announcement_relay const& relay() const { return m_relay; }
 
 private:
   control(options options, consensus::recovered_state const& recovered, base::monotonic_time now);
@@ -130,6 +133,9 @@
   void handle(base::instance_id const& from, confirmation const& confirmation,
               base::monotonic_time now, control_effects& out);
 
+  void handle(base::instance_id const& from, relayed_announcements const& relayed,
+              base::monotonic_time now, control_effects& out);
+
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
   void send_referral(base::instance_id const& from, subscription const& subscription,
@@ -148,7 +154,14 @@
                        base::monotonic_time now, control_effects& out);
   void process_request(call_number number, withdraw_endpoint const& request,
                        base::monotonic_time now, control_effects& out);
-  /// The reply to a call that is in effect at this leader.
+  /// Whether the call is accepted although another instance leads: an announcement that changes
+  /// nothing which its endpoint relies on.
+  [[nodiscard]] bool accept_for_leader(call_request const& request);
+  /// Passes the accepted announcements on to the leader.
+  void relay_announcements(base::monotonic_time now, control_effects& out);
+  announcement_outcome register_announcement(endpoint_announcement const& announcement,
+                                             base::monotonic_time now, control_effects& out);
+  /// The reply to a call that is in effect, and that names this instance for further calls.
   [[nodiscard]] call_reply done_here() const;
   /// Answers the call when the departure is in the log, and the entry instances know of it.
   void acknowledge(call_number number, endpoint_departure const& departure,
@@ -196,6 +209,7 @@
   state_publisher m_publisher;
   pending_calls m_calls;
   voter_manager m_voters;
+  announcement_relay m_relay;
   bool m_is_stopping = false;
 };
 
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -185,11 +185,23 @@
   void serialize(Archive& /*archive*/) {}
 };
 
+/// Announcements of endpoints that an instance which does not lead accepted for the leader. None of
+/// them says that its endpoint leaves.
+struct relayed_announcements {
+  std::vector<endpoint_announcement> announcements;
+
+  template<class Archive>
+  void serialize(Archive& archive) {
+    archive(announcements);
+  }
+};
+
 using message = std::variant<consensus::message, subscription, update, referral, last_known_state,
-                             departure_notice, document_request, document_part, confirmation>;
+                             departure_notice, document_request, document_part, confirmation,
+                             relayed_announcements>;
 
 /// A message in its wire format, with the protocol identifier.
-using envelope = base::envelope<message, 0x43505806>;
+using envelope = base::envelope<message, 0x43505807>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
 [[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -129,6 +129,8 @@
             metrics.set_gauge("term", static_cast<double>(m_control->replica().term()));
             bool const is_leader = m_control->replica().role() == consensus::role::leader;
             metrics.set_gauge("is_leader", is_leader ? 1.0 : 0.0);
+            metrics.set_gauge("relayed_announcements",
+                              static_cast<double>(m_control->relay().accepted()));
             if (m_call_server) {
               metrics.set_gauge("callers", static_cast<double>(m_call_server->connection_count()));
               metrics.set_gauge("callers_refused",
