proxy: Forward answers in a class of their own

What a caller has of its answer, and how bodies and events are forwarded, is answer_forwarder now; nothing is decided otherwise.

--- /dev/null
+++ b/services/proxy/answer_forwarder.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <libraries/proxy/event_stream.h>
+#include <libraries/proxy/router.h>
+#include <libraries/proxy/stream_timing.h>
+#include <services/daemon/coroutine.h>
+#include <services/proxy/answer_reader.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace catkinlanding::proxy {
+
+/// Forwards the answer to one request to its caller, and knows how much of it the caller has. A
+/// stream may come from several endpoints, one after the other.
+class answer_forwarder {
+public:
+  enum class result : std::uint8_t { complete, broken, malformed, caller_write_failed };
+
+  answer_forwarder(proxy::router& router, daemon::tcp_stream& caller, request_number number,
+                   base::monotonic_time began_at)
+      : m_router(router), m_caller(caller), m_number(number), m_timing(began_at) {}
+
+  /// Forwards a complete answer with its length, or in chunks if it exceeds the buffer limit.
+  /// `keep_alive` tells the caller whether its connection remains open.
+  daemon::awaitable<result> forward_body(answer_reader& answer, bool keep_alive);
+  /// Forwards an event stream, complete events only.
+  daemon::awaitable<result> forward_events(answer_reader& answer, bool keep_alive);
+  /// Reads the rest of the body, which is not forwarded. One that is larger than the limit is
+  /// malformed.
+  daemon::awaitable<tl::expected<std::string, attempt_failure>> read_body(answer_reader& answer,
+                                                                          std::size_t max_bytes);
+  /// Returns false if the caller has disconnected, or does not read.
+  daemon::awaitable<bool> write(std::string bytes);
+
+  /// Whether the caller has received the header of an answer.
+  [[nodiscard]] bool has_begun() const { return m_has_begun; }
+  [[nodiscard]] event_stream const& events() const { return m_events; }
+  [[nodiscard]] stream_timing const& timing() const { return m_timing; }
+
+  /// Failures that can be replaced are buffered up to this size, as answers are.
+  static constexpr std::size_t max_buffered_bytes = 64 * 1024;
+
+private:
+  /// Reads the next part of the body.
+  daemon::awaitable<tl::expected<std::string_view, attempt_failure>>
+  read_some(answer_reader& answer);
+  daemon::awaitable<bool> write_chunk(std::string_view bytes);
+
+  proxy::router& m_router;
+  daemon::tcp_stream& m_caller;
+  request_number m_number;
+  event_stream m_events;
+  stream_timing m_timing;
+  bool m_has_begun = false;
+};
+
+} // namespace catkinlanding::proxy
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -19,15 +19,8 @@
 
 /// Covers several round trips between the most distant zones.
 constexpr std::chrono::milliseconds connect_timeout{250};
-/// A caller that does not accept a write within this time is treated as gone.
-constexpr std::chrono::seconds write_timeout{10};
-/// Answers up to this size are buffered completely before the first byte is forwarded, so that an
-/// answer that breaks off can still be replaced by a retry.
-constexpr std::size_t max_buffered_answer_bytes = 64 * 1024;
 /// Bodies up to this size are read and discarded so that the connection can be reused.
 constexpr std::size_t max_discarded_body_bytes = 16 * 1024;
-/// A stream with a larger event is malformed.
-constexpr std::size_t max_event_bytes = 1024 * 1024;
 /// Number of late answers to earlier requests that are skipped before the attempt fails.
 constexpr int max_stale_answers = 2;
 
@@ -35,8 +28,9 @@
 
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
     : m_context(context), m_caller(caller), m_request(std::move(request)),
-      m_number(++context.last_request_number), m_started_at(now()), m_deadline_timer(context.io),
-      m_stall_timer(context.io), m_stream_timing(m_started_at) {}
+      m_number(++context.last_request_number), m_started_at(now()),
+      m_forwarder(context.router, caller, m_number, m_started_at), m_deadline_timer(context.io),
+      m_stall_timer(context.io) {}
 
 awaitable<bool> exchange::run() {
   m_keep_alive = m_request.keep_alive();
@@ -44,7 +38,7 @@
   if (!facts) {
     spdlog::warn("entry refused request=- reason={}", name_of(facts.error()));
     http_response bad(http::status::bad_request, 11);
-    co_return co_await write_to_caller(serialize_response(bad.base(), {}, m_keep_alive)) &&
+    co_return co_await m_forwarder.write(serialize_response(bad.base(), {}, m_keep_alive)) &&
         m_keep_alive;
   }
   facts->content_hash = content_hash_of(m_request);
@@ -78,8 +72,9 @@
       finish(request_end::answered, "whole");
       co_return m_keep_alive && !m_context.is_stopping;
     }
-    request_log::attempt_failed(m_id, m_attempts, *failure, m_answer_status, m_events.events());
-    decision = m_context.router.fail(m_number, *failure, m_is_header_sent, now());
+    request_log::attempt_failed(m_id, m_attempts, *failure, m_answer_status,
+                                m_forwarder.events().events());
+    decision = m_context.router.fail(m_number, *failure, m_forwarder.has_begun(), now());
   }
 }
 
@@ -112,7 +107,7 @@
   if (refusal.quarantine) {
     request_log::quarantined(m_id, *refusal.quarantine);
   }
-  if (m_is_header_sent) {
+  if (m_forwarder.has_begun()) {
     // Close the connection without the last chunk, so that the caller detects the truncation.
     finish(request_end::interrupted, name_of(refusal.kind));
     co_return false;
@@ -120,7 +115,7 @@
   finish(request_end::refused, name_of(refusal.kind));
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
   auto const answer = m_context.protocol_adapter.write_refusal(refusal);
-  co_return co_await write_to_caller(
+  co_return co_await m_forwarder.write(
       serialize_response(answer.base(), answer.body(), keep_alive)) &&
       keep_alive;
 }
@@ -135,7 +130,7 @@
   }
   finish(request_end::failed_answer, "endpoint_failed");
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  co_return co_await write_to_caller(
+  co_return co_await m_forwarder.write(
       serialize_response(m_stored_failure->header, m_stored_failure->body, keep_alive)) &&
       keep_alive;
 }
@@ -184,7 +179,7 @@
   request.base() = m_request.base();
   erase_hop_by_hop_headers(request.base());
   auto const remaining = std::chrono::duration_cast<base::duration>(attempt.deadline - now());
-  auto const last_event = m_is_header_sent ? m_events.last_id() : std::nullopt;
+  auto const last_event = m_forwarder.has_begun() ? m_forwarder.events().last_id() : std::nullopt;
   m_context.protocol_adapter.prepare_request_header(request.base(), attempt, remaining, last_event);
   request.body() = m_request.body();
   if (!request.body().empty() || m_request.method() != http::verb::get) {
@@ -213,7 +208,7 @@
       co_return std::nullopt;
     }
     // This is a late answer to an earlier request; discard it and read the next one.
-    if (!co_await read_body(max_discarded_body_bytes)) {
+    if (!co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes)) {
       co_return attempt_failure::malformed;
     }
   }
@@ -227,14 +222,15 @@
   if (metadata.is_wrong_endpoint || metadata.is_not_executed) {
     // A rejection that names no request could be repeated on this connection, and then be taken for
     // the answer to another request.
-    if (metadata.names_request && co_await read_body(max_discarded_body_bytes)) {
+    if (metadata.names_request &&
+        co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes)) {
       return_upstream_to_pool();
     }
     co_return metadata.is_wrong_endpoint ? attempt_failure::wrong_endpoint
                                          : attempt_failure::not_executed;
   }
   if (is_server_error(status) || implies_not_executed(status)) {
-    auto body = co_await read_body(max_buffered_answer_bytes);
+    auto body = co_await m_forwarder.read_body(*m_answer, answer_forwarder::max_buffered_bytes);
     if (!body) {
       co_return body.error();
     }
@@ -243,7 +239,7 @@
     erase_hop_by_hop_headers(m_stored_failure->header);
     co_return attempt_failure::failed_answer;
   }
-  if (m_is_header_sent && !is_success(status)) {
+  if (m_forwarder.has_begun() && !is_success(status)) {
     // The caller's stream has begun, and only further events may follow.
     co_return attempt_failure::failed_answer;
   }
@@ -257,134 +253,29 @@
   // From here on the pauses between events count.
   start_stall_timer();
   bool const is_stream = attempt.is_stream && is_success(status);
-  auto const result = is_stream ? co_await forward_events() : co_await forward_body();
-  if (result == forward_result::caller_write_failed) {
-    m_is_caller_gone = true;
-    co_return std::nullopt;
-  }
-  if (result != forward_result::complete) {
-    co_return result == forward_result::broken ? attempt_failure::broken
-                                               : attempt_failure::malformed;
-  }
-  return_upstream_to_pool();
-  co_return std::nullopt;
-}
-
-awaitable<exchange::forward_result> exchange::forward_body() {
-  auto header = m_answer->header();
-  erase_hop_by_hop_headers(header);
-  std::string body;
-  while (body.size() <= max_buffered_answer_bytes && !m_answer->is_done()) {
-    auto const piece = co_await read_some();
-    if (!piece) {
-      co_return result_of(piece.error());
-    }
-    body.append(*piece);
-  }
-  bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  if (m_answer->is_done()) {
-    m_is_header_sent = true;
-    bool const is_written = co_await write_to_caller(serialize_response(header, body, keep_alive));
-    co_return is_written ? forward_result::complete : forward_result::caller_write_failed;
-  }
-  m_is_header_sent = true;
-  if (!co_await write_to_caller(serialize_chunked_header(header, keep_alive) +
-                                serialize_chunk(body))) {
-    co_return forward_result::caller_write_failed;
-  }
-  while (!m_answer->is_done()) {
-    auto const piece = co_await read_some();
-    if (!piece) {
-      co_return result_of(piece.error());
-    }
-    if (!co_await write_chunk_to_caller(*piece)) {
-      co_return forward_result::caller_write_failed;
-    }
+  auto const failure = co_await forward(is_stream);
+  if (!failure && !m_is_caller_gone) {
+    return_upstream_to_pool();
   }
-  bool const is_written = co_await write_to_caller(std::string(last_chunk));
-  co_return is_written ? forward_result::complete : forward_result::caller_write_failed;
+  co_return failure;
 }
 
-awaitable<exchange::forward_result> exchange::forward_events() {
-  auto header = m_answer->header();
-  erase_hop_by_hop_headers(header);
-  m_events.drop_partial();
+awaitable<std::optional<attempt_failure>> exchange::forward(bool is_stream) {
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  while (!m_answer->is_done()) {
-    auto const piece = co_await read_some();
-    if (!piece) {
-      co_return result_of(piece.error());
-    }
-    auto const events_before = m_events.events();
-    auto events = m_events.take(*piece);
-    if (m_events.partial_bytes() > max_event_bytes) {
-      co_return forward_result::malformed;
-    }
-    if (events.empty()) {
-      continue;
-    }
-    m_context.router.note_events(m_number, m_events.events() - events_before, now());
-    auto bytes = serialize_chunk(events);
-    if (!m_is_header_sent) {
-      // The header is sent with the first event, so that an attempt without events can be replaced.
-      bytes.insert(0, serialize_chunked_header(header, keep_alive));
-      m_is_header_sent = true;
-    }
-    if (!co_await write_to_caller(std::move(bytes))) {
-      co_return forward_result::caller_write_failed;
-    }
-    m_stream_timing.note_delivery(now());
-  }
-  if (m_events.partial_bytes() != 0) {
-    co_return forward_result::broken;
-  }
-  std::string ending(last_chunk);
-  if (!m_is_header_sent) {
-    ending.insert(0, serialize_chunked_header(header, keep_alive));
-    m_is_header_sent = true;
-  }
-  co_return co_await write_to_caller(std::move(ending)) ? forward_result::complete
-                                                        : forward_result::caller_write_failed;
-}
-
-awaitable<tl::expected<std::string, attempt_failure>> exchange::read_body(std::size_t max_bytes) {
-  std::string body;
-  while (!m_answer->is_done()) {
-    auto const piece = co_await read_some();
-    if (!piece) {
-      co_return tl::unexpected(piece.error());
-    }
-    if (body.size() + piece->size() > max_bytes) {
-      co_return tl::unexpected(attempt_failure::malformed);
-    }
-    body.append(*piece);
-  }
-  co_return body;
-}
-
-awaitable<tl::expected<std::string_view, attempt_failure>> exchange::read_some() {
-  auto const piece = co_await m_answer->read_some();
-  if (piece) {
-    m_context.router.note_progress(m_number, now());
-  }
-  co_return piece;
-}
-
-exchange::forward_result exchange::result_of(attempt_failure failure) {
-  return failure == attempt_failure::broken ? forward_result::broken : forward_result::malformed;
-}
-
-awaitable<bool> exchange::write_to_caller(std::string bytes) {
-  m_caller.expires_after(write_timeout);
-  auto const [error, size] = co_await asio::async_write(m_caller, asio::buffer(bytes), completion);
-  co_return !error;
-}
-
-awaitable<bool> exchange::write_chunk_to_caller(std::string_view bytes) {
-  if (bytes.empty()) {
-    co_return true;
+  auto const result = is_stream ? co_await m_forwarder.forward_events(*m_answer, keep_alive)
+                                : co_await m_forwarder.forward_body(*m_answer, keep_alive);
+  switch (result) {
+  case answer_forwarder::result::complete:
+    co_return std::nullopt;
+  case answer_forwarder::result::caller_write_failed:
+    m_is_caller_gone = true;
+    co_return std::nullopt;
+  case answer_forwarder::result::broken:
+    co_return attempt_failure::broken;
+  case answer_forwarder::result::malformed:
+    co_return attempt_failure::malformed;
   }
-  co_return co_await write_to_caller(serialize_chunk(bytes));
+  co_return attempt_failure::malformed;
 }
 
 attempt_failure exchange::classify_failure(attempt_failure failure) const {
@@ -469,8 +360,9 @@
   m_context.router.end(m_number, now());
   auto const took = now() - m_started_at;
   m_context.metrics.observe_request(m_customer, m_route, end, reason, took);
-  if (auto const first = m_stream_timing.first_event()) {
-    m_context.metrics.observe_stream(m_customer, m_route, *first, m_stream_timing.longest_pause());
+  if (auto const first = m_forwarder.timing().first_event()) {
+    m_context.metrics.observe_stream(m_customer, m_route, *first,
+                                     m_forwarder.timing().longest_pause());
   }
   request_log::ended({.id = m_id,
                       .end = end,
@@ -478,9 +370,9 @@
                       .route = m_route,
                       .customer = m_customer,
                       .attempts = m_attempts,
-                      .events = m_events.events(),
-                      .first_event = m_stream_timing.first_event(),
-                      .longest_pause = m_stream_timing.longest_pause(),
+                      .events = m_forwarder.events().events(),
+                      .first_event = m_forwarder.timing().first_event(),
+                      .longest_pause = m_forwarder.timing().longest_pause(),
                       .took = took});
 }
 
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include <libraries/proxy/event_stream.h>
 #include <libraries/proxy/router.h>
-#include <libraries/proxy/stream_timing.h>
 #include <services/daemon/coroutine.h>
-#include <services/proxy/answer_reader.h>
+#include <services/proxy/answer_forwarder.h>
 #include <services/proxy/metrics.h>
 #include <services/proxy/protocol_adapter.h>
 #include <services/proxy/upstream_pool.h>
@@ -48,8 +46,6 @@
     std::string body;
   };
 
-  enum class forward_result { complete, broken, malformed, caller_write_failed };
-
   daemon::awaitable<void> wait_for_state(request_facts& facts);
   daemon::awaitable<bool> refuse(refusal refusal);
   daemon::awaitable<bool> deliver_stored_failure();
@@ -63,17 +59,9 @@
   /// requests. Returns how that failed; nothing on success.
   daemon::awaitable<std::optional<attempt_failure>> read_header(attempt const& attempt);
   daemon::awaitable<std::optional<attempt_failure>> forward_answer(attempt const& attempt);
-  /// Forwards a complete answer with its length, or in chunks if it exceeds the buffer limit.
-  daemon::awaitable<forward_result> forward_body();
-  /// Forwards an event stream, complete events only.
-  daemon::awaitable<forward_result> forward_events();
-  /// Reads the rest of the body. One that is larger than the limit is malformed.
-  daemon::awaitable<tl::expected<std::string, attempt_failure>> read_body(std::size_t max_bytes);
-  /// Reads the next part of the body.
-  daemon::awaitable<tl::expected<std::string_view, attempt_failure>> read_some();
-  [[nodiscard]] static forward_result result_of(attempt_failure failure);
-  daemon::awaitable<bool> write_to_caller(std::string bytes);
-  daemon::awaitable<bool> write_chunk_to_caller(std::string_view bytes);
+  /// Forwards the body of the current answer. Returns how that failed; nothing if it was delivered
+  /// completely or the caller has disconnected.
+  daemon::awaitable<std::optional<attempt_failure>> forward(bool is_stream);
 
   /// The given failure, or the timeout that caused it.
   [[nodiscard]] attempt_failure classify_failure(attempt_failure failure) const;
@@ -97,18 +85,16 @@
   std::string m_route;
   std::string m_customer;
   base::monotonic_time m_started_at;
+  answer_forwarder m_forwarder;
   daemon::steady_timer m_deadline_timer;
   daemon::steady_timer m_stall_timer;
   std::unique_ptr<upstream_connection> m_upstream;
   std::unique_ptr<answer_reader> m_answer;
   std::optional<stored_failure> m_stored_failure;
-  event_stream m_events;
-  stream_timing m_stream_timing;
   std::uint32_t m_attempts = 0;
   /// The status of the current attempt's answer; 0 before its header arrived.
   unsigned m_answer_status = 0;
   bool m_keep_alive = true;
-  bool m_is_header_sent = false;
   bool m_is_expired = false;
   bool m_is_stalled = false;
   bool m_is_caller_gone = false;
