proxy: Check a stalled stream again though its deadline has just passed

The check at a timer's end reads the clock twice. If the first event came some microseconds after the header, the deadline moved by as much, was not reached at the first reading and was over at the second; then no timer was armed any more. The same held where no retry was left at that moment.

Change: whatever the check finds, the next one follows, 20 ms later at the earliest.

--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -19,6 +19,8 @@
 
 /// Covers several round trips between the most distant zones.
 constexpr std::chrono::milliseconds connect_timeout{250};
+/// Shortest time between two checks whether an attempt has stalled.
+constexpr std::chrono::milliseconds stall_check_interval{20};
 /// Bodies up to this size are read and discarded so that the connection can be reused.
 constexpr std::size_t max_discarded_body_bytes = 16 * 1024;
 /// Number of late answers to earlier requests that are skipped before the attempt fails.
@@ -318,12 +320,12 @@
   });
 }
 
-void exchange::start_stall_timer() {
+void exchange::start_stall_timer(base::monotonic_time earliest) {
   auto const due = m_context.router.stall_deadline(m_number);
   if (!due) {
     return;
   }
-  m_stall_timer.expires_at(*due);
+  m_stall_timer.expires_at(std::max(*due, earliest));
   m_stall_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
     if (error || self->m_is_done || !self->m_upstream) {
       return;
@@ -333,10 +335,8 @@
       self->close_upstream();
       return;
     }
-    auto const later = self->m_context.router.stall_deadline(self->m_number);
-    if (later && *later > now()) {
-      self->start_stall_timer();
-    }
+    // An event has moved the deadline, by however little, or no retry was left.
+    self->start_stall_timer(now() + stall_check_interval);
   });
 }
 
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -69,8 +69,8 @@
   void return_upstream_to_pool();
   void watch_for_caller_disconnect();
   void start_deadline_timer(base::monotonic_time deadline);
-  /// Aborts the attempt when the router declares it stalled.
-  void start_stall_timer();
+  /// Aborts the attempt when the router declares it stalled, not before the given time.
+  void start_stall_timer(base::monotonic_time earliest = {});
   void close_upstream();
   void finish(request_end end, std::string_view reason);
   /// Passes on what the endpoint states about itself in its answer.
