--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -41,6 +41,27 @@
           .fingerprint = traits.fingerprint};
 }
 
+relay active_request::begin_relay(base::instance_id const& peer) {
+  relays.push_back(peer);
+  is_relaying = true;
+  return {.peer = peer,
+          .attempts_before = facts.attempts_before + static_cast<std::uint32_t>(tried.size()),
+          .may_have_run = may_have_run,
+          .deadline = deadline,
+          .is_stream = route->is_stream(),
+          .route = route->name,
+          .customer = customer.value_or(base::customer_id{})};
+}
+
+bool active_request::has_been_sent_to(base::endpoint_id const& id) const {
+  return std::ranges::find(tried, id) != tried.end() ||
+         std::ranges::find(unreached, id) != unreached.end();
+}
+
+bool active_request::has_attempts_left() const {
+  return facts.attempts_before + tried.size() < route->max_attempts;
+}
+
 std::uint64_t active_request::work_of(std::uint64_t tokens) const {
   auto const& models = route->models;
   bool const is_largest = models.size() > 1 && model == models.back();
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -27,6 +27,8 @@
   /// Endpoints that the request was sent to, and those that could not be connected to.
   std::vector<base::endpoint_id> tried;
   std::vector<base::endpoint_id> unreached;
+  /// Entry instances that the request was passed on to.
+  std::vector<base::instance_id> relays;
   base::endpoint_id endpoint;
   base::version_id version;
   std::uint64_t incarnation = 0;
@@ -42,6 +44,8 @@
   std::uint64_t pending_work = 0;
   /// Set while an attempt is in progress.
   bool is_attempting = false;
+  /// Set while another entry instance handles the request.
+  bool is_relaying = false;
   bool has_answer = false;
   /// Whether the current attempt delivered an event.
   bool has_event = false;
@@ -53,6 +57,12 @@
 
   /// Begins an attempt at the endpoint, and describes it without what is known of the registry.
   [[nodiscard]] attempt begin_attempt(known_endpoint const& chosen, base::monotonic_time now);
+  /// Passes the request on to another entry instance.
+  [[nodiscard]] relay begin_relay(base::instance_id const& peer);
+  /// Whether it was sent to the endpoint, or could not be.
+  [[nodiscard]] bool has_been_sent_to(base::endpoint_id const& id) const;
+  /// Whether its route allows another endpoint.
+  [[nodiscard]] bool has_attempts_left() const;
   /// The work of processing this many prompt tokens, weighted by the size of the request's model.
   [[nodiscard]] std::uint64_t work_of(std::uint64_t tokens) const;
   /// The tokens of the prompt without the part that belongs to the request alone.
--- a/libraries/proxy/announcement_relay.cpp
+++ b/libraries/proxy/announcement_relay.cpp
@@ -21,8 +21,8 @@
 std::vector<relayed_announcements> announcement_relay::take() {
   std::vector<relayed_announcements> messages;
   for (auto& [id, announcement] : std::exchange(m_waiting, {})) {
-    bool const is_full = !messages.empty() &&
-                         messages.back().announcements.size() >= m_options.max_per_message;
+    bool const is_full =
+        !messages.empty() && messages.back().announcements.size() >= m_options.max_per_message;
     if (messages.empty() || is_full) {
       messages.emplace_back();
     }
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -35,26 +35,26 @@
 
 void control::receive(call_number number, call_request const& request, base::monotonic_time now,
                       control_effects& out) {
-  auto const answer = [&](call_reply reply) { out.answers.push_back({number, std::move(reply)}); };
   if (m_replica.role() != consensus::role::leader) {
     bool const is_accepted = accept_for_leader(request);
-    answer(is_accepted ? done_here()
-                       : call_reply{.kind = reply_kind::not_leader, .leader = other_leader()});
+    call_reply const elsewhere{.kind = reply_kind::not_leader, .leader = other_leader()};
+    answer(number, is_accepted ? done_here() : elsewhere, out);
     return;
   }
-  if (!is_serving_leader(now)) {
-    answer({.kind = reply_kind::unavailable});
+  if (!is_serving_leader(m_replica, now)) {
+    answer(number, {.kind = reply_kind::unavailable}, out);
     return;
   }
-  std::visit(base::overloaded{
-                 [&](replace_document const& one) { process_request(number, one, now, out); },
-                 [&](start_rollout const& one) { process_request(number, one, now, out); },
-                 [&](read_document const&) { answer(read_document_reply(m_state)); },
-                 [&](read_rollout const& one) { answer(read_rollout_reply(m_state, one)); },
-                 [&](announce_endpoint const& one) { process_request(number, one, now, out); },
-                 [&](withdraw_endpoint const& one) { process_request(number, one, now, out); },
-             },
-             request);
+  std::visit(
+      base::overloaded{
+          [&](replace_document const& one) { process_request(number, one, now, out); },
+          [&](start_rollout const& one) { process_request(number, one, now, out); },
+          [&](read_document const&) { answer(number, read_document_reply(m_state), out); },
+          [&](read_rollout const& one) { answer(number, read_rollout_reply(m_state, one), out); },
+          [&](announce_endpoint const& one) { process_request(number, one, now, out); },
+          [&](withdraw_endpoint const& one) { process_request(number, one, now, out); },
+      },
+      request);
   process_replica_output(now, out);
 }
 
@@ -129,7 +129,7 @@
 
 void control::handle(base::instance_id const& from, subscription const& subscription,
                      base::monotonic_time now, control_effects& out) {
-  if (!is_serving_leader(now)) {
+  if (!is_serving_leader(m_replica, now)) {
     send_referral(from, subscription, now, out);
     return;
   }
@@ -161,24 +161,14 @@
   }
 }
 
-void control::handle(base::instance_id const& from, departure_notice const& /*notice*/,
-                     base::monotonic_time now, control_effects& /*out*/) {
-  m_voters.note_departure(from, now);
-}
-
 void control::handle(base::instance_id const& from, document_request const& request,
                      base::monotonic_time now, control_effects& out) {
-  auto part = is_serving_leader(now) ? m_publisher.part(request) : std::nullopt;
+  auto part = is_serving_leader(m_replica, now) ? m_publisher.part(request) : std::nullopt;
   if (part) {
     out.messages.push_back({from, std::move(*part)});
   }
 }
 
-void control::handle(base::instance_id const& from, confirmation const& confirmation,
-                     base::monotonic_time /*now*/, control_effects& /*out*/) {
-  m_publisher.downstreams().note_known(from, confirmation.known);
-}
-
 void control::handle(base::instance_id const& /*from*/, relayed_announcements const& relayed,
                      base::monotonic_time now, control_effects& out) {
   // A former leader drops them. Each endpoint announces itself again soon.
@@ -220,7 +210,7 @@
                               base::monotonic_time now, control_effects& out) {
   if (request.document.revision <= m_state.revision()) {
     // This document or a newer one is already in force, so there is nothing to change.
-    out.answers.push_back({number, {.kind = reply_kind::done}});
+    answer(number, {.kind = reply_kind::done}, out);
     return;
   }
   propose(number, request, now, out);
@@ -229,25 +219,20 @@
 void control::process_request(call_number number, start_rollout const& request,
                               base::monotonic_time now, control_effects& out) {
   auto const* known = m_state.find_rollout(request.service);
-  if (known != nullptr && known->is_running() && known->target != request.target) {
-    out.answers.push_back({number, {.kind = reply_kind::conflict}});
-    return;
-  }
-  bool const is_resent =
-      known != nullptr && known->target == request.target &&
-      (known->is_running() || m_evaluator.ended_within(*known, m_options.resend_window, now));
-  if (is_resent) {
-    out.answers.push_back({number, {.kind = reply_kind::done}});
+  auto const kind = m_evaluator.classify_start(request.target, known, now);
+  if (kind == rollout_evaluator::start_kind::new_rollout) {
+    propose(number, request, now, out);
     return;
   }
-  propose(number, request, now, out);
+  bool const is_duplicate = kind == rollout_evaluator::start_kind::duplicate;
+  answer(number, {.kind = is_duplicate ? reply_kind::done : reply_kind::conflict}, out);
 }
 
 void control::process_request(call_number number, announce_endpoint const& request,
                               base::monotonic_time now, control_effects& out) {
   auto const& announcement = request.announcement;
   if (register_announcement(announcement, now, out) == announcement_outcome::refused) {
-    out.answers.push_back({number, {.kind = reply_kind::unavailable}});
+    answer(number, {.kind = reply_kind::unavailable}, out);
     return;
   }
   if (announcement.is_leaving) {
@@ -258,7 +243,7 @@
     return;
   }
   apply_departure(announcement.id, out);
-  out.answers.push_back({number, done_here()});
+  answer(number, done_here(), out);
 }
 
 announcement_outcome control::register_announcement(endpoint_announcement const& announcement,
@@ -315,15 +300,11 @@
   propose(number, record_departure{departure}, now, out);
 }
 
-call_reply control::done_here() const {
-  return {.kind = reply_kind::done, .leader = m_replica.self().instance};
-}
-
 void control::propose(call_number number, command const& command, base::monotonic_time now,
                       control_effects& out) {
   auto const index = m_replica.propose(encode(command), now, out.log);
   if (!index) {
-    out.answers.push_back({number, {.kind = reply_kind::unavailable}});
+    answer(number, {.kind = reply_kind::unavailable}, out);
     return;
   }
   m_calls.await_commit(*index, m_replica.term(), number, now);
@@ -331,10 +312,10 @@
 
 void control::answer_pending_calls(base::monotonic_time now, control_effects& out) {
   for (auto const number : m_calls.take_expired(m_replica.term(), now)) {
-    out.answers.push_back({number, {.kind = reply_kind::unavailable}});
+    answer(number, {.kind = reply_kind::unavailable}, out);
   }
   for (auto const number : m_calls.take_confirmed(m_publisher.downstreams(), now)) {
-    out.answers.push_back({number, done_here()});
+    answer(number, done_here(), out);
   }
 }
 
@@ -346,13 +327,11 @@
   return is_known ? std::optional(leader->instance) : std::nullopt;
 }
 
-bool control::is_serving_leader(base::monotonic_time now) const {
-  return m_replica.role() == consensus::role::leader && m_replica.holds_lease(now);
-}
-
 void control::process_replica_output(base::monotonic_time now, control_effects& out) {
-  note_role(now, out);
-  note_quorum(now, out);
+  if (m_monitor.note_role(m_replica, out.events)) {
+    change_role(now);
+  }
+  m_monitor.note_quorum(m_replica, now, out.events);
   if (out.log.restored_snapshot) {
     restore(*out.log.restored_snapshot);
     out.log.restored_snapshot.reset();
@@ -368,49 +347,20 @@
   for (auto const& rollout : m_state.rollouts()) {
     m_evaluator.note(rollout, now);
   }
-  note_voters(out);
+  m_monitor.note_voters(m_replica, out.events);
   push_changes(now, out);
   answer_pending_calls(now, out);
 }
 
-void control::note_role(base::monotonic_time now, control_effects& out) {
-  bool const is_leader = m_replica.role() == consensus::role::leader;
-  if (is_leader == m_was_leader) {
-    return;
-  }
-  m_was_leader = is_leader;
-  if (is_leader) {
-    m_leader_since = now;
-    m_registry.reset_silence_timers(now);
-    m_rates.begin_term(now);
-    m_voters.begin_term(now);
-  } else {
+void control::change_role(base::monotonic_time now) {
+  if (m_replica.role() != consensus::role::leader) {
     m_publisher.downstreams().clear();
-  }
-  auto const event = is_leader ? control_event::leadership_won : control_event::leadership_lost;
-  out.events.push_back({event, m_replica.self().instance.value, {}, m_replica.term()});
-}
-
-void control::note_quorum(base::monotonic_time now, control_effects& out) {
-  bool const has_quorum = is_serving_leader(now);
-  bool const is_lost = m_had_quorum && !has_quorum && m_was_leader;
-  bool const is_gained = !m_had_quorum && has_quorum;
-  m_had_quorum = has_quorum;
-  if (is_gained || is_lost) {
-    auto const event = is_gained ? control_event::quorum_gained : control_event::quorum_lost;
-    out.events.push_back({event, m_replica.self().instance.value,
-                          names_of(silent_voters(m_replica, now)),
-                          m_replica.current_configuration().voters.size()});
-  }
-}
-
-void control::note_voters(control_effects& out) {
-  auto const& voters = m_replica.current_configuration().voters;
-  if (voters == m_noted_voters) {
     return;
   }
-  m_noted_voters = voters;
-  out.events.push_back({control_event::voters_changed, names_of(voters), {}, voters.size()});
+  m_leader_since = now;
+  m_registry.reset_silence_timers(now);
+  m_rates.begin_term(now);
+  m_voters.begin_term(now);
 }
 
 void control::apply(consensus::log_entry const& entry, base::monotonic_time now,
@@ -446,7 +396,7 @@
   if (std::holds_alternative<record_departure>(*decoded)) {
     m_calls.await_confirmation(*pending, published(now).revisions(), now);
   } else {
-    out.answers.push_back({*pending, done_here()});
+    answer(*pending, done_here(), out);
   }
 }
 
@@ -472,7 +422,8 @@
 }
 
 void control::manage_voters(base::monotonic_time now, control_effects& out) {
-  auto proposal = is_serving_leader(now) ? m_voters.next_voters(m_replica, now) : std::nullopt;
+  auto proposal =
+      is_serving_leader(m_replica, now) ? m_voters.next_voters(m_replica, now) : std::nullopt;
   if (!proposal) {
     return;
   }
@@ -494,7 +445,7 @@
 // Rollouts and subscribed instances.
 
 void control::advance_rollouts(base::monotonic_time now, control_effects& out) {
-  if (!is_serving_leader(now)) {
+  if (!is_serving_leader(m_replica, now)) {
     return;
   }
   for (auto const& rollout : m_state.rollouts()) {
@@ -529,7 +480,7 @@
 }
 
 void control::push_changes(base::monotonic_time now, control_effects& out) {
-  if (!is_serving_leader(now)) {
+  if (!is_serving_leader(m_replica, now)) {
     return;
   }
   auto messages = m_publisher.push(published(now), now);
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -3,7 +3,9 @@
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/announcement_relay.h>
 #include <libraries/proxy/call.h>
+#include <libraries/proxy/control_event.h>
 #include <libraries/proxy/endpoint_registry.h>
+#include <libraries/proxy/group_monitor.h>
 #include <libraries/proxy/pending_calls.h>
 #include <libraries/proxy/rate_coordinator.h>
 #include <libraries/proxy/request_quarantine.h>
@@ -23,35 +25,6 @@
   call_reply reply;
 };
 
-/// Events of a control instance that are logged for operators.
-enum class control_event : std::uint8_t {
-  leadership_won,
-  leadership_lost,
-  document_applied,
-  rollout_changed,
-  /// The leader proposes the next state of a rollout; the detail holds the evidence.
-  rollout_decided,
-  endpoint_changed,
-  voters_changed,
-  /// The leader proposes other voters; the subject names them, the detail says why.
-  voters_proposed,
-  /// A majority of the voters responds to the leader; the number counts the voters.
-  quorum_gained,
-  /// The leader answers no calls, as no majority responds; the detail names the silent voters.
-  quorum_lost,
-  instance_joined,
-  instance_lost,
-};
-
-/// A control event as it is logged.
-struct control_event_details {
-  control_event event = control_event::leadership_won;
-  /// The instance, endpoint or service that the event concerns.
-  std::string subject;
-  std::string detail;
-  std::uint64_t number = 0;
-};
-
 /// The actions that result from one input to a control instance.
 struct control_effects {
   consensus::effects log;
@@ -86,8 +59,6 @@
     pending_calls::options calls;
     voter_manager::options voters;
     announcement_relay::options relay;
-    /// A request to start a rollout that ended less than this long ago is treated as a duplicate.
-    base::duration resend_window = std::chrono::seconds(10);
   };
 
   [[nodiscard]] static control create(options options, consensus::recovered_state const& recovered,
@@ -121,8 +92,10 @@
   void handle(base::instance_id const& from, referral const& referral, base::monotonic_time now,
               control_effects& out);
 
-  void handle(base::instance_id const& from, departure_notice const& notice,
-              base::monotonic_time now, control_effects& out);
+  void handle(base::instance_id const& from, departure_notice const& /*notice*/,
+              base::monotonic_time now, control_effects& /*out*/) {
+    m_voters.note_departure(from, now);
+  }
   void handle(base::instance_id const& from, document_request const& request,
               base::monotonic_time now, control_effects& out);
   // Used by entry instances only.
@@ -131,7 +104,9 @@
   void handle(base::instance_id const& /*from*/, document_part const& /*part*/,
               base::monotonic_time /*now*/, control_effects& /*out*/) const {}
   void handle(base::instance_id const& from, confirmation const& confirmation,
-              base::monotonic_time now, control_effects& out);
+              base::monotonic_time /*now*/, control_effects& /*out*/) {
+    m_publisher.downstreams().note_known(from, confirmation.known);
+  }
 
   void handle(base::instance_id const& from, relayed_announcements const& relayed,
               base::monotonic_time now, control_effects& out);
@@ -161,22 +136,25 @@
   void relay_announcements(base::monotonic_time now, control_effects& out);
   announcement_outcome register_announcement(endpoint_announcement const& announcement,
                                              base::monotonic_time now, control_effects& out);
+  static void answer(call_number number, call_reply reply, control_effects& out) {
+    out.answers.push_back({number, std::move(reply)});
+  }
   /// The reply to a call that is in effect, and that names this instance for further calls.
-  [[nodiscard]] call_reply done_here() const;
+  [[nodiscard]] call_reply done_here() const {
+    return {.kind = reply_kind::done, .leader = m_replica.self().instance};
+  }
   /// Answers the call when the departure is in the log, and the entry instances know of it.
   void acknowledge(call_number number, endpoint_departure const& departure,
                    base::monotonic_time now, control_effects& out);
   void propose(call_number number, command const& command, base::monotonic_time now,
                control_effects& out);
 
-  [[nodiscard]] bool is_serving_leader(base::monotonic_time now) const;
   /// Returns the known leader, unless it is this instance.
   [[nodiscard]] std::optional<base::instance_id> other_leader() const;
   /// Processes the results of replica operations: role changes, committed entries and snapshots.
   void process_replica_output(base::monotonic_time now, control_effects& out);
-  void note_role(base::monotonic_time now, control_effects& out);
-  void note_quorum(base::monotonic_time now, control_effects& out);
-  void note_voters(control_effects& out);
+  /// Begins a term as the leader, or ends it.
+  void change_role(base::monotonic_time now);
   void apply(consensus::log_entry const& entry, base::monotonic_time now, control_effects& out);
   void restore(consensus::snapshot const& snapshot);
   /// Marks the endpoint in the registry according to its departure in the log, if there is one.
@@ -202,10 +180,8 @@
   request_quarantine m_quarantine;
   consensus::log_index m_applied = 0;
   std::size_t m_bytes_applied = 0;
-  bool m_was_leader = false;
-  bool m_had_quorum = false;
   base::monotonic_time m_leader_since{};
-  std::vector<consensus::voter> m_noted_voters;
+  group_monitor m_monitor;
   state_publisher m_publisher;
   pending_calls m_calls;
   voter_manager m_voters;
--- /dev/null
+++ b/libraries/proxy/control_event.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace catkinlanding::proxy {
+
+/// Events of a control instance that are logged for operators.
+enum class control_event : std::uint8_t {
+  leadership_won,
+  leadership_lost,
+  document_applied,
+  rollout_changed,
+  /// The leader proposes the next state of a rollout; the detail holds the evidence.
+  rollout_decided,
+  endpoint_changed,
+  voters_changed,
+  /// The leader proposes other voters; the subject names them, the detail says why.
+  voters_proposed,
+  /// A majority of the voters responds to the leader; the number counts the voters.
+  quorum_gained,
+  /// The leader answers no calls, as no majority responds; the detail names the silent voters.
+  quorum_lost,
+  instance_joined,
+  instance_lost,
+};
+
+/// A control event as it is logged.
+struct control_event_details {
+  control_event event = control_event::leadership_won;
+  /// The instance, endpoint or service that the event concerns.
+  std::string subject;
+  std::string detail;
+  std::uint64_t number = 0;
+};
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -9,6 +9,7 @@
   forget(downstream);
   downstream.known = subscription.known;
   downstream.is_entry = subscription.is_entry;
+  downstream.is_cut_off = subscription.is_cut_off;
   downstream.last_request_at = now;
   downstream.loads = subscription.loads;
   // Each start counts its reports from 1.
@@ -44,6 +45,8 @@
   m_entries = 0;
   m_totals.clear();
   m_summarized_at.reset();
+  m_relays.clear();
+  m_relays_listed_at.reset();
 }
 
 load_summary downstream_table::loads_for(downstream const& receiver, base::monotonic_time now) {
@@ -53,6 +56,35 @@
   return {.totals = m_summary, .counted_report = receiver.summarized_report};
 }
 
+std::vector<base::instance_id> downstream_table::relay_peers_for(base::instance_id const& receiver,
+                                                                 base::monotonic_time now) {
+  if (!m_relays_listed_at || now >= *m_relays_listed_at + m_options.relay_list_lifetime) {
+    list_relays(now);
+  }
+  std::vector<base::instance_id> named;
+  for (std::size_t step = 0; step < m_relays.size(); ++step) {
+    auto const& candidate = m_relays[m_next_relay++ % m_relays.size()];
+    if (candidate != receiver) {
+      named.push_back(candidate);
+    }
+    if (named.size() == m_options.relay_peers) {
+      break;
+    }
+  }
+  return named;
+}
+
+void downstream_table::list_relays(base::monotonic_time now) {
+  m_relays_listed_at = now;
+  m_relays.clear();
+  for (auto const& [id, downstream] : m_downstreams) {
+    bool const is_live = now < downstream.last_request_at + m_options.live_timeout;
+    if (downstream.is_entry && !downstream.is_cut_off && is_live) {
+      m_relays.push_back(id);
+    }
+  }
+}
+
 void downstream_table::forget(downstream const& lost) {
   m_totals.remove(lost.loads);
   m_entries -= lost.is_entry ? 1 : 0;
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -13,6 +13,8 @@
 struct downstream {
   known_state known;
   bool is_entry = false;
+  /// Whether it reaches no endpoint.
+  bool is_cut_off = false;
   base::monotonic_time last_request_at{};
   base::monotonic_time document_sent_at{};
   std::uint64_t document_sent = 0;
@@ -35,6 +37,12 @@
     base::duration timeout = std::chrono::seconds(3);
     /// How long a summary of the loads serves all instances that ask for one.
     base::duration summary_lifetime = std::chrono::milliseconds(50);
+    /// Entry instances that each one is told of, to pass requests on to.
+    std::size_t relay_peers = 3;
+    /// An instance that was not heard within this time is not named to others.
+    base::duration live_timeout = std::chrono::seconds(1);
+    /// How long a list of these instances is used.
+    base::duration relay_list_lifetime = std::chrono::milliseconds(200);
   };
 
   explicit downstream_table(options options) : m_options(options) {}
@@ -56,14 +64,23 @@
   /// The loads that all instances reported, for one of them.
   [[nodiscard]] load_summary loads_for(downstream const& receiver, base::monotonic_time now);
 
+  /// Some entry instances that reach the endpoints, others each time, without the receiver.
+  [[nodiscard]] std::vector<base::instance_id> relay_peers_for(base::instance_id const& receiver,
+                                                               base::monotonic_time now);
+
 private:
   /// Takes what the instance contributed out of the sums.
   void forget(downstream const& lost);
+  void list_relays(base::monotonic_time now);
   void summarize_loads(base::monotonic_time now);
 
   options m_options;
   std::map<base::instance_id, downstream> m_downstreams;
   std::uint32_t m_entries = 0;
+  /// Entry instances that reach the endpoints, as of that time.
+  std::vector<base::instance_id> m_relays;
+  std::optional<base::monotonic_time> m_relays_listed_at;
+  std::size_t m_next_relay = 0;
   load_totals m_totals;
   shared_list<endpoint_load> m_summary;
   std::optional<base::monotonic_time> m_summarized_at;
--- a/libraries/proxy/endpoint_table.cpp
+++ b/libraries/proxy/endpoint_table.cpp
@@ -59,6 +59,16 @@
   return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
+std::optional<base::address> endpoint_table::any_ready_address(std::uint64_t random) const {
+  std::vector<base::address> addresses;
+  for (auto const& [id, endpoint] : m_endpoints) {
+    if (endpoint.state == endpoint_state::ready) {
+      addresses.push_back(endpoint.announcement.address);
+    }
+  }
+  return addresses.empty() ? std::nullopt : std::optional(addresses[random % addresses.size()]);
+}
+
 std::vector<endpoint_load> endpoint_table::own_loads() const {
   std::vector<endpoint_load> loads;
   for (auto const& [id, endpoint] : m_endpoints) {
@@ -121,6 +131,13 @@
   ++endpoint.failures;
 }
 
+void endpoint_table::forget_failures() {
+  for (auto& [id, endpoint] : m_endpoints) {
+    endpoint.failures = 0;
+    endpoint.backoff_until = {};
+  }
+}
+
 void endpoint_table::note_at_capacity(base::endpoint_id const& id, base::monotonic_time now) {
   auto const found = m_endpoints.find(id);
   if (found != m_endpoints.end()) {
--- a/libraries/proxy/endpoint_table.h
+++ b/libraries/proxy/endpoint_table.h
@@ -57,6 +57,8 @@
   /// Returns the ready endpoints of the service, ordered by id.
   [[nodiscard]] std::vector<known_endpoint const*> ready(base::service_id const& service) const;
   [[nodiscard]] known_endpoint const* find(base::endpoint_id const& id) const;
+  /// The address of one of the ready endpoints, drawn by the random number.
+  [[nodiscard]] std::optional<base::address> any_ready_address(std::uint64_t random) const;
   [[nodiscard]] std::vector<endpoint_load> own_loads() const;
   [[nodiscard]] std::size_t size() const { return m_endpoints.size(); }
 
@@ -70,6 +72,8 @@
   void note_activity(base::endpoint_id const& id, base::monotonic_time now);
   void note_success(base::endpoint_id const& id);
   void note_failure(base::endpoint_id const& id, base::monotonic_time now);
+  /// Ends the backoff of all endpoints, as their failures were this instance's own.
+  void forget_failures();
   void note_at_capacity(base::endpoint_id const& id, base::monotonic_time now);
   /// Another endpoint answered at its address.
   void note_replaced(base::endpoint_id const& id);
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -78,10 +78,13 @@
   /// Endpoints that stated to the sender that they are leaving, and that the leader calls ready.
   std::vector<endpoint_incarnation> leaving_endpoints;
   std::vector<trait_evidence> evidence;
+  /// Whether the sender reaches no endpoint.
+  bool is_cut_off = false;
 
   template<class Archive>
   void serialize(Archive& archive) {
-    archive(known, is_entry, tallies, loads, report, rate_notices, leaving_endpoints, evidence);
+    archive(known, is_entry, tallies, loads, report, rate_notices, leaving_endpoints, evidence,
+            is_cut_off);
   }
 };
 
@@ -108,6 +111,8 @@
   /// Control instances to contact if the leader is lost.
   std::vector<base::instance_id> control_instances;
   std::vector<trait_evidence> evidence;
+  /// A few entry instances that reach the endpoints, for one that does not; empty if unchanged.
+  std::vector<base::instance_id> relay_peers;
 
   /// Whether the update says that an endpoint leaves or has ended.
   [[nodiscard]] bool has_departure() const;
@@ -116,7 +121,7 @@
   void serialize(Archive& archive) {
     archive(state, document, offered_document, base_registry_revision, endpoints,
             is_registry_complete, rollouts, entry_instances, loads, rate_grants, control_instances,
-            evidence);
+            evidence, relay_peers);
   }
 };
 
@@ -201,7 +206,7 @@
                              relayed_announcements>;
 
 /// A message in its wire format, with the protocol identifier.
-using envelope = base::envelope<message, 0x43505807>;
+using envelope = base::envelope<message, 0x43505808>;
 
 [[nodiscard]] std::string encode(envelope const& envelope);
 [[nodiscard]] tl::expected<envelope, base::envelope_error> decode(std::string_view bytes);
--- /dev/null
+++ b/libraries/proxy/relay_policy.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <libraries/base/random.h>
+#include <libraries/proxy/active_request.h>
+#include <libraries/proxy/endpoint_reachability.h>
+
+#include <vector>
+
+namespace catkinlanding::proxy {
+
+/// Decides which requests are passed on to other entry instances, because this one can't reach the
+/// endpoints, and to which. A request is passed on once at most, and by one instance.
+class relay_policy {
+public:
+  struct options {
+    endpoint_reachability::options reachability;
+    /// A request that could not be sent to this many endpoints is passed on, though others may be
+    /// reached: connections that are open already may work while new ones fail.
+    std::size_t max_unreached = 2;
+    /// Other instances that are tried for one request.
+    std::size_t max_peers = 3;
+  };
+
+  explicit relay_policy(options options)
+      : m_options(options), m_reachability(options.reachability) {}
+
+  [[nodiscard]] endpoint_reachability& reachability() { return m_reachability; }
+  [[nodiscard]] endpoint_reachability const& reachability() const { return m_reachability; }
+  /// Replaces the entry instances that reach the endpoints.
+  void use_peers(std::vector<base::instance_id> peers) { m_peers = std::move(peers); }
+  [[nodiscard]] bool has_peers() const { return !m_peers.empty(); }
+
+  /// The instance that the request is to be passed on to; nothing if it is to be sent to an
+  /// endpoint, or refused.
+  [[nodiscard]] std::optional<relay> next(active_request& request,
+                                          base::random_generator& random) const;
+  /// Whether a request that can't be passed on is refused, as no further endpoint is likely to be
+  /// reached in its time.
+  [[nodiscard]] bool is_hopeless(active_request const& request) const {
+    return m_reachability.is_cut_off() && request.unreached.size() >= m_options.max_unreached;
+  }
+
+private:
+  options m_options;
+  endpoint_reachability m_reachability;
+  std::vector<base::instance_id> m_peers;
+};
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -48,6 +48,10 @@
   /// others may be shared with other requests.
   std::vector<prompt_part> prompt;
   base::session_id session;
+  /// Whether another entry instance passed the request on, and to how many endpoints it had sent it
+  /// before.
+  bool is_relayed = false;
+  std::uint32_t attempts_before = 0;
 };
 
 /// A decision to send the request to an endpoint.
@@ -158,7 +162,22 @@
 /// A decision to forward the endpoint's error response to the caller.
 struct forward_failure {};
 
-using decision = std::variant<attempt, refusal, forward_failure>;
+/// A decision to pass the request on to another entry instance, whose answer is final.
+struct relay {
+  base::instance_id peer;
+  /// Endpoints that the request was sent to before.
+  std::uint32_t attempts_before = 0;
+  /// Whether one of these may have executed the request.
+  bool may_have_run = false;
+  /// When the caller's wait for the answer ends.
+  base::monotonic_time deadline{};
+  bool is_stream = false;
+  /// The request's route and customer, for logs and metrics.
+  std::string route;
+  base::customer_id customer;
+};
+
+using decision = std::variant<attempt, refusal, forward_failure, relay>;
 
 /// Why an attempt failed.
 enum class attempt_failure : std::uint8_t {
--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -121,6 +121,20 @@
   return text;
 }
 
+rollout_evaluator::start_kind rollout_evaluator::classify_start(base::version_id const& target,
+                                                                rollout const* latest,
+                                                                base::monotonic_time now) const {
+  if (latest == nullptr) {
+    return start_kind::new_rollout;
+  }
+  bool const is_same = latest->target == target;
+  if (latest->is_running()) {
+    return is_same ? start_kind::duplicate : start_kind::conflict;
+  }
+  bool const is_resent = is_same && ended_within(*latest, m_options.resend_window, now);
+  return is_resent ? start_kind::duplicate : start_kind::new_rollout;
+}
+
 bool rollout_evaluator::ended_within(rollout const& rollout, base::duration window,
                                      base::monotonic_time now) const {
   auto const* known = find(rollout);
--- a/libraries/proxy/rollout_evaluator.h
+++ b/libraries/proxy/rollout_evaluator.h
@@ -34,8 +34,13 @@
     /// promoted nor accepted before there are more answers. A seldom used route may bring no more
     /// by then.
     std::uint64_t min_doubtful_answers = 3;
+    /// A request to start a rollout that ended less than this long ago is treated as a duplicate.
+    base::duration resend_window = std::chrono::seconds(10);
   };
 
+  /// What a request to start a rollout is, given the service's latest rollout.
+  enum class start_kind : std::uint8_t { new_rollout, duplicate, conflict };
+
   explicit rollout_evaluator(options options) : m_options(options) {}
 
   /// Records when this instance first saw the rollout and its current state.
@@ -48,6 +53,9 @@
                                                         base::monotonic_time now) const;
   /// The statistics of both versions as text, for the log.
   [[nodiscard]] std::string describe_evidence(rollout const& rollout) const;
+  /// `latest` is the latest rollout of the service; nullptr if it had none.
+  [[nodiscard]] start_kind classify_start(base::version_id const& target, rollout const* latest,
+                                          base::monotonic_time now) const;
   /// Whether the rollout ended less than `window` ago.
   [[nodiscard]] bool ended_within(rollout const& rollout, base::duration window,
                                   base::monotonic_time now) const;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -8,21 +8,12 @@
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-/// Time that must be left before the deadline to escalate to the largest model.
-constexpr std::chrono::milliseconds min_escalation_time{1500};
-/// Fraction of the retry limit that escalations may not use, so that it is left for failures.
-constexpr double failure_reserve = 0.25;
-
-} // namespace
-
 router::router(options options)
     : m_options(std::move(options)), m_random(m_options.seed), m_subscriber(m_options.subscriber),
       m_document_receiver(m_options.documents), m_endpoints(m_options.endpoints),
       m_versions(m_options.versions), m_notices(m_options.notices),
       m_quarantine(m_options.quarantine), m_refusals(m_options.refusals),
-      m_retries(m_options.retries) {}
+      m_retries(m_options.retries), m_relays(m_options.relays) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
@@ -68,10 +59,14 @@
   request.deadline = request.began_at + caller_timeout;
   request.traits = traits_of(facts);
   request.facts = std::move(facts);
-  m_retries.of(request.service).note_request(now);
+  if (!request.facts.is_relayed) {
+    // The instance that passed it on has counted it.
+    m_retries.of(request.service).note_request(now);
+  }
   auto& active = m_requests[number] = std::move(request);
-  bool const has_time = now + m_options.min_attempt_time <= active.deadline;
-  return has_time ? attempt_next(active, now) : final_refusal(active, now);
+  bool const may_attempt =
+      now + m_options.min_attempt_time <= active.deadline && active.has_attempts_left();
+  return may_attempt ? attempt_next(active, now) : final_refusal(active, now);
 }
 
 bool router::note_answer(request_number number, std::optional<double> confidence,
@@ -86,28 +81,8 @@
   m_endpoints.note_success(request.endpoint);
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
-  note_first_token(request, now);
-  return !should_escalate(request, confidence, now);
-}
-
-bool router::should_escalate(active_request const& request, std::optional<double> confidence,
-                             base::monotonic_time now) {
-  auto const& models = request.route->models;
-  bool const has_larger = request.model && !models.empty() && *request.model != models.back();
-  bool const has_attempts = request.tried.size() < request.route->max_attempts;
-  bool const has_time = now + min_escalation_time < request.deadline;
-  if (!confidence || !has_larger || !has_attempts || !has_time || request.has_delivered) {
-    return false;
-  }
-  return *confidence < m_escalation_policies[request.service].required_confidence(now) &&
-         m_retries.of(request.service).try_spend(now, failure_reserve);
-}
-
-void router::note_first_token(active_request const& request, base::monotonic_time now) {
-  if (request.route->models.size() > 1) {
-    m_escalation_policies[request.service].note_first_token(now - request.attempt_at,
-                                                            request.route->target_latency, now);
-  }
+  m_escalations.note_first_token(request, now);
+  return !m_escalations.should_escalate(request, confidence, m_retries.of(request.service), now);
 }
 
 std::vector<notice_change> router::note_notice(request_number number, endpoint_notice const& notice,
@@ -116,14 +91,16 @@
   if (found == m_requests.end() || !found->second.is_attempting) {
     return {};
   }
+  note_reached();
   auto const& request = found->second;
   return m_notices.note({request.endpoint, request.incarnation}, notice, request.attempt_at, now);
 }
 
 void router::note_progress(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
-  if (found != m_requests.end()) {
+  if (found != m_requests.end() && found->second.is_attempting) {
     m_endpoints.note_activity(found->second.endpoint, now);
+    note_reached();
   }
 }
 
@@ -133,6 +110,9 @@
     return;
   }
   auto& request = found->second;
+  if (!request.is_attempting) {
+    return;
+  }
   if (count > 0) {
     request.has_event = true;
     request.progress_at = now;
@@ -150,7 +130,7 @@
   }
   auto const& request = found->second;
   auto const& route = *request.route;
-  bool const may_repeat = route.is_repeatable() && request.tried.size() < route.max_attempts;
+  bool const may_repeat = route.is_repeatable() && request.has_attempts_left();
   if (!may_repeat || !request.is_attempting) {
     return std::nullopt;
   }
@@ -176,8 +156,11 @@
   auto const found = m_requests.find(number);
   CATKINLANDING_VERIFY(found != m_requests.end());
   auto& request = found->second;
-  finish_attempt(request);
   request.has_delivered |= was_delivered;
+  if (request.is_relaying) {
+    return fail_relay(request, failure, now);
+  }
+  finish_attempt(request);
   note_failure(request, failure, now);
   request.may_have_run |= may_have_run_after(failure);
   auto const& route = *request.route;
@@ -192,7 +175,7 @@
     request.unreached.push_back(std::move(request.tried.back()));
     request.tried.pop_back();
   }
-  bool const has_attempts = request.tried.size() < route.max_attempts;
+  bool const has_attempts = request.has_attempts_left();
   // For low-confidence and stalled attempts the retry was already taken when they were aborted.
   bool const is_retry_prepaid = failure == attempt_failure::low_confidence ||
                                 failure == attempt_failure::stalled ||
@@ -200,7 +183,7 @@
   if (may_repeat && may_continue && has_attempts &&
       (is_retry_prepaid || m_retries.of(request.service).try_spend(now))) {
     auto next = attempt_next(request, now);
-    if (std::holds_alternative<attempt>(next) || !request.may_have_run) {
+    if (!std::holds_alternative<refusal>(next) || !request.may_have_run) {
       return next;
     }
   }
@@ -210,6 +193,31 @@
   return final_refusal(request, now);
 }
 
+decision router::fail_relay(active_request& request, attempt_failure failure,
+                            base::monotonic_time now) {
+  request.is_relaying = false;
+  request.may_have_run |= may_have_run_after(failure);
+  // Only an instance that was never sent the request can be replaced: how many endpoints the other
+  // one has tried is unknown.
+  bool const is_unsent = failure == attempt_failure::unreachable;
+  bool const has_time = now + m_options.min_attempt_time <= request.deadline;
+  auto next = is_unsent && has_time ? m_relays.next(request, m_random) : std::nullopt;
+  return next ? decision(std::move(*next)) : final_refusal(request, now);
+}
+
+void router::note_reached() {
+  if (m_relays.reachability().note_reached()) {
+    m_endpoints.forget_failures();
+  }
+}
+
+std::optional<base::address> router::take_probe(base::monotonic_time now) {
+  if (!m_relays.reachability().take_probe(now)) {
+    return std::nullopt;
+  }
+  return m_endpoints.any_ready_address(m_random());
+}
+
 void router::note_completed(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found != m_requests.end()) {
@@ -258,7 +266,8 @@
                                  .report = reported.number,
                                  .rate_notices = m_notices.rates().notices(now),
                                  .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
-                                 .evidence = m_quarantine.report(now)}};
+                                 .evidence = m_quarantine.report(now),
+                                 .is_cut_off = is_cut_off()}};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
@@ -342,6 +351,9 @@
   m_notices.rates().set_instances(entry_instances);
   m_notices.rates().apply(update.rate_grants, now);
   m_quarantine.merge(update.evidence, now);
+  if (!update.relay_peers.empty()) {
+    m_relays.use_peers(update.relay_peers);
+  }
   bool const is_contiguous = m_subscriber.advance(update);
   if (is_contiguous && update.is_registry_complete) {
     m_endpoints.erase_unconfirmed(update.state.registry_term);
@@ -356,11 +368,15 @@
     refused.quarantine = std::move(quarantined);
     return refused;
   }
+  if (auto relayed = m_relays.next(request, m_random)) {
+    return std::move(*relayed);
+  }
+  if (m_relays.is_hopeless(request)) {
+    return refuse(request, refusal_kind::not_run);
+  }
   auto endpoints = accepting_endpoints(request);
   std::erase_if(endpoints, [&](known_endpoint const* one) {
-    auto const& id = one->announcement.id;
-    return std::ranges::find(request.tried, id) != request.tried.end() ||
-           std::ranges::find(request.unreached, id) != request.unreached.end();
+    return request.has_been_sent_to(one->announcement.id);
   });
   endpoint_filter const filter({.versions = m_versions,
                                 .notices = m_notices,
@@ -414,10 +430,6 @@
   return refused;
 }
 
-refusal router::refuse(refusal_kind kind) {
-  return m_refusals.make(kind, m_random);
-}
-
 refusal router::refuse(active_request const& request, refusal_kind kind) {
   auto made = refuse(kind);
   made.route = request.route->name;
@@ -441,6 +453,7 @@
     return;
   case attempt_failure::unreachable:
     m_endpoints.note_failure(request.endpoint, now);
+    m_relays.reachability().note_unreachable(request.endpoint, now);
     return;
   case attempt_failure::broken:
     note_ending(request, now);
@@ -451,7 +464,7 @@
     m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::expired:
-    note_first_token(request, now);
+    m_escalations.note_first_token(request, now);
     m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::failed_answer:
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -6,9 +6,10 @@
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
-#include <libraries/proxy/escalation_policy.h>
+#include <libraries/proxy/escalation_table.h>
 #include <libraries/proxy/load_reports.h>
 #include <libraries/proxy/refusal_policy.h>
+#include <libraries/proxy/relay_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/request_quarantine.h>
 #include <libraries/proxy/retry_limiter_table.h>
@@ -53,6 +54,7 @@
     /// state of a control instance. Longer than an election takes.
     base::duration isolation_timeout = std::chrono::milliseconds(1000);
     startup_policy startup;
+    relay_policy::options relays;
     std::uint64_t seed = 0;
   };
 
@@ -95,6 +97,17 @@
                               base::monotonic_time now);
   void end(request_number number, base::monotonic_time now);
 
+  // Reachability of the endpoints.
+
+  /// Whether this instance reaches no endpoint, and passes requests on to others.
+  [[nodiscard]] bool is_cut_off() const { return m_relays.reachability().is_cut_off(); }
+  /// Whether other instances are known to pass requests on to.
+  [[nodiscard]] bool has_relay_peers() const { return m_relays.has_peers(); }
+  /// The address of an endpoint to which a connection is to be tried, while none is reached.
+  [[nodiscard]] std::optional<base::address> take_probe(base::monotonic_time now);
+  /// Records that an endpoint accepted a connection or answered.
+  void note_reached();
+
   // Synchronization with the control instances.
 
   void use_seeds(std::vector<base::instance_id> seeds) { m_subscriber.use_seeds(std::move(seeds)); }
@@ -131,19 +144,17 @@
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
+  /// Decides what follows when the instance to which the request was passed on has failed.
+  [[nodiscard]] decision fail_relay(active_request& request, attempt_failure failure,
+                                    base::monotonic_time now);
   /// The refusal of a request for which no endpoint can be chosen.
   [[nodiscard]] refusal refuse_unsent(active_request const& request, endpoint_filter const& filter);
   /// The ready endpoints of the request's service, without those that said that they are leaving.
   [[nodiscard]] std::vector<known_endpoint const*>
   accepting_endpoints(active_request const& request) const;
-  /// Whether the largest model should answer instead of the current one. If so, a retry has already
-  /// been taken from the retry limit.
-  [[nodiscard]] bool should_escalate(active_request const& request,
-                                     std::optional<double> confidence, base::monotonic_time now);
-  void note_first_token(active_request const& request, base::monotonic_time now);
   /// Records that the current attempt's connection ended before the answer was complete.
   void note_ending(active_request& request, base::monotonic_time now);
-  [[nodiscard]] refusal refuse(refusal_kind kind);
+  [[nodiscard]] refusal refuse(refusal_kind kind) { return m_refusals.make(kind, m_random); }
   /// Also fills in the request's route and customer.
   [[nodiscard]] refusal refuse(active_request const& request, refusal_kind kind);
   /// The refusal that reflects whether the request may have been executed and whether its time is
@@ -169,9 +180,10 @@
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
   retry_limiter_table m_retries;
-  std::map<base::service_id, escalation_policy> m_escalation_policies;
+  escalation_table m_escalations;
   std::unordered_map<request_number, active_request> m_requests;
   rollout_observer m_observer;
+  relay_policy m_relays;
 };
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::seconds sweep_interval{1};
+/// Covers several round trips between the most distant zones.
+constexpr std::chrono::milliseconds probe_timeout{250};
 /// The load balancer probes once a second and removes an instance after two failed probes.
 constexpr std::chrono::milliseconds balancer_removal_time{2600};
 constexpr std::chrono::milliseconds stop_check_interval{50};
@@ -73,6 +75,7 @@
             metrics.set_gauge("endpoints", static_cast<double>(m_router.endpoint_count()));
             metrics.set_gauge("document_revision",
                               static_cast<double>(m_router.document_revision()));
+            metrics.set_gauge("cut_off", m_router.is_cut_off() ? 1.0 : 0.0);
           },
   }));
   if (settings.readiness) {
@@ -89,6 +92,7 @@
         });
   }
   if (settings.callers) {
+    m_context.caller_port = settings.callers->port;
     auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(io, *settings.callers));
     m_entry_server =
         std::make_unique<entry_server>(m_context, std::move(acceptor), entry_server::options{});
@@ -105,12 +109,37 @@
     spdlog::info("control {} revision={}", is_connected ? "regained" : "lost",
                  m_router.document_revision());
   }
+  note_reachability();
+  if (auto const address = m_router.take_probe(time)) {
+    daemon::spawn(m_process.io(), "entry", probe(*address));
+  }
   if (time >= m_last_sweep + sweep_interval) {
     m_last_sweep = time;
     m_pool.sweep(time);
   }
 }
 
+void entry_process::note_reachability() {
+  bool const is_cut_off = m_router.is_cut_off();
+  if (is_cut_off != m_was_cut_off) {
+    m_was_cut_off = is_cut_off;
+    spdlog::warn("entry endpoints {}", is_cut_off ? "unreachable" : "reachable");
+  }
+  bool const has_peers = m_router.has_relay_peers();
+  if (has_peers != m_had_relay_peers) {
+    m_had_relay_peers = has_peers;
+    spdlog::info("entry relay_peers known");
+  }
+}
+
+daemon::awaitable<void> entry_process::probe(base::address address) {
+  upstream_connection connection(m_process.io());
+  connection.address = std::move(address);
+  if (co_await connection.open(probe_timeout)) {
+    m_router.note_reached();
+  }
+}
+
 void entry_process::send(std::vector<outgoing> messages) {
   for (auto& outgoing_message : messages) {
     m_process.send(outgoing_message.to, std::move(outgoing_message.message));
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -20,6 +20,11 @@
   [[nodiscard]] static router::options router_options(process_settings const& settings);
 
   void on_tick();
+  /// Logs when the endpoints can no longer be reached, or can again, and when other instances are
+  /// known by way of which they may be.
+  void note_reachability();
+  /// Opens a connection to see whether endpoints can be reached.
+  daemon::awaitable<void> probe(base::address address);
   void send(std::vector<outgoing> messages);
   void on_message(base::instance_id const& from, message const& message);
   static void log_rollouts(update const& received, base::instance_id const& from);
@@ -36,6 +41,8 @@
   base::monotonic_time m_last_sweep{};
   base::monotonic_time m_stop_deadline{};
   bool m_was_connected = false;
+  bool m_was_cut_off = false;
+  bool m_had_relay_peers = false;
 };
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -1,6 +1,8 @@
+#include <libraries/proxy/settings.h>
 #include <services/proxy/answer_header.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/exchange.h>
+#include <services/proxy/relay_header.h>
 #include <services/proxy/request_log.h>
 #include <services/proxy/socket_state.h>
 
@@ -36,6 +38,7 @@
 
 awaitable<bool> exchange::run() {
   m_keep_alive = m_request.keep_alive();
+  auto const attempts_before = take_relay_header(m_request.base());
   auto facts = m_context.protocol_adapter.read_request(m_request.base());
   if (!facts) {
     spdlog::warn("entry refused request=- reason={}", name_of(facts.error()));
@@ -44,6 +47,8 @@
         m_keep_alive;
   }
   facts->content_hash = content_hash_of(m_request);
+  facts->is_relayed = attempts_before.has_value();
+  facts->attempts_before = attempts_before.value_or(0);
   m_id = facts->id;
   m_session = facts->session.value;
   watch_for_caller_disconnect();
@@ -61,17 +66,18 @@
     if (std::holds_alternative<forward_failure>(decision)) {
       co_return co_await deliver_stored_failure();
     }
-    auto const next = std::get<attempt>(decision);
-    auto const failure = co_await run_attempt(next);
+    auto const* relayed = std::get_if<relay>(&decision);
+    auto const failure = relayed != nullptr ? co_await run_relay(*relayed)
+                                            : co_await run_attempt(std::get<attempt>(decision));
     if (m_is_caller_gone) {
       finish(request_end::caller_disconnected, "caller_left");
       co_return false;
     }
     if (!failure) {
-      if (is_success(m_answer_status)) {
+      if (is_success(m_answer_status) && !relayed) {
         m_context.router.note_completed(m_number, now());
       }
-      finish(request_end::answered, "whole");
+      finish(request_end::answered, relayed != nullptr ? "relayed" : "whole");
       co_return m_keep_alive && !m_context.is_stopping;
     }
     request_log::attempt_failed(m_id, m_attempts, *failure, m_answer_status,
@@ -147,7 +153,7 @@
   start_stall_timer();
   request_log::attempt_started(m_id, m_session, attempt, now());
   m_upstream = m_context.pool.acquire(attempt.endpoint, attempt.address, now());
-  if (!m_upstream && !co_await connect(attempt)) {
+  if (!m_upstream && !co_await connect(attempt.endpoint, attempt.address)) {
     m_upstream.reset();
     co_return classify_failure(attempt_failure::unreachable);
   }
@@ -167,22 +173,85 @@
   co_return std::nullopt;
 }
 
-awaitable<bool> exchange::connect(attempt const& attempt) {
+awaitable<std::optional<attempt_failure>> exchange::run_relay(relay relay) {
+  m_route = relay.route;
+  m_customer = relay.customer.value;
+  m_is_stalled = false;
+  m_answer_status = 0;
+  start_deadline_timer(relay.deadline);
+  request_log::relayed(m_id, relay);
+  base::address address = parse_address(relay.peer.value).value_or(base::address{});
+  address.port = m_context.caller_port;
+  base::endpoint_id const no_endpoint;
+  // A connection of its own, so that nothing that comes late on it belongs to another request.
+  std::optional<attempt_failure> failure = attempt_failure::unreachable;
+  if (co_await connect(no_endpoint, address)) {
+    failure = co_await send_to_peer(relay);
+    if (!failure) {
+      failure = co_await forward_peer_answer(relay);
+    }
+  }
+  m_answer.reset();
+  m_upstream.reset();
+  if (failure) {
+    co_return classify_failure(*failure);
+  }
+  co_return std::nullopt;
+}
+
+awaitable<std::optional<attempt_failure>> exchange::send_to_peer(relay const& relay) {
+  auto header = m_request.base();
+  erase_hop_by_hop_headers(header);
+  m_context.protocol_adapter.prepare_relayed_header(header, remaining_until(relay.deadline),
+                                                    last_delivered_event());
+  add_relay_header(header, relay.attempts_before);
+  co_return co_await send(std::move(header));
+}
+
+awaitable<std::optional<attempt_failure>> exchange::forward_peer_answer(relay const& relay) {
+  m_answer = std::make_unique<answer_reader>(*m_upstream, m_request.method() == http::verb::head);
+  if (auto const failure = co_await m_answer->read_header()) {
+    co_return failure;
+  }
+  m_answer_status = m_answer->header().result_int();
+  bool const is_whole_failure = !is_success(m_answer_status);
+  bool const is_untrue = relay.may_have_run && implies_not_executed(m_answer_status);
+  if (is_whole_failure && (m_forwarder.has_begun() || is_untrue)) {
+    // Only events may follow in a stream that has begun, and the other instance does not know that
+    // an endpoint may have executed the request before.
+    co_return attempt_failure::failed_answer;
+  }
+  co_return co_await forward(relay.is_stream && !is_whole_failure);
+}
+
+awaitable<bool> exchange::connect(base::endpoint_id const& endpoint, base::address const& address) {
   m_upstream = std::make_unique<upstream_connection>(m_context.io);
-  m_upstream->endpoint = attempt.endpoint;
-  m_upstream->address = attempt.address;
+  m_upstream->endpoint = endpoint;
+  m_upstream->address = address;
   m_context.metrics.count_connection();
   bool const is_open = co_await m_upstream->open(connect_timeout);
   co_return is_open && !m_is_expired && !m_is_caller_gone;
 }
 
 awaitable<std::optional<attempt_failure>> exchange::send_request(attempt const& attempt) {
+  auto header = m_request.base();
+  erase_hop_by_hop_headers(header);
+  m_context.protocol_adapter.prepare_request_header(
+      header, attempt, remaining_until(attempt.deadline), last_delivered_event());
+  co_return co_await send(std::move(header));
+}
+
+base::duration exchange::remaining_until(base::monotonic_time deadline) {
+  return std::chrono::duration_cast<base::duration>(deadline - now());
+}
+
+std::optional<std::string> exchange::last_delivered_event() const {
+  return m_forwarder.has_begun() ? m_forwarder.events().last_id() : std::nullopt;
+}
+
+awaitable<std::optional<attempt_failure>> exchange::send(http_request_header header) {
   http::request<http::string_body> request;
-  request.base() = m_request.base();
-  erase_hop_by_hop_headers(request.base());
-  auto const remaining = std::chrono::duration_cast<base::duration>(attempt.deadline - now());
-  auto const last_event = m_forwarder.has_begun() ? m_forwarder.events().last_id() : std::nullopt;
-  m_context.protocol_adapter.prepare_request_header(request.base(), attempt, remaining, last_event);
+  request.base() = std::move(header);
   request.body() = m_request.body();
   if (!request.body().empty() || m_request.method() != http::verb::get) {
     request.content_length(request.body().size());
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -25,6 +25,8 @@
   /// the router's state, so that the requests check again.
   std::set<daemon::steady_timer*> state_wait_timers;
   request_number last_request_number = 0;
+  /// The port on which all entry instances accept callers.
+  std::uint16_t caller_port = 0;
   /// Set during shutdown: each connection is then closed after its current answer.
   bool is_stopping = false;
 };
@@ -52,9 +54,19 @@
   /// Returns how the attempt failed; nothing if the answer was delivered completely or the caller
   /// has disconnected.
   daemon::awaitable<std::optional<attempt_failure>> run_attempt(attempt attempt);
-  daemon::awaitable<bool> connect(attempt const& attempt);
+  /// Passes the request on to another entry instance, and its answer back. Returns how that failed,
+  /// like `run_attempt`.
+  daemon::awaitable<std::optional<attempt_failure>> run_relay(relay relay);
+  daemon::awaitable<std::optional<attempt_failure>> send_to_peer(relay const& relay);
+  daemon::awaitable<std::optional<attempt_failure>> forward_peer_answer(relay const& relay);
+  daemon::awaitable<bool> connect(base::endpoint_id const& endpoint, base::address const& address);
   /// Sends the request. Returns how that failed; nothing on success.
   daemon::awaitable<std::optional<attempt_failure>> send_request(attempt const& attempt);
+  /// Sends the caller's body with this header.
+  daemon::awaitable<std::optional<attempt_failure>> send(http_request_header header);
+  [[nodiscard]] static base::duration remaining_until(base::monotonic_time deadline);
+  /// The id of the last event that the caller received; empty if its answer has not begun.
+  [[nodiscard]] std::optional<std::string> last_delivered_event() const;
   /// Reads response headers until one belongs to this request, skipping late answers to earlier
   /// requests. Returns how that failed; nothing on success.
   daemon::awaitable<std::optional<attempt_failure>> read_header(attempt const& attempt);
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -43,6 +43,11 @@
       attempt.registry_age ? to_milliseconds(*attempt.registry_age) : unknown_age);
 }
 
+void relayed(base::request_id const& id, relay const& relay) {
+  spdlog::info("entry relayed request={} peer={} route={} attempts_before={} may_have_run={}",
+               id.value, relay.peer.value, relay.route, relay.attempts_before, relay.may_have_run);
+}
+
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
                     unsigned status, std::size_t events) {
   spdlog::warn("entry attempt_failed request={} number={} failure={} status={} events={}", id.value,
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -30,6 +30,8 @@
 void waited(base::request_id const& id, router const& router, base::duration time);
 void attempt_started(base::request_id const& id, std::string_view session, attempt const& attempt,
                      base::monotonic_time now);
+/// The request was passed on to another entry instance, as this one can't reach the endpoints.
+void relayed(base::request_id const& id, relay const& relay);
 /// `status` is that of the endpoint's answer; 0 if none came.
 void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
                     unsigned status, std::size_t events);
--- /dev/null
+++ b/tests/libraries/proxy/cut_off_entry_test.cpp
@@ -0,0 +1,209 @@
+#include <tests/support/control_group.h>
+#include <tests/support/router_fixture.h>
+
+#include <set>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// An entry instance that reaches callers and other instances, but no endpoint.
+class cut_off_entry : public routers {
+protected:
+  void SetUp() override {
+    receive_state({"e1", "e2", "e3", "e4", "e5"});
+    receive_peers({base::instance_id{"peer-1"}, base::instance_id{"peer-2"}});
+  }
+
+  void receive_peers(std::vector<base::instance_id> peers) {
+    update received;
+    received.state = {.document_revision = 1, .registry_term = 1, .registry_revision = 1};
+    received.base_registry_revision = 1;
+    received.relay_peers = std::move(peers);
+    static_cast<void>(m_router.receive({"control"}, received, start));
+  }
+
+  /// Fails attempts until the request is passed on.
+  [[nodiscard]] decision fail_until_relayed(decision made) {
+    for (int i = 0; i < 10 && is_attempt(made); ++i) {
+      made = fail(attempt_failure::unreachable);
+    }
+    return made;
+  }
+
+  /// Ends requests that reach no endpoint, until the instance knows that it is cut off.
+  void cut_off() {
+    for (request_number other = 100; !m_router.is_cut_off() && other < 110; ++other) {
+      static_cast<void>(m_router.begin(other, facts("/again/"), start));
+      static_cast<void>(m_router.fail(other, attempt_failure::unreachable, false, start));
+      m_router.end(other, start);
+    }
+    ASSERT_TRUE(m_router.is_cut_off());
+  }
+};
+
+// Connections to endpoints fail, old ones may still work. Guards against a caller that is refused
+// at its first try (RECOVER).
+TEST_F(cut_off_entry, passes_a_request_on_that_could_not_be_sent_to_two_endpoints) {
+  auto const made = fail_until_relayed(begin("/once/"));
+  auto const* relayed = std::get_if<relay>(&made);
+  ASSERT_NE(relayed, nullptr);
+  EXPECT_TRUE(relayed->peer == base::instance_id{"peer-1"} ||
+              relayed->peer == base::instance_id{"peer-2"});
+  EXPECT_EQ(relayed->attempts_before, 0U);
+  EXPECT_FALSE(relayed->may_have_run);
+  EXPECT_EQ(relayed->deadline, start + 1s);
+}
+
+TEST_F(cut_off_entry, passes_requests_on_at_once_when_it_knows) {
+  cut_off();
+  auto const made = begin("/once/");
+  EXPECT_TRUE(std::holds_alternative<relay>(made));
+  m_router.note_reached();
+  EXPECT_FALSE(m_router.is_cut_off());
+  EXPECT_TRUE(is_attempt(m_router.begin(2, facts("/once/"), start)));
+}
+
+// Guards against two instances that pass a request to each other.
+TEST_F(cut_off_entry, does_not_pass_on_what_another_passed_to_it) {
+  cut_off();
+  auto relayed_facts = facts("/once/");
+  relayed_facts.is_relayed = true;
+  auto made = m_router.begin(number, relayed_facts, start);
+  while (is_attempt(made)) {
+    made = fail(attempt_failure::unreachable);
+  }
+  EXPECT_EQ(refusal_of(made), refusal_kind::not_run);
+}
+
+// Guards against a second execution, and against an untrue "not run" (TWICE, REFUSED): what the
+// other instance did before its connection broke is unknown.
+TEST_F(cut_off_entry, does_not_repeat_what_another_instance_may_have_executed) {
+  cut_off();
+  for (auto const* path : {"/once/", "/again/", "/resume/"}) {
+    ASSERT_TRUE(std::holds_alternative<relay>(begin(path))) << path;
+    EXPECT_EQ(refusal_of(fail(attempt_failure::broken)), refusal_kind::outcome_unknown) << path;
+    m_router.end(number, start);
+  }
+}
+
+TEST_F(cut_off_entry, turns_to_another_instance_if_the_first_cannot_be_reached) {
+  cut_off();
+  auto made = begin("/once/");
+  std::set<std::string> peers;
+  while (auto const* relayed = std::get_if<relay>(&made)) {
+    EXPECT_TRUE(peers.insert(relayed->peer.value).second);
+    made = fail(attempt_failure::unreachable);
+  }
+  EXPECT_EQ(peers, (std::set<std::string>{"peer-1", "peer-2"}));
+  EXPECT_EQ(refusal_of(made), refusal_kind::not_run);
+}
+
+// A request that can't be served is refused at once, not when its time is over.
+TEST_F(cut_off_entry, refuses_at_once_without_another_instance) {
+  routers::m_router = router(options());
+  receive_state({"e1", "e2", "e3", "e4", "e5"});
+  cut_off();
+  auto made = begin("/once/");
+  int attempts = 0;
+  for (; is_attempt(made); ++attempts) {
+    made = fail(attempt_failure::unreachable);
+  }
+  EXPECT_LE(attempts, 2);
+  EXPECT_EQ(refusal_of(made), refusal_kind::not_run);
+}
+
+// Endpoints that were sent the request before count against the route's limit at the other
+// instance (BUDGET).
+TEST_F(cut_off_entry, tells_how_many_endpoints_had_the_request) {
+  ASSERT_TRUE(is_attempt(begin("/resume/")));
+  cut_off();
+  auto const made = fail(attempt_failure::broken, true);
+  auto const* relayed = std::get_if<relay>(&made);
+  ASSERT_NE(relayed, nullptr);
+  EXPECT_EQ(relayed->attempts_before, 1U);
+  EXPECT_TRUE(relayed->may_have_run);
+}
+
+TEST_F(cut_off_entry, counts_the_endpoints_that_had_a_relayed_request) {
+  auto relayed_facts = facts("/again/");
+  relayed_facts.is_relayed = true;
+  relayed_facts.attempts_before = 1;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, relayed_facts, start)));
+  // Its route allows two.
+  EXPECT_FALSE(is_attempt(fail(attempt_failure::broken)));
+}
+
+TEST_F(cut_off_entry, sends_a_relayed_request_nowhere_that_has_no_attempt_left) {
+  auto relayed_facts = facts("/again/");
+  relayed_facts.is_relayed = true;
+  relayed_facts.attempts_before = 2;
+  EXPECT_EQ(refusal_of(m_router.begin(number, relayed_facts, start)), refusal_kind::not_run);
+}
+
+// Guards against endpoints that are avoided for the instance's own trouble when it is over.
+TEST_F(cut_off_entry, does_not_blame_the_endpoints) {
+  cut_off();
+  m_router.note_reached();
+  std::set<std::string> used;
+  for (request_number other = 200; other < 300; ++other) {
+    auto const made = m_router.begin(other, facts("/again/"), start);
+    used.insert(std::get<attempt>(made).endpoint.value);
+    m_router.end(other, start);
+  }
+  EXPECT_EQ(used.size(), 5U);
+}
+
+// One zone of 300 entry instances is cut off. Each is told of others that reach the endpoints, and
+// the work is spread over all of these.
+TEST(relay_peers, are_live_reach_the_endpoints_and_are_spread) {
+  constexpr int entries = 300;
+  constexpr int cut_off_entries = 60;
+  downstream_table table({});
+  auto const id = [](int number) { return base::instance_id{"entry-" + std::to_string(number)}; };
+  for (int i = 0; i < entries; ++i) {
+    table.note(id(i), {.is_entry = true, .is_cut_off = i < cut_off_entries}, start);
+  }
+  table.note({"control"}, {.is_entry = false}, start);
+  std::map<std::string, int> named;
+  for (int round = 0; round < 10; ++round) {
+    for (int i = 0; i < cut_off_entries; ++i) {
+      auto const peers = table.relay_peers_for(id(i), start);
+      EXPECT_FALSE(peers.empty());
+      for (auto const& peer : peers) {
+        ++named[peer.value];
+      }
+    }
+  }
+  for (int i = 0; i < cut_off_entries; ++i) {
+    EXPECT_FALSE(named.contains(id(i).value));
+  }
+  EXPECT_FALSE(named.contains("control"));
+  EXPECT_EQ(named.size(), static_cast<std::size_t>(entries - cut_off_entries));
+  int most = 0;
+  for (auto const& [peer, times] : named) {
+    most = std::max(most, times);
+  }
+  EXPECT_LE(most, 10 * cut_off_entries * 3 / (entries - cut_off_entries) + 2);
+  // Nobody is named who has not been heard for a while.
+  EXPECT_TRUE(table.relay_peers_for(id(0), start + 2s).empty());
+}
+
+TEST(relay_peers, reach_a_cut_off_entry_instance_with_its_updates) {
+  testing::control_group group({"a"});
+  group.start("a", 1, true);
+  group.run(2s);
+  group.send("near", "a", subscription{.is_entry = true});
+  group.send("far", "a", subscription{.is_entry = true, .is_cut_off = true});
+  ASSERT_FALSE(group.updates("far").empty());
+  ASSERT_EQ(group.updates("far").back().relay_peers.size(), 1U);
+  EXPECT_EQ(group.updates("far").back().relay_peers.front(), base::instance_id{"near"});
+  group.send("near", "a", subscription{.is_entry = true});
+  EXPECT_TRUE(group.updates("near").back().relay_peers.empty());
+}
+
+} // namespace
+
+} // namespace catkinlanding::proxy
