ctl: Follow a request that another entry instance answered

A request that was passed on ends twice in the logs, and the reason relayed had no meaning. `catkinctl explain` names it, shows since when the first instance reached no endpoint, and knows the reason quarantined as well. The lines of an instance that is cut off follow the form of the others (entry cut_off, entry reconnected, entry relay_peers_known).

explanation_test: two cases, which fail without the change, as nothing read the lines.

--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -123,12 +123,13 @@
   bool const is_cut_off = m_router.is_cut_off();
   if (is_cut_off != m_was_cut_off) {
     m_was_cut_off = is_cut_off;
-    spdlog::warn("entry endpoints {}", is_cut_off ? "unreachable" : "reachable");
+    spdlog::warn("entry {} endpoints={}", is_cut_off ? "cut_off" : "reconnected",
+                 m_router.endpoint_count());
   }
   bool const has_peers = m_router.has_relay_peers();
   if (has_peers != m_had_relay_peers) {
     m_had_relay_peers = has_peers;
-    spdlog::info("entry relay_peers known");
+    spdlog::info("entry relay_peers_known");
   }
 }
 
--- a/tests/utilities/ctl/explanation_test.cpp
+++ b/tests/utilities/ctl/explanation_test.cpp
@@ -79,6 +79,31 @@
             std::string::npos);
 }
 
+// A request goes by way of another instance. Guards against a story that ends where it was passed
+// on.
+TEST(explanations, follow_a_request_to_another_entry_instance) {
+  auto const text =
+      explain({line("07.000", "edge-1", "entry cut_off endpoints=12"),
+               line("08.000", "edge-1", "entry relayed request=r1 peer=10.0.0.2:7 route=a"),
+               line("08.001", "edge-2", "entry attempt request=r1 number=1 endpoint=e version=v2"),
+               line("08.100", "edge-2", "entry ended request=r1 outcome=answered reason=whole"),
+               line("08.101", "edge-1", "entry ended request=r1 outcome=answered reason=relayed")})
+          .text();
+  EXPECT_NE(text.find("known since 1.000 s: entry cut_off endpoints=12"), std::string::npos)
+      << text;
+  EXPECT_LT(text.find("peer=10.0.0.2:7"), text.find("instance=edge-2"));
+  EXPECT_NE(text.find("Ended as answered, relayed: Another entry instance"), std::string::npos);
+}
+
+TEST(explanations, leave_out_a_cut_that_was_over) {
+  auto const text =
+      explain({line("05.000", "edge-1", "entry cut_off endpoints=12"),
+               line("06.000", "edge-1", "entry reconnected endpoints=12"),
+               line("08.000", "edge-1", "entry relayed request=r1 peer=10.0.0.2:7 route=a")})
+          .text();
+  EXPECT_EQ(text.find("cut_off"), std::string::npos);
+}
+
 TEST(explanations, leave_out_a_loss_of_contact_that_was_over) {
   auto const text =
       explain({line("01.000", "edge-1", "control lost revision=4"),
--- a/utilities/ctl/explanation.cpp
+++ b/utilities/ctl/explanation.cpp
@@ -14,9 +14,10 @@
 constexpr std::chrono::seconds learning_time{10};
 
 /// The events that tell what an instance knew.
-constexpr std::array<std::string_view, 8> state_events{
-    "control endpoint",      "control document", "control rollout",  "control isolated",
-    "entry endpoint_notice", "control lost",     "control regained", "process started"};
+constexpr std::array<std::string_view, 10> state_events{
+    "control endpoint",  "control document", "control rollout", "control isolated",
+    "control lost",      "control regained", "entry cut_off",   "entry endpoint_notice",
+    "entry reconnected", "process started"};
 
 struct meaning {
   std::string_view reason;
@@ -24,8 +25,9 @@
 };
 
 /// What the reasons in `entry ended` mean.
-constexpr std::array<meaning, 12> meanings{{
+constexpr std::array<meaning, 14> meanings{{
     {"whole", "The caller got the whole answer."},
+    {"relayed", "Another entry instance answered; its lines on the request tell how."},
     {"endpoint_failed", "The endpoint's own error answer was passed on."},
     {"caller_left", "The caller closed its connection before the answer was complete."},
     {"unknown_route", "No route of the document in force matches the host and path."},
@@ -34,6 +36,7 @@
     {"no_document", "The instance had no document yet."},
     {"no_endpoint", "No endpoint of the service was known to accept requests, or all were tried."},
     {"deferred", "All endpoints of the service had said that they want requests later."},
+    {"quarantined", "The request has a trait under which endpoints ended."},
     {"not_run", "No endpoint ran the request, and none was left to try."},
     {"expired_unsent", "The caller's time was over before any endpoint ran the request."},
     {"expired", "The caller's time was over; an endpoint may have run the request."},
@@ -89,6 +92,9 @@
     if (line->event == "entry attempt") {
       text += inputs_of(*line) + learned_after(*line);
     }
+    if (line->event == "entry relayed") {
+      text += reachability_at(*line);
+    }
     if (line->event == "entry ended") {
       text += line->field("attempts") == "0" ? general_inputs_of(*line) : "";
       end = "Ended as " + line->field("outcome") + ", " + line->field("reason") + ": " +
@@ -135,6 +141,14 @@
   return is_lost ? nullptr : latest;
 }
 
+std::string explanation::reachability_at(log_line const& decision) const {
+  auto const* cut_off = latest_before(decision, "entry cut_off");
+  auto const* reconnected = latest_before(decision, "entry reconnected");
+  bool const is_over =
+      cut_off != nullptr && reconnected != nullptr && is_after(*reconnected, *cut_off);
+  return cut_off == nullptr || is_over ? "" : known_since(*cut_off, decision);
+}
+
 std::string explanation::general_inputs_of(log_line const& decision) const {
   std::string text;
   for (auto const* event : {"process started", "control document", "control isolated"}) {
--- a/utilities/ctl/explanation.h
+++ b/utilities/ctl/explanation.h
@@ -24,6 +24,8 @@
 
 private:
   [[nodiscard]] std::vector<log_line const*> story() const;
+  /// Since when the instance reached no endpoint when it wrote the line; empty if it did.
+  [[nodiscard]] std::string reachability_at(log_line const& decision) const;
   /// What the instance knew of the document and the leader when it wrote the line.
   [[nodiscard]] std::string general_inputs_of(log_line const& decision) const;
   /// What it also knew of the attempt's endpoint and version.
