proxy: Send changes behind a whole registry that is on its way

Looked for by reading: a whole registry was held back from an instance for 500 ms only while the registry did not change. While 3000 endpoints announce themselves anew it changes with each batch, so an instance that starts got some 450 kB again with each request and each push, on a link that takes 360 ms for one.

Change: until the receiver says what it holds, at most each 500 ms whole; meanwhile it gets what changed behind the one that was sent.

Result: state_pushes.give_the_whole_registry_once_though_it_changes: 6 whole registries before, 1 now.

--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -18,9 +18,9 @@
   base::monotonic_time last_request_at{};
   base::monotonic_time document_sent_at{};
   std::uint64_t document_sent = 0;
-  /// The whole registry that was last sent to it.
-  base::monotonic_time registry_sent_at{};
+  /// The revision of the whole registry that was last sent to it; 0 if none was.
   std::uint64_t registry_sent = 0;
+  base::monotonic_time registry_sent_at{};
   /// Whether it started anew since the state was last sent to it, and lost what it got before.
   bool has_restarted = false;
   std::vector<endpoint_load> loads;
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -71,11 +71,14 @@
   auto const& known = downstream.known;
   bool const is_same_term = known.registry_term == sent.state.registry_term;
   sent.base_registry_revision = is_same_term ? known.registry_revision : 0;
+  bool const was_whole_sent = !downstream.has_restarted && downstream.registry_sent != 0 &&
+                              now < downstream.registry_sent_at + m_options.push_interval;
+  if (sent.base_registry_revision == 0 && was_whole_sent) {
+    // The receiver has not said yet that it holds the whole registry, which is on its way.
+    sent.base_registry_revision = downstream.registry_sent;
+  }
   bool const is_whole = sent.base_registry_revision == 0;
-  bool const was_just_sent = is_whole && !downstream.has_restarted &&
-                             downstream.registry_sent == registry.revision() &&
-                             now < downstream.registry_sent_at + m_options.push_interval;
-  if (was_just_sent || (is_whole && !try_take_registry(registry, now))) {
+  if (is_whole && !try_take_registry(registry, now)) {
     // It keeps what it knows, and asks again.
     sent.state.registry_term = known.registry_term;
     sent.state.registry_revision = known.registry_revision;
--- a/tests/libraries/proxy/state_push_test.cpp
+++ b/tests/libraries/proxy/state_push_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <tuple>
 
 namespace catkinlanding::proxy {
@@ -87,6 +88,29 @@
   EXPECT_TRUE(ask(1));
 }
 
+// Endpoints announce themselves all the while, as after a start of the whole deployment. Guards
+// against an instance that gets the whole registry again with each request and each push, while the
+// first one is still on its link.
+TEST(state_pushes, give_the_whole_registry_once_though_it_changes) {
+  auto group = founded_group();
+  auto const leader = group.leader();
+  group.call(leader, 1, announcement(1));
+  auto const wholes = [&] {
+    return std::ranges::count_if(group.updates("entry"), [](update const& one) {
+      return one.base_registry_revision == 0 && !one.endpoints.empty();
+    });
+  };
+  for (std::uint64_t report = 1; report <= 5; ++report) {
+    group.send("entry", leader, subscription{.is_entry = true, .report = report});
+    group.call(leader, report + 1, announcement(static_cast<int>(report) + 1));
+    group.run(80ms);
+  }
+  EXPECT_EQ(wholes(), 1);
+  group.run(500ms);
+  group.send("entry", leader, subscription{.is_entry = true, .report = 6});
+  EXPECT_EQ(wholes(), 2);
+}
+
 // All of 300 entry instances lose their state at once before 3000 endpoints, so each needs a
 // registry of some 450 kB. Guards against a control instance that queues all of them within one
 // moment, which is more memory than it has, whether it leads or knows no leader.
