proxy: Send a caller's request once whatever its route says

Cause (read): the check that a request has attempts left, new with relayed requests, also refused callers' requests on a route whose document allows 0 attempts; these were sent once before. Now only requests that another instance passed on are checked.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -64,9 +64,10 @@
     m_retries.of(request.service).note_request(now);
   }
   auto& active = m_requests[number] = std::move(request);
-  bool const may_attempt =
-      now + m_options.min_attempt_time <= active.deadline && active.has_attempts_left();
-  return may_attempt ? attempt_next(active, now) : final_refusal(active, now);
+  bool const has_time = now + m_options.min_attempt_time <= active.deadline;
+  // A caller's request is sent once, whatever its route says.
+  bool const may_attempt = !active.facts.is_relayed || active.has_attempts_left();
+  return has_time && may_attempt ? attempt_next(active, now) : final_refusal(active, now);
 }
 
 bool router::note_answer(request_number number, std::optional<double> confidence,
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -67,6 +67,13 @@
   stop(id);
 }
 
+void control_group::split(std::set<std::string> const& side) {
+  m_side.clear();
+  for (auto const& id : side) {
+    m_side.insert({id});
+  }
+}
+
 void control_group::use_seeds(std::vector<std::string> const& seeds) {
   m_seeds = instances_of(seeds);
 }
@@ -177,7 +184,8 @@
   while (!m_in_flight.empty()) {
     auto const in_flight = std::move(m_in_flight.front());
     m_in_flight.pop_front();
-    if (m_isolated.contains(in_flight.from) || m_isolated.contains(in_flight.to)) {
+    bool const is_split = m_side.contains(in_flight.from) != m_side.contains(in_flight.to);
+    if (is_split || m_isolated.contains(in_flight.from) || m_isolated.contains(in_flight.to)) {
       continue;
     }
     if (auto const held = m_held.find(in_flight.to); held != m_held.end()) {
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -28,6 +28,9 @@
   /// Cuts an instance off from all others until `reconnect`.
   void isolate(std::string const& id) { m_isolated.insert({id}); }
   void reconnect(std::string const& id) { m_isolated.erase({id}); }
+  /// Cuts these instances off from all others, but not from each other, until `join`.
+  void split(std::set<std::string> const& side);
+  void join() { m_side.clear(); }
   /// Replaces the seeds that instances get when they start, as running instances may keep old ones.
   void use_seeds(std::vector<std::string> const& seeds);
 
@@ -82,6 +85,7 @@
   std::map<base::instance_id, std::deque<in_flight_message>> m_held;
   std::map<base::instance_id, std::size_t> m_bytes;
   std::map<base::instance_id, disk> m_disks;
+  std::set<base::instance_id> m_side;
   std::set<base::instance_id> m_isolated;
   std::deque<in_flight_message> m_in_flight;
   std::map<proxy::call_number, proxy::call_reply> m_replies;
