tests: Say what the relay test over a change of leader shows

Its name and comment said that announcements that wait are kept over the change; it asks, as before, only that one accepted afterwards reaches the next leader. What was on its way to the lost one may be lost. The checks are unchanged; 7 cases pass.

--- a/tests/libraries/proxy/announcement_relay_test.cpp
+++ b/tests/libraries/proxy/announcement_relay_test.cpp
@@ -94,8 +94,9 @@
   EXPECT_EQ(group.reply(1)->kind, reply_kind::not_leader);
 }
 
-// Announcements that waited for a leader that was lost reach the next one.
-TEST(announcement_relays, keep_announcements_over_a_change_of_leader) {
+// Guards against a follower that goes on sending to a leader that was lost. What was on its way
+// then may be lost, as endpoints announce themselves again.
+TEST(announcement_relays, go_to_the_next_leader_after_a_change) {
   auto group = founded_group();
   auto const follower = follower_of(group);
   group.call(follower, 1, announcement(1));
