proxy: Log what a rollout request is taken for

The log says only 'call answered call=start_rollout reply=done', which fits four causes: - the order is taken for a repetition of the first one; - it is proposed, and the state machine drops it; - it is recorded, and lost with the kill after it; - another instance than the leader answers.

The new line 'control rollout_requested' says at the leader what the request was taken for, and the age of the latest rollout and its state as this instance knows them. No logic changes.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -221,6 +221,11 @@
                               base::monotonic_time now, control_effects& out) {
   auto const* known = m_state.find_rollout(request.service);
   auto const kind = m_evaluator.classify_start(request.target, known, now);
+  out.events.push_back(
+      {control_event::rollout_requested, request.service.value,
+       std::string(rollout_evaluator::name_of(kind)) + ",target=" + request.target.value +
+           (known == nullptr ? "" : "," + m_evaluator.describe_latest(*known, now)),
+       known == nullptr ? 0 : known->number});
   if (kind == rollout_evaluator::start_kind::new_rollout) {
     propose(number, request, now, out);
     return;
--- a/libraries/proxy/control_event.h
+++ b/libraries/proxy/control_event.h
@@ -11,6 +11,9 @@
   leadership_lost,
   document_applied,
   rollout_changed,
+  /// An operator asked for a rollout; the detail says what the request was taken for, and why. The
+  /// number is that of the service's latest rollout, or 0.
+  rollout_requested,
   /// The leader proposes the next state of a rollout; the detail holds the evidence.
   rollout_decided,
   endpoint_changed,
--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -15,10 +15,13 @@
   return duration * part / permille;
 }
 
+std::string in_milliseconds(base::duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 std::string describe(answer_statistics const& statistics) {
   auto const median = [](time_histogram const& histogram) {
-    auto const time = std::chrono::duration_cast<std::chrono::milliseconds>(histogram.median());
-    return std::to_string(time.count());
+    return in_milliseconds(histogram.median());
   };
   return std::to_string(statistics.bad) + "/" + std::to_string(statistics.answers) + "/" +
          median(statistics.first_byte) + "/" + median(statistics.event_interval);
@@ -26,6 +29,18 @@
 
 } // namespace
 
+char const* rollout_evaluator::name_of(start_kind kind) {
+  switch (kind) {
+  case start_kind::new_rollout:
+    return "new_rollout";
+  case start_kind::duplicate:
+    return "duplicate";
+  case start_kind::conflict:
+    return "conflict";
+  }
+  return "unknown";
+}
+
 void rollout_evaluator::note(rollout const& rollout, base::monotonic_time now) {
   auto& known = m_rollouts[rollout.service];
   if (known.rollout.number != rollout.number) {
@@ -135,6 +150,17 @@
   return is_resent ? start_kind::duplicate : start_kind::new_rollout;
 }
 
+std::string rollout_evaluator::describe_latest(rollout const& latest,
+                                               base::monotonic_time now) const {
+  auto const* known = find(latest);
+  if (known == nullptr) {
+    return {};
+  }
+  return "latest=" + latest.target.value + ",state=" + proxy::name_of(latest.state) +
+         ",started_ms=" + in_milliseconds(now - known->started_at) +
+         ",changed_ms=" + in_milliseconds(now - known->changed_at);
+}
+
 bool rollout_evaluator::ended_within(rollout const& rollout, base::duration window,
                                      base::monotonic_time now) const {
   auto const* known = find(rollout);
--- a/libraries/proxy/rollout_evaluator.h
+++ b/libraries/proxy/rollout_evaluator.h
@@ -41,6 +41,8 @@
   /// What a request to start a rollout is, given the service's latest rollout.
   enum class start_kind : std::uint8_t { new_rollout, duplicate, conflict };
 
+  [[nodiscard]] static char const* name_of(start_kind kind);
+
   explicit rollout_evaluator(options options) : m_options(options) {}
 
   /// Records when this instance first saw the rollout and its current state.
@@ -56,6 +58,9 @@
   /// `latest` is the latest rollout of the service; nullptr if it had none.
   [[nodiscard]] start_kind classify_start(base::version_id const& target, rollout const* latest,
                                           base::monotonic_time now) const;
+  /// What a request to start a rollout depends on, as text for the log: the latest rollout, and how
+  /// long ago this instance saw it start and reach its state.
+  [[nodiscard]] std::string describe_latest(rollout const& latest, base::monotonic_time now) const;
   /// Whether the rollout ended less than `window` ago.
   [[nodiscard]] bool ended_within(rollout const& rollout, base::duration window,
                                   base::monotonic_time now) const;
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -44,10 +44,11 @@
 }
 
 char const* name_of_event(control_event event) {
-  constexpr std::array<char const*, 12> names{
-      "leadership_won",  "leadership_lost",  "document_applied", "rollout_changed",
-      "rollout_decided", "endpoint_changed", "voters_changed",   "voters_proposed",
-      "quorum_gained",   "quorum_lost",      "instance_joined",  "instance_lost"};
+  constexpr std::array<char const*, 13> names{
+      "leadership_won",    "leadership_lost", "document_applied", "rollout_changed",
+      "rollout_requested", "rollout_decided", "endpoint_changed", "voters_changed",
+      "voters_proposed",   "quorum_gained",   "quorum_lost",      "instance_joined",
+      "instance_lost"};
   return names.at(static_cast<std::size_t>(event));
 }
 
