proxy: Bound the memory of all endpoints' answers together

A report of another operator: a faulty endpoint sends bytes that are no answer, without end; the process runs out of memory, and other callers' requests end with it. Each answer was bounded here, all of them together were not: an event may have 1 MiB, a header and an error 64 KiB, and a forwarded body kept its first 64 KiB for as long as it lasted.

Shown by answer_memory_process, which has 1,900 requests at once at one entry instance (4,100 descriptors allow no more) whose answers stop within each place, and bounds the process by half of 160 MiB, the smallest deployments' limit. Before (first form of the test): header, short fields, error, error's header, chunk header, trailer 117 to 121 MiB, body 167, event 1,141 and 1,094 MiB: 9 of 14 above the bound; the requests of other callers weren't served in 4 of them, but there the test's endpoint had stopped announcing itself. Now all 14 hold, 15 to 43 MiB, and 20 of 20 other callers are served in each.

Change: memory_budget divides a tenth of the process's memory (new in the settings: memory_mb) among the answers; each may have 4 KiB, beyond that an eighth of what is free. Headers are read into a buffer that grows in steps, and what is parsed is accounted for; buffers are given back once they are forwarded; a body that may buffer no more is forwarded as it arrives. A chunk's header or a trailer above 4 KiB is malformed (64 KiB before). The reader's own buffer is 4 KiB in place of 16.

Not bounded together: callers' request bodies that are being read, frames between instances, calls to control.

--- a/libraries/proxy/event_stream.cpp
+++ b/libraries/proxy/event_stream.cpp
@@ -9,6 +9,8 @@
 constexpr std::string_view event_end = "\n\n";
 constexpr std::string_view returned_end = "\r\n\r\n";
 constexpr std::string_view id_field = "id:";
+/// A larger buffer is given back once the event that needed it is complete.
+constexpr std::size_t max_idle_buffer_bytes = 4UL * 1024;
 
 std::string_view without_return(std::string_view line) {
   return line.ends_with('\r') ? line.substr(0, line.size() - 1) : line;
@@ -36,6 +38,9 @@
   auto const end = begin + end_in_new;
   auto whole = m_partial.substr(0, end);
   m_partial.erase(0, end);
+  if (m_partial.capacity() > max_idle_buffer_bytes) {
+    m_partial.shrink_to_fit();
+  }
   note_ids(whole);
   return whole;
 }
--- a/libraries/proxy/event_stream.h
+++ b/libraries/proxy/event_stream.h
@@ -19,7 +19,10 @@
   [[nodiscard]] std::size_t partial_bytes() const { return m_partial.size(); }
   [[nodiscard]] std::size_t events() const { return m_events; }
   /// Discards the incomplete event after the stream was interrupted.
-  void drop_partial() { m_partial.clear(); }
+  void drop_partial() {
+    m_partial.clear();
+    m_partial.shrink_to_fit();
+  }
 
 private:
   void note_ids(std::string_view whole);
--- a/libraries/proxy/settings.cpp
+++ b/libraries/proxy/settings.cpp
@@ -14,6 +14,8 @@
 constexpr std::array<std::string_view, 6> log_levels{"trace",   "debug", "info",
                                                      "warning", "error", "off"};
 
+constexpr double max_memory_megabytes = 1024.0 * 1024.0;
+
 std::optional<base::address> optional_address(object_reader& reader, char const* name) {
   std::string text;
   reader.optional(name, text);
@@ -38,6 +40,17 @@
       std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+void read_megabytes(object_reader& reader, char const* name, std::size_t& value) {
+  constexpr double bytes_per_megabyte = 1024.0 * 1024.0;
+  double megabytes = static_cast<double>(value) / bytes_per_megabyte;
+  reader.optional(name, megabytes);
+  if (!(megabytes >= 1.0 && megabytes <= max_memory_megabytes)) {
+    reader.fail(name, "must be from 1 to 1048576");
+    return;
+  }
+  value = static_cast<std::size_t>(megabytes * bytes_per_megabyte);
+}
+
 void read_share(object_reader& reader, char const* name, double& value) {
   reader.optional(name, value);
   if (!(value >= 0.0 && value <= 1.0)) {
@@ -86,6 +99,7 @@
   read_milliseconds(reader, "retry_window_ms", value.retry_window);
   read_share(reader, "trial_share", value.trial_share);
   read_milliseconds(reader, "resend_ms", value.resend_timeout);
+  read_megabytes(reader, "memory_mb", value.memory_bytes);
   read_milliseconds(reader, "announcement_interval_ms", value.announcement_interval);
 }
 
--- a/libraries/proxy/settings.h
+++ b/libraries/proxy/settings.h
@@ -51,6 +51,8 @@
   double trial_share = 0.1;
   /// Operators send an order again for at most this long after they sent it first.
   base::duration resend_timeout = std::chrono::seconds(5);
+  /// Memory that the process may use, in bytes. The platform ends a process that uses more.
+  std::size_t memory_bytes = 160UL * 1024 * 1024;
   /// Interval between the announcements of an endpoint.
   base::duration announcement_interval = std::chrono::seconds(1);
   std::string log_level = "info";
--- a/services/proxy/answer_forwarder.cpp
+++ b/services/proxy/answer_forwarder.cpp
@@ -16,6 +16,15 @@
 /// A stream with a larger event is malformed.
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
+/// A growing text takes up to twice its size.
+constexpr std::size_t buffer_copies = 2;
+
+/// An assignment of an empty text would keep the buffer.
+void free_buffer(std::string& text) {
+  text.clear();
+  text.shrink_to_fit();
+}
+
 answer_forwarder::result result_of(attempt_failure failure) {
   return failure == attempt_failure::broken ? answer_forwarder::result::broken
                                             : answer_forwarder::result::malformed;
@@ -33,22 +42,38 @@
   auto header = answer.header();
   erase_hop_by_hop_headers(header);
   std::string body;
+  memory_share memory(m_memory);
   // Answers up to this size are buffered completely before the first byte is forwarded, so that an
   // answer that breaks off can still be replaced by a retry.
-  while (body.size() <= max_buffered_bytes && !answer.is_done()) {
+  bool may_buffer = true;
+  while (may_buffer && !answer.is_done()) {
     auto const piece = co_await read_some(answer);
     if (!piece) {
       co_return result_of(piece.error());
     }
     body.append(*piece);
+    may_buffer =
+        body.size() <= max_buffered_bytes && memory.try_resize(buffer_copies * body.size());
   }
   m_has_begun = true;
-  if (answer.is_done()) {
-    co_return result_of_write(co_await write(serialize_response(header, body, keep_alive)));
+  if (!answer.is_done()) {
+    auto beginning = serialize_chunked_header(header, keep_alive) + serialize_chunk(body);
+    header.clear();
+    free_buffer(body);
+    co_return co_await forward_in_chunks(answer, std::move(beginning), std::move(memory));
   }
-  if (!co_await write(serialize_chunked_header(header, keep_alive) + serialize_chunk(body))) {
+  auto bytes = serialize_response(header, body, keep_alive);
+  free_buffer(body);
+  co_return result_of_write(co_await write(std::move(bytes)));
+}
+
+awaitable<answer_forwarder::result> answer_forwarder::forward_in_chunks(answer_reader& answer,
+                                                                        std::string beginning,
+                                                                        memory_share memory) {
+  if (!co_await write(std::move(beginning))) {
     co_return result::caller_write_failed;
   }
+  memory.release();
   while (!answer.is_done()) {
     auto const piece = co_await read_some(answer);
     if (!piece) {
@@ -66,6 +91,7 @@
   auto header = answer.header();
   erase_hop_by_hop_headers(header);
   m_events.drop_partial();
+  memory_share memory(m_memory);
   while (!answer.is_done()) {
     auto const piece = co_await read_some(answer);
     if (!piece) {
@@ -73,7 +99,10 @@
     }
     auto const events_before = m_events.events();
     auto events = m_events.take(*piece);
-    if (m_events.partial_bytes() > max_event_bytes) {
+    bool const is_too_large = m_events.partial_bytes() > max_event_bytes ||
+                              !memory.try_resize(buffer_copies * m_events.partial_bytes());
+    if (is_too_large) {
+      m_events.drop_partial();
       co_return result::malformed;
     }
     if (events.empty()) {
@@ -103,14 +132,15 @@
 }
 
 awaitable<tl::expected<std::string, attempt_failure>>
-answer_forwarder::read_body(answer_reader& answer, std::size_t max_bytes) {
+answer_forwarder::read_body(answer_reader& answer, std::size_t max_bytes, memory_share& memory) {
   std::string body;
   while (!answer.is_done()) {
     auto const piece = co_await read_some(answer);
     if (!piece) {
       co_return tl::unexpected(piece.error());
     }
-    if (body.size() + piece->size() > max_bytes) {
+    auto const size = body.size() + piece->size();
+    if (size > max_bytes || !memory.try_resize(buffer_copies * size)) {
       co_return tl::unexpected(attempt_failure::malformed);
     }
     body.append(*piece);
--- a/services/proxy/answer_header.cpp
+++ b/services/proxy/answer_header.cpp
@@ -33,6 +33,15 @@
          status == unavailable;
 }
 
+std::size_t memory_of(http_response_header const& header) {
+  constexpr std::size_t bytes_per_field = 96;
+  std::size_t bytes = 0;
+  for (auto const& field : header) {
+    bytes += field.name_string().size() + field.value().size() + bytes_per_field;
+  }
+  return bytes;
+}
+
 base::duration keep_alive_timeout(http_response_header const& header) {
   constexpr std::string_view parameter = "timeout=";
   std::string_view const value = header[http::field::keep_alive];
--- a/services/proxy/answer_reader.h
+++ b/services/proxy/answer_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/memory_budget.h>
 #include <libraries/proxy/request.h>
 #include <services/daemon/coroutine.h>
 #include <services/proxy/http.h>
@@ -17,13 +18,13 @@
 
 namespace catkinlanding::proxy {
 
-/// Reads one answer from an endpoint's connection. All that is buffered is bounded, as a faulty
-/// endpoint may send bytes without end. Failures are `broken` if the connection ended, and
-/// `malformed` if the bytes are no answer or too many.
+/// Reads one answer from an endpoint's connection. All that is buffered is bounded, for each answer
+/// and for all together, as faulty endpoints may send bytes without end. Failures are `broken` if
+/// the connection ended, and `malformed` if the bytes are no answer or too many.
 class answer_reader {
 public:
   /// The answer to a HEAD request has no body, whatever its header says.
-  answer_reader(upstream_connection& connection, bool is_head_request);
+  answer_reader(upstream_connection& connection, memory_budget& memory, bool is_head_request);
 
   /// Reads the header, and skips interim answers before it. Returns how that failed; nothing on
   /// success.
@@ -38,10 +39,19 @@
 private:
   using parser = http::response_parser<http::buffer_body>;
 
+  daemon::awaitable<std::optional<attempt_failure>> read_one_header();
+  /// Lets the connection buffer twice as much of a header. Returns false if that is too much.
+  [[nodiscard]] bool grow_buffer();
+  /// Gives back what the header needed in the connection's buffer, and accounts for its fields.
+  /// Returns false if they take up too much.
+  [[nodiscard]] bool account_for_header();
+
   upstream_connection& m_connection;
+  /// What the header takes up while it is read and afterwards.
+  memory_share m_header_memory;
   bool m_is_head_request;
   std::optional<parser> m_parser;
-  std::array<char, 16 * 1024> m_buffer{};
+  std::array<char, 4 * 1024> m_buffer{};
   /// Size of the body so far.
   std::uint64_t m_body_bytes = 0;
 };
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -22,6 +22,9 @@
 /// see each other's requests.
 constexpr double trial_share_factor = 0.85;
 constexpr double permille = 1000.0;
+/// The part of the process's memory that answers may take up in buffers: one in this many bytes.
+/// Each open request takes up more, in proportion to their number.
+constexpr std::size_t answer_memory_divisor = 10;
 
 std::vector<base::instance_id> seed_instances(process_settings const& settings) {
   std::vector<base::instance_id> seeds;
@@ -37,12 +40,14 @@
 entry_process::entry_process(process::options options,
                              proxy::protocol_adapter const& protocol_adapter)
     : m_process(std::move(options)), m_protocol_adapter(protocol_adapter),
-      m_router(router_options(m_process.settings())),
-      m_pool(upstream_pool::options{}), m_context{.io = m_process.io(),
-                                                  .router = m_router,
-                                                  .pool = m_pool,
-                                                  .protocol_adapter = m_protocol_adapter,
-                                                  .metrics = m_process.metrics()} {}
+      m_router(router_options(m_process.settings())), m_pool(upstream_pool::options{}),
+      m_answer_memory({.max_bytes = m_process.settings().memory_bytes / answer_memory_divisor}),
+      m_context{.io = m_process.io(),
+                .router = m_router,
+                .pool = m_pool,
+                .protocol_adapter = m_protocol_adapter,
+                .metrics = m_process.metrics(),
+                .answer_memory = m_answer_memory} {}
 
 router::options entry_process::router_options(process_settings const& settings) {
   router::options options;
@@ -78,6 +83,10 @@
             metrics.set_gauge("endpoints", static_cast<double>(m_router.endpoint_count()));
             metrics.set_gauge("document_revision",
                               static_cast<double>(m_router.document_revision()));
+            metrics.set_gauge("answer_buffer_bytes",
+                              static_cast<double>(m_answer_memory.used_bytes()));
+            metrics.set_gauge("answer_buffers_refused",
+                              static_cast<double>(m_answer_memory.refusals()));
             metrics.set_gauge("cut_off", m_router.is_cut_off() ? 1.0 : 0.0);
           },
   }));
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -33,8 +33,8 @@
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
     : m_context(context), m_caller(caller), m_request(std::move(request)),
       m_number(++context.last_request_number), m_started_at(now()),
-      m_forwarder(context.router, caller, m_number, m_started_at), m_deadline_timer(context.io),
-      m_stall_timer(context.io) {}
+      m_forwarder(context.router, context.answer_memory, caller, m_number, m_started_at),
+      m_deadline_timer(context.io), m_stall_timer(context.io) {}
 
 awaitable<bool> exchange::run() {
   m_keep_alive = m_request.keep_alive();
@@ -217,7 +217,8 @@
 }
 
 awaitable<std::optional<attempt_failure>> exchange::forward_peer_answer(relay const& relay) {
-  m_answer = std::make_unique<answer_reader>(*m_upstream, m_request.method() == http::verb::head);
+  m_answer = std::make_unique<answer_reader>(*m_upstream, m_context.answer_memory,
+                                             m_request.method() == http::verb::head);
   if (auto const failure = co_await m_answer->read_header()) {
     co_return failure;
   }
@@ -275,7 +276,8 @@
 awaitable<std::optional<attempt_failure>> exchange::read_header(attempt const& attempt) {
   for (int stale_answers = 0; stale_answers <= max_stale_answers; ++stale_answers) {
     bool const is_head_request = m_request.method() == http::verb::head;
-    m_answer = std::make_unique<answer_reader>(*m_upstream, is_head_request);
+    m_answer =
+        std::make_unique<answer_reader>(*m_upstream, m_context.answer_memory, is_head_request);
     if (auto const failure = co_await m_answer->read_header()) {
       co_return failure;
     }
@@ -287,7 +289,8 @@
       co_return std::nullopt;
     }
     // This is a late answer to an earlier request; discard it and read the next one.
-    if (!co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes)) {
+    memory_share memory(m_context.answer_memory);
+    if (!co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes, memory)) {
       co_return attempt_failure::malformed;
     }
   }
@@ -295,27 +298,28 @@
 }
 
 awaitable<std::optional<attempt_failure>> exchange::forward_answer(attempt const& attempt) {
-  auto const header = m_answer->header();
+  auto const& header = m_answer->header();
   auto const status = header.result_int();
   auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
+  memory_share memory(m_context.answer_memory);
   if (metadata.is_wrong_endpoint || metadata.is_not_executed) {
     // A rejection that names no request could be repeated on this connection, and then be taken for
     // the answer to another request.
     if (metadata.names_request &&
-        co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes)) {
+        co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes, memory)) {
       return_upstream_to_pool();
     }
     co_return metadata.is_wrong_endpoint ? attempt_failure::wrong_endpoint
                                          : attempt_failure::not_executed;
   }
   if (is_server_error(status) || implies_not_executed(status)) {
-    auto body = co_await m_forwarder.read_body(*m_answer, answer_forwarder::max_buffered_bytes);
+    auto body =
+        co_await m_forwarder.read_body(*m_answer, answer_forwarder::max_buffered_bytes, memory);
     if (!body) {
       co_return body.error();
     }
     return_upstream_to_pool();
-    m_stored_failure = stored_failure{header, std::move(*body)};
-    erase_hop_by_hop_headers(m_stored_failure->header);
+    store_failure(std::move(*body), std::move(memory));
     co_return attempt_failure::failed_answer;
   }
   if (m_forwarder.has_begun() && !is_success(status)) {
@@ -357,6 +361,15 @@
   co_return attempt_failure::malformed;
 }
 
+void exchange::store_failure(std::string body, memory_share memory) {
+  m_stored_failure.reset();
+  // Without the memory for its header the caller gets an answer of this instance instead.
+  if (memory.try_resize(memory.bytes() + memory_of(m_answer->header()))) {
+    m_stored_failure = stored_failure{m_answer->header(), std::move(body), std::move(memory)};
+    erase_hop_by_hop_headers(m_stored_failure->header);
+  }
+}
+
 attempt_failure exchange::classify_failure(attempt_failure failure) const {
   // A failure caused by the deadline says nothing about the endpoint.
   if (m_is_expired) {
--- a/services/proxy/upstream_pool.h
+++ b/services/proxy/upstream_pool.h
@@ -16,16 +16,14 @@
 
 /// A connection to an endpoint.
 struct upstream_connection {
-  static constexpr std::size_t max_buffered_bytes = 64 * 1024;
-
   explicit upstream_connection(boost::asio::io_context& context) : stream(context) {}
 
   /// Connects to the address. Returns false if that fails or takes longer than the timeout.
   daemon::awaitable<bool> open(base::duration timeout);
 
   daemon::tcp_stream stream;
-  /// Bytes that were received and not yet parsed. The limit exceeds that of an answer's header.
-  boost::beast::flat_buffer buffer{max_buffered_bytes};
+  /// Bytes that were received and not yet parsed.
+  boost::beast::flat_buffer buffer;
   base::endpoint_id endpoint;
   base::address address;
   /// Whether it has served an earlier request.
--- a/tests/support/proxy_deployment.cpp
+++ b/tests/support/proxy_deployment.cpp
@@ -62,18 +62,19 @@
   auto const& ip = m_ips.at(name);
   auto const at = [&](int port) { return ip + ":" + std::to_string(port); };
   bool const is_control = name == "control";
-  json const settings = {{"name", name},
-                         {"zone", "north"},
-                         {"listeners",
-                          {{"peers", at(m_peer_port)},
-                           {"callers", is_control ? "" : at(m_caller_port)},
-                           {"readiness", is_control ? "" : at(m_ready_port)},
-                           {"calls", is_control ? at(m_call_port) : ""}}},
-                         {"seeds", {std::string(control_ip) + ":" + std::to_string(m_call_port)}},
-                         {"first_start", true},
-                         {"data_folder", is_control ? (m_folder / "data").string() : ""},
-                         {"log_level", log_level},
-                         {"bounds", {{"retry_ratio", 0.5}, {"retry_slack", 200}}}};
+  json const settings = {
+      {"name", name},
+      {"zone", "north"},
+      {"listeners",
+       {{"peers", at(m_peer_port)},
+        {"callers", is_control ? "" : at(m_caller_port)},
+        {"readiness", is_control ? "" : at(m_ready_port)},
+        {"calls", is_control ? at(m_call_port) : ""}}},
+      {"seeds", {std::string(control_ip) + ":" + std::to_string(m_call_port)}},
+      {"first_start", true},
+      {"data_folder", is_control ? (m_folder / "data").string() : ""},
+      {"log_level", log_level},
+      {"bounds", {{"retry_ratio", 0.5}, {"retry_slack", 200}, {"memory_mb", 160}}}};
   std::ofstream(m_folder / (name + ".json")) << settings.dump();
 }
 
