--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -8,24 +8,6 @@
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-/// The reply to an order for which no rollout is started.
-reply_kind reply_for(rollout_evaluator::start_kind kind) {
-  switch (kind) {
-  case rollout_evaluator::start_kind::new_rollout:
-  case rollout_evaluator::start_kind::duplicate:
-    return reply_kind::done;
-  case rollout_evaluator::start_kind::conflict:
-    return reply_kind::conflict;
-  case rollout_evaluator::start_kind::undecided:
-    return reply_kind::unavailable;
-  }
-  return reply_kind::unavailable;
-}
-
-} // namespace
-
 control control::create(options options, consensus::recovered_state const& recovered,
                         base::monotonic_time now) {
   return control(std::move(options), recovered, now);
@@ -238,17 +220,15 @@
 void control::process_request(call_number number, start_rollout const& request,
                               base::monotonic_time now, control_effects& out) {
   auto const* known = m_state.find_rollout(request.service);
-  auto const kind = m_evaluator.classify_start(request.target, known, now);
-  out.events.push_back(
-      {control_event::rollout_requested, request.service.value,
-       std::string(rollout_evaluator::name_of(kind)) + ",target=" + request.target.value +
-           (known == nullptr ? "" : "," + m_evaluator.describe_latest(*known, now)),
-       known == nullptr ? 0 : known->number});
-  if (kind == rollout_evaluator::start_kind::new_rollout) {
+  auto const order = m_evaluator.classify_start(request.target, known, now);
+  out.events.push_back({control_event::rollout_requested, request.service.value,
+                        m_evaluator.describe_start(order, request.target, known, now),
+                        known == nullptr ? 0 : known->number});
+  if (order == rollout_order::new_rollout) {
     propose(number, request, now, out);
-    return;
+  } else {
+    answer(number, {.kind = reply_to(order)}, out);
   }
-  answer(number, {.kind = reply_for(kind)}, out);
 }
 
 void control::process_request(call_number number, announce_endpoint const& request,
--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -29,20 +29,6 @@
 
 } // namespace
 
-char const* rollout_evaluator::name_of(start_kind kind) {
-  switch (kind) {
-  case start_kind::new_rollout:
-    return "new_rollout";
-  case start_kind::duplicate:
-    return "duplicate";
-  case start_kind::conflict:
-    return "conflict";
-  case start_kind::undecided:
-    return "undecided";
-  }
-  return "unknown";
-}
-
 void rollout_evaluator::note(rollout const& rollout, base::monotonic_time now) {
   auto& known = m_rollouts[rollout.service];
   if (known.rollout.number != rollout.number) {
@@ -145,23 +131,23 @@
   return text;
 }
 
-rollout_evaluator::start_kind rollout_evaluator::classify_start(base::version_id const& target,
-                                                                rollout const* latest,
-                                                                base::monotonic_time now) const {
+rollout_order rollout_evaluator::classify_start(base::version_id const& target,
+                                                rollout const* latest,
+                                                base::monotonic_time now) const {
   if (latest == nullptr) {
-    return start_kind::new_rollout;
+    return rollout_order::new_rollout;
   }
   bool const is_same = latest->target == target;
   if (latest->is_running()) {
-    return is_same ? start_kind::duplicate : start_kind::conflict;
+    return is_same ? rollout_order::duplicate : rollout_order::conflict;
   }
   auto const* known = find(*latest);
   bool const is_too_old = known != nullptr && min_age(*known, now) >= m_options.resend_timeout;
   if (!is_same || is_too_old) {
-    return start_kind::new_rollout;
+    return rollout_order::new_rollout;
   }
   bool const is_age_known = known != nullptr && known->was_ordered_here;
-  return is_age_known ? start_kind::duplicate : start_kind::undecided;
+  return is_age_known ? rollout_order::duplicate : rollout_order::undecided;
 }
 
 base::duration rollout_evaluator::min_age(known_rollout const& known,
@@ -187,17 +173,19 @@
   return base::duration::zero();
 }
 
-std::string rollout_evaluator::describe_latest(rollout const& latest,
-                                               base::monotonic_time now) const {
-  auto const* known = find(latest);
+std::string rollout_evaluator::describe_start(rollout_order order, base::version_id const& target,
+                                              rollout const* latest,
+                                              base::monotonic_time now) const {
+  auto text = std::string(name_of(order)) + ",target=" + target.value;
+  auto const* known = latest == nullptr ? nullptr : find(*latest);
   if (known == nullptr) {
-    return {};
+    return text;
   }
-  return "latest=" + latest.target.value + ",state=" + proxy::name_of(latest.state) +
-         ",started_ms=" + in_milliseconds(now - known->started_at) +
-         ",changed_ms=" + in_milliseconds(now - known->changed_at) +
-         ",min_age_ms=" + in_milliseconds(min_age(*known, now)) +
-         ",ordered_here=" + (known->was_ordered_here ? "1" : "0");
+  text += ",latest=" + latest->target.value + ",state=" + name_of(latest->state);
+  text += ",started_ms=" + in_milliseconds(now - known->started_at);
+  text += ",changed_ms=" + in_milliseconds(now - known->changed_at);
+  text += ",min_age_ms=" + in_milliseconds(min_age(*known, now));
+  return text + ",ordered_here=" + (known->was_ordered_here ? "1" : "0");
 }
 
 rollout_evaluator::known_rollout const* rollout_evaluator::find(rollout const& rollout) const {
--- a/libraries/proxy/rollout_evaluator.h
+++ b/libraries/proxy/rollout_evaluator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/proxy/rollout_evidence.h>
+#include <libraries/proxy/rollout_order.h>
 #include <libraries/proxy/version_comparison.h>
 
 #include <map>
@@ -38,18 +39,6 @@
     base::duration resend_timeout = std::chrono::seconds(5);
   };
 
-  /// What a request to start a rollout is, given the service's latest rollout.
-  enum class start_kind : std::uint8_t {
-    new_rollout,
-    duplicate,
-    conflict,
-    /// Either a duplicate or a new rollout: this instance doesn't know how long ago the latest
-    /// rollout was ordered.
-    undecided,
-  };
-
-  [[nodiscard]] static char const* name_of(start_kind kind);
-
   explicit rollout_evaluator(options options) : m_options(options) {}
 
   /// Records when this instance first saw the rollout and its current state.
@@ -66,11 +55,12 @@
   /// The statistics of both versions as text, for the log.
   [[nodiscard]] std::string describe_evidence(rollout const& rollout) const;
   /// `latest` is the latest rollout of the service; nullptr if it had none.
-  [[nodiscard]] start_kind classify_start(base::version_id const& target, rollout const* latest,
-                                          base::monotonic_time now) const;
-  /// What a request to start a rollout depends on, as text for the log: the latest rollout, and how
-  /// long ago this instance saw it start and reach its state.
-  [[nodiscard]] std::string describe_latest(rollout const& latest, base::monotonic_time now) const;
+  [[nodiscard]] rollout_order classify_start(base::version_id const& target, rollout const* latest,
+                                             base::monotonic_time now) const;
+  /// What `classify_start` decided and what that depends on, as text for the log: the latest
+  /// rollout, and how long ago this instance saw it start and reach its state.
+  [[nodiscard]] std::string describe_start(rollout_order order, base::version_id const& target,
+                                           rollout const* latest, base::monotonic_time now) const;
 
 private:
   /// What this instance knows about the latest rollout of a service.
--- a/tests/libraries/proxy/rollout_evaluator_test.cpp
+++ b/tests/libraries/proxy/rollout_evaluator_test.cpp
@@ -197,16 +197,14 @@
             std::nullopt);
 }
 
-using start_kind = rollout_evaluator::start_kind;
-
 TEST_F(rollout_evaluators, take_an_order_for_a_duplicate_until_it_is_sent_no_more) {
   auto done = make_rollout(rollout_state::rolled_back);
   done.duration = 4s;
   m_evaluator.note_ordered_here(done.service);
   m_evaluator.note(done, start + 2500ms);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 4999ms), start_kind::duplicate);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 5s), start_kind::new_rollout);
-  EXPECT_EQ(m_evaluator.classify_start({"v3"}, &done, start + 2500ms), start_kind::new_rollout);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 4999ms), rollout_order::duplicate);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 5s), rollout_order::new_rollout);
+  EXPECT_EQ(m_evaluator.classify_start({"v3"}, &done, start + 2500ms), rollout_order::new_rollout);
 }
 
 TEST_F(rollout_evaluators, bound_the_age_of_a_rollout_that_was_ordered_elsewhere) {
@@ -214,19 +212,19 @@
   done.duration = 4s;
   // The order is 2040 ms older than the end of the rollout, at least.
   m_evaluator.note(done, start);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2959ms), start_kind::undecided);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2960ms), start_kind::new_rollout);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2959ms), rollout_order::undecided);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2960ms), rollout_order::new_rollout);
   done.state = rollout_state::succeeded;
   m_evaluator.note(done, start + 1s);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2171ms), start_kind::undecided);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2172ms), start_kind::new_rollout);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2171ms), rollout_order::undecided);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &done, start + 2172ms), rollout_order::new_rollout);
 }
 
 TEST_F(rollout_evaluators, know_the_orders_for_a_running_rollout) {
   auto const running = make_rollout(rollout_state::on_trial);
   m_evaluator.note(running, start + 6s);
-  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &running, start + 9s), start_kind::duplicate);
-  EXPECT_EQ(m_evaluator.classify_start({"v3"}, &running, start + 9s), start_kind::conflict);
+  EXPECT_EQ(m_evaluator.classify_start({"v2"}, &running, start + 9s), rollout_order::duplicate);
+  EXPECT_EQ(m_evaluator.classify_start({"v3"}, &running, start + 9s), rollout_order::conflict);
 }
 
 } // namespace
