proxy: Bound the memory of requests, calls and messages that are being read

The same cause as with endless answers, on related paths: a body counted only once it had been read, calls to control and messages between instances were bounded each, and nothing added them up.

Change: memory_budget (now in libraries/base) divides a fifth of an entry's memory among bodies of callers, read or being read, a quarter of a control instance's among those of calls, and a fifth among messages being received. A body that does not fit is answered with 503, at once if its length is known. The limit of 64 MiB for bodies that have been read is gone: at 160 MiB it is now 32, at 260 MiB 52. A body is sent from where it is and no longer copied for each attempt.

Formats between instances and on disk are unchanged.

--- a/libraries/proxy/memory_budget.cpp
+++ b/libraries/base/memory_budget.cpp
@@ -1,9 +1,9 @@
-#include <libraries/proxy/memory_budget.h>
+#include <libraries/base/memory_budget.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace catkinlanding::proxy {
+namespace catkinlanding::base {
 
 bool memory_budget::try_resize(std::size_t held, std::size_t wanted) {
   auto const used_by_others = m_used_bytes - held;
@@ -46,4 +46,4 @@
   static_cast<void>(try_resize(0));
 }
 
-} // namespace catkinlanding::proxy
+} // namespace catkinlanding::base
--- a/libraries/proxy/memory_budget.h
+++ b/libraries/base/memory_budget.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace catkinlanding::proxy {
+namespace catkinlanding::base {
 
 /// Divides the memory for buffers of one kind among those who hold them. Each may have a little,
 /// and beyond that no more than a part of what nobody holds. So together they stay below the limit
@@ -58,4 +58,4 @@
   std::size_t m_bytes = 0;
 };
 
-} // namespace catkinlanding::proxy
+} // namespace catkinlanding::base
--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -59,9 +59,10 @@
 
 frame_transport::frame_transport(asio::io_context& context, sockets sockets,
                                  std::map<base::instance_id, base::address> const& peers,
-                                 handler on_frame)
+                                 handler on_frame, std::size_t max_frame_memory)
     : m_context(context), m_on_frame(std::move(on_frame)),
-      m_datagrams(std::move(sockets.datagrams)), m_acceptor(std::move(sockets.acceptor)) {
+      m_datagrams(std::move(sockets.datagrams)), m_acceptor(std::move(sockets.acceptor)),
+      m_frame_memory({.max_bytes = max_frame_memory, .free_memory_divisor = 1}) {
   for (auto const& [id, address] : peers) {
     boost::system::error_code error;
     auto const ip = asio::ip::make_address(address.ip, error);
@@ -136,8 +137,13 @@
     co_return false;
   }
   std::string bytes;
+  base::memory_share memory(m_frame_memory);
   while (bytes.size() < size) {
     auto const received = bytes.size();
+    if (!memory.try_resize(std::min(size, received + chunk_size))) {
+      log_unreadable("frames exceed the memory for them; one of", size);
+      co_return false;
+    }
     bytes.resize(std::min(size, received + chunk_size));
     stream.expires_after(chunk_timeout);
     auto const [error, read] = co_await asio::async_read(
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -2,6 +2,7 @@
 
 #include <libraries/base/address.h>
 #include <libraries/base/identifier.h>
+#include <libraries/base/memory_budget.h>
 #include <services/daemon/coroutine.h>
 
 #include <boost/asio/io_context.hpp>
@@ -29,6 +30,8 @@
 public:
   /// Limits the memory that forged datagrams with invented instance ids can use.
   static constexpr std::size_t max_peers = 4096;
+  /// Memory for the frames that are being received over all connections.
+  static constexpr std::size_t default_frame_memory = 256UL * 1024 * 1024;
 
   /// Must be called with the sender's id before the frame is processed, so that a reply can be
   /// sent.
@@ -43,7 +46,8 @@
   };
 
   frame_transport(boost::asio::io_context& context, sockets sockets,
-                  std::map<base::instance_id, base::address> const& peers, handler on_frame);
+                  std::map<base::instance_id, base::address> const& peers, handler on_frame,
+                  std::size_t max_frame_memory = default_frame_memory);
 
   void send(base::instance_id const& to, std::string bytes);
 
@@ -82,6 +86,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::map<base::instance_id, std::shared_ptr<connection>> m_connections;
   std::size_t m_inbound_connections = 0;
+  base::memory_budget m_frame_memory;
   std::uint64_t m_unreadable_frames = 0;
   std::chrono::steady_clock::time_point m_next_warning{};
 };
--- a/services/proxy/answer_forwarder.cpp
+++ b/services/proxy/answer_forwarder.cpp
@@ -42,7 +42,7 @@
   auto header = answer.header();
   erase_hop_by_hop_headers(header);
   std::string body;
-  memory_share memory(m_memory);
+  base::memory_share memory(m_memory);
   // Answers up to this size are buffered completely before the first byte is forwarded, so that an
   // answer that breaks off can still be replaced by a retry.
   bool may_buffer = true;
@@ -69,7 +69,7 @@
 
 awaitable<answer_forwarder::result> answer_forwarder::forward_in_chunks(answer_reader& answer,
                                                                         std::string beginning,
-                                                                        memory_share memory) {
+                                                                        base::memory_share memory) {
   if (!co_await write(std::move(beginning))) {
     co_return result::caller_write_failed;
   }
@@ -91,7 +91,7 @@
   auto header = answer.header();
   erase_hop_by_hop_headers(header);
   m_events.drop_partial();
-  memory_share memory(m_memory);
+  base::memory_share memory(m_memory);
   while (!answer.is_done()) {
     auto const piece = co_await read_some(answer);
     if (!piece) {
@@ -132,7 +132,8 @@
 }
 
 awaitable<tl::expected<std::string, attempt_failure>>
-answer_forwarder::read_body(answer_reader& answer, std::size_t max_bytes, memory_share& memory) {
+answer_forwarder::read_body(answer_reader& answer, std::size_t max_bytes,
+                            base::memory_share& memory) {
   std::string body;
   while (!answer.is_done()) {
     auto const piece = co_await read_some(answer);
--- a/services/proxy/answer_forwarder.h
+++ b/services/proxy/answer_forwarder.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <libraries/base/memory_budget.h>
 #include <libraries/proxy/event_stream.h>
-#include <libraries/proxy/memory_budget.h>
 #include <libraries/proxy/router.h>
 #include <libraries/proxy/stream_timing.h>
 #include <services/daemon/coroutine.h>
@@ -19,7 +19,7 @@
 public:
   enum class result : std::uint8_t { complete, broken, malformed, caller_write_failed };
 
-  answer_forwarder(proxy::router& router, memory_budget& memory, daemon::tcp_stream& caller,
+  answer_forwarder(proxy::router& router, base::memory_budget& memory, daemon::tcp_stream& caller,
                    request_number number, base::monotonic_time began_at)
       : m_router(router), m_memory(memory), m_caller(caller), m_number(number), m_timing(began_at) {
   }
@@ -32,7 +32,7 @@
   /// Reads the rest of the body, which is not forwarded, and accounts for it in the share. One that
   /// is larger than the limit, or than the share may be, is malformed.
   daemon::awaitable<tl::expected<std::string, attempt_failure>>
-  read_body(answer_reader& answer, std::size_t max_bytes, memory_share& memory);
+  read_body(answer_reader& answer, std::size_t max_bytes, base::memory_share& memory);
   /// Returns false if the caller has disconnected, or does not read.
   daemon::awaitable<bool> write(std::string bytes);
 
@@ -51,10 +51,10 @@
   daemon::awaitable<bool> write_chunk(std::string_view bytes);
   /// Forwards what is left of the body after its buffered beginning, in chunks.
   daemon::awaitable<result> forward_in_chunks(answer_reader& answer, std::string beginning,
-                                              memory_share memory);
+                                              base::memory_share memory);
 
   proxy::router& m_router;
-  memory_budget& m_memory;
+  base::memory_budget& m_memory;
   daemon::tcp_stream& m_caller;
   request_number m_number;
   event_stream m_events;
--- a/services/proxy/answer_reader.cpp
+++ b/services/proxy/answer_reader.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-answer_reader::answer_reader(upstream_connection& connection, memory_budget& memory,
+answer_reader::answer_reader(upstream_connection& connection, base::memory_budget& memory,
                              bool is_head_request)
     : m_connection(connection), m_header_memory(memory), m_is_head_request(is_head_request) {}
 
--- a/services/proxy/answer_reader.h
+++ b/services/proxy/answer_reader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <libraries/proxy/memory_budget.h>
+#include <libraries/base/memory_budget.h>
 #include <libraries/proxy/request.h>
 #include <services/daemon/coroutine.h>
 #include <services/proxy/http.h>
@@ -24,7 +24,7 @@
 class answer_reader {
 public:
   /// The answer to a HEAD request has no body, whatever its header says.
-  answer_reader(upstream_connection& connection, memory_budget& memory, bool is_head_request);
+  answer_reader(upstream_connection& connection, base::memory_budget& memory, bool is_head_request);
 
   /// Reads the header, and skips interim answers before it. Returns how that failed; nothing on
   /// success.
@@ -48,7 +48,7 @@
 
   upstream_connection& m_connection;
   /// What the header takes up while it is read and afterwards.
-  memory_share m_header_memory;
+  base::memory_share m_header_memory;
   bool m_is_head_request;
   std::optional<parser> m_parser;
   std::array<char, 4 * 1024> m_buffer{};
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -18,6 +18,8 @@
 /// Endpoints keep their connections open. Leaves room for those to other instances within the
 /// usual limit of 4096 descriptors.
 constexpr std::size_t max_callers = 3200;
+/// The bodies of calls may take up one in this many bytes of the process's memory.
+constexpr std::size_t body_memory_divisor = 4;
 constexpr std::chrono::milliseconds stop_check_interval{20};
 constexpr std::chrono::milliseconds stop_margin{500};
 /// Time for queued replies to be written before the process stops.
@@ -143,7 +145,10 @@
   if (auto const& calls = m_process.settings().calls) {
     auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_process.io(), *calls));
     m_call_server = std::make_unique<http_server>(
-        m_process.io(), std::move(acceptor), http_server::options{.max_connections = max_callers},
+        m_process.io(), std::move(acceptor),
+        http_server::options{.max_connections = max_callers,
+                             .max_body_memory =
+                                 m_process.settings().memory_bytes / body_memory_divisor},
         [this](http_request request) { return handle_call(std::move(request)); });
   }
   return {};
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -25,6 +25,8 @@
 /// The part of the process's memory that answers may take up in buffers: one in this many bytes.
 /// Each open request takes up more, in proportion to their number.
 constexpr std::size_t answer_memory_divisor = 10;
+/// The same for the bodies of callers' requests.
+constexpr std::size_t body_memory_divisor = 5;
 
 std::vector<base::instance_id> seed_instances(process_settings const& settings) {
   std::vector<base::instance_id> seeds;
@@ -106,8 +108,9 @@
   if (settings.callers) {
     m_context.caller_port = settings.callers->port;
     auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(io, *settings.callers));
-    m_entry_server =
-        std::make_unique<entry_server>(m_context, std::move(acceptor), entry_server::options{});
+    m_entry_server = std::make_unique<entry_server>(
+        m_context, std::move(acceptor),
+        entry_server::options{.max_body_memory = settings.memory_bytes / body_memory_divisor});
   }
   return {};
 }
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -35,7 +35,7 @@
   proxy::protocol_adapter const& m_protocol_adapter;
   proxy::router m_router;
   upstream_pool m_pool;
-  memory_budget m_answer_memory;
+  base::memory_budget m_answer_memory;
   entry_context m_context;
   std::unique_ptr<entry_server> m_entry_server;
   std::unique_ptr<http_server> m_readiness_server;
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -32,7 +32,8 @@
 
 entry_server::entry_server(entry_context& context, asio::ip::tcp::acceptor acceptor,
                            options options)
-    : m_context(context), m_acceptor(std::move(acceptor)), m_options(options) {
+    : m_context(context), m_acceptor(std::move(acceptor)), m_options(options),
+      m_body_memory({.max_bytes = options.max_body_memory, .free_memory_divisor = 1}) {
   daemon::spawn(m_context.io, "entry", accept());
 }
 
@@ -105,23 +106,22 @@
 awaitable<void> entry_server::serve_requests(connection& connection) {
   bool is_open = true;
   while (is_open) {
-    auto request = co_await read_request(connection);
+    base::memory_share body_memory(m_body_memory);
+    auto request = co_await read_request(connection, body_memory);
     if (!request) {
       break;
     }
     daemon::scoped_count const active(m_active_exchanges);
-    auto const size = request->body().size();
-    m_body_bytes += size;
     auto const current_exchange =
         std::make_shared<exchange>(m_context, connection.stream, std::move(*request));
     is_open = co_await current_exchange->run();
-    m_body_bytes -= size;
   }
 }
 
-awaitable<std::optional<http_request>> entry_server::read_request(connection& connection) {
+awaitable<std::optional<http_request>> entry_server::read_request(connection& connection,
+                                                                  base::memory_share& body_memory) {
   auto const& limits = m_context.router.limits();
-  http::request_parser<http::string_body> parser;
+  request_parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   connection.stream.expires_after(limits.idle_timeout);
@@ -150,7 +150,7 @@
     co_await reject(connection, http::status::bad_request, "ambiguous_length");
     co_return std::nullopt;
   }
-  if (m_body_bytes > m_options.max_total_body_bytes) {
+  if (!reserve_body(parser, body_memory)) {
     co_await reject(connection, http::status::service_unavailable, "bodies_exceed_memory");
     co_return std::nullopt;
   }
@@ -159,18 +159,25 @@
     constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(connection.stream, asio::buffer(continue_response), completion);
   }
-  auto const [body_error, body_size] =
-      co_await http::async_read(connection.stream, connection.buffer, parser, completion);
-  if (body_error == http::error::body_limit) {
-    co_await reject(connection, http::status::payload_too_large, "body_too_large");
-  }
-  if (body_error) {
+  if (!co_await read_body(connection, parser, body_memory)) {
     co_return std::nullopt;
   }
   connection.stream.expires_never();
   co_return parser.release();
 }
 
+awaitable<bool> entry_server::read_body(connection& connection, request_parser& parser,
+                                        base::memory_share& body_memory) {
+  auto const failure =
+      co_await proxy::read_body(connection.stream, connection.buffer, parser, body_memory);
+  if (failure == request_body_failure::too_large) {
+    co_await reject(connection, http::status::payload_too_large, "body_too_large");
+  } else if (failure == request_body_failure::no_memory) {
+    co_await reject(connection, http::status::service_unavailable, "bodies_exceed_memory");
+  }
+  co_return !failure;
+}
+
 awaitable<void> entry_server::reject(connection& connection, http::status status,
                                      char const* reason) {
   spdlog::warn("entry refused request=- reason={} status={}", reason, static_cast<int>(status));
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <services/proxy/exchange.h>
+#include <services/proxy/request_body.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,9 +16,9 @@
 public:
   struct options {
     std::size_t max_connections = 3000;
-    /// Limit for the request bodies held in memory at once, over all connections. While they exceed
-    /// it, requests are rejected before their body is read.
-    std::size_t max_total_body_bytes = 64 * 1024 * 1024;
+    /// Memory for the request bodies of all connections, read or being read. A request whose body
+    /// doesn't fit is rejected, before the body is read if its length is known.
+    std::size_t max_body_memory = 32UL * 1024 * 1024;
   };
 
   entry_server(entry_context& context, boost::asio::ip::tcp::acceptor acceptor, options options);
@@ -44,8 +45,13 @@
   void start(daemon::tcp_socket socket);
   daemon::awaitable<void> serve(std::shared_ptr<connection> connection);
   daemon::awaitable<void> serve_requests(connection& connection);
-  /// Reads one request. Returns nothing if the connection ended or the request was rejected.
-  daemon::awaitable<std::optional<http_request>> read_request(connection& connection);
+  /// Reads one request, and takes memory for its body. Returns nothing if the connection ended or
+  /// the request was rejected.
+  daemon::awaitable<std::optional<http_request>> read_request(connection& connection,
+                                                              base::memory_share& body_memory);
+  /// Reads the body of a request after its header. Returns false like `read_request`.
+  daemon::awaitable<bool> read_body(connection& connection, request_parser& parser,
+                                    base::memory_share& body_memory);
   daemon::awaitable<void> reject(connection& connection, http::status status, char const* reason);
 
   entry_context& m_context;
@@ -53,7 +59,7 @@
   options m_options;
   std::set<std::shared_ptr<connection>> m_connections;
   std::size_t m_active_exchanges = 0;
-  std::size_t m_body_bytes = 0;
+  base::memory_budget m_body_memory;
 };
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -7,6 +7,7 @@
 #include <services/proxy/socket_state.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <spdlog/spdlog.h>
 
@@ -259,11 +260,12 @@
 }
 
 awaitable<std::optional<attempt_failure>> exchange::send(http_request_header header) {
-  http::request<http::string_body> request;
+  // The body is not copied.
+  http::request<http::span_body<char const>> request;
   request.base() = std::move(header);
-  request.body() = m_request.body();
-  if (!request.body().empty() || m_request.method() != http::verb::get) {
-    request.content_length(request.body().size());
+  request.body() = {m_request.body().data(), m_request.body().size()};
+  if (!m_request.body().empty() || m_request.method() != http::verb::get) {
+    request.content_length(m_request.body().size());
   }
   auto const [error, written] = co_await http::async_write(m_upstream->stream, request, completion);
   if (!error) {
@@ -289,7 +291,7 @@
       co_return std::nullopt;
     }
     // This is a late answer to an earlier request; discard it and read the next one.
-    memory_share memory(m_context.answer_memory);
+    base::memory_share memory(m_context.answer_memory);
     if (!co_await m_forwarder.read_body(*m_answer, max_discarded_body_bytes, memory)) {
       co_return attempt_failure::malformed;
     }
@@ -301,7 +303,7 @@
   auto const& header = m_answer->header();
   auto const status = header.result_int();
   auto const metadata = m_context.protocol_adapter.read_answer(header, m_id, attempt.endpoint);
-  memory_share memory(m_context.answer_memory);
+  base::memory_share memory(m_context.answer_memory);
   if (metadata.is_wrong_endpoint || metadata.is_not_executed) {
     // A rejection that names no request could be repeated on this connection, and then be taken for
     // the answer to another request.
@@ -361,7 +363,7 @@
   co_return attempt_failure::malformed;
 }
 
-void exchange::store_failure(std::string body, memory_share memory) {
+void exchange::store_failure(std::string body, base::memory_share memory) {
   m_stored_failure.reset();
   // Without the memory for its header the caller gets an answer of this instance instead.
   if (memory.try_resize(memory.bytes() + memory_of(m_answer->header()))) {
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -22,7 +22,7 @@
   proxy::protocol_adapter const& protocol_adapter;
   proxy::metrics& metrics;
   /// What the answers of all exchanges may take up in buffers.
-  memory_budget& answer_memory;
+  base::memory_budget& answer_memory;
   /// Timers of requests that wait for a document or endpoints. They are cancelled on each change of
   /// the router's state, so that the requests check again.
   std::set<daemon::steady_timer*> state_wait_timers;
@@ -50,7 +50,7 @@
   struct stored_failure {
     http_response_header header;
     std::string body;
-    memory_share memory;
+    base::memory_share memory;
   };
 
   daemon::awaitable<void> wait_for_state(request_facts& facts);
@@ -81,7 +81,7 @@
   daemon::awaitable<std::optional<attempt_failure>> forward(bool is_stream);
 
   /// Keeps the current answer, whose body has been read, for `deliver_stored_failure`.
-  void store_failure(std::string body, memory_share memory);
+  void store_failure(std::string body, base::memory_share memory);
   /// The given failure, or the timeout that caused it.
   [[nodiscard]] attempt_failure classify_failure(attempt_failure failure) const;
   /// Keeps the endpoint's connection for the next request if it is reusable.
--- a/services/proxy/http_server.cpp
+++ b/services/proxy/http_server.cpp
@@ -21,7 +21,8 @@
 http_server::http_server(asio::io_context& context, asio::ip::tcp::acceptor acceptor,
                          options options, handler handle_request)
     : m_context(context), m_acceptor(std::move(acceptor)), m_options(options),
-      m_handler(std::move(handle_request)) {
+      m_handler(std::move(handle_request)),
+      m_body_memory({.max_bytes = options.max_body_memory, .free_memory_divisor = 1}) {
   daemon::spawn(m_context, "calls", accept());
 }
 
@@ -60,26 +61,45 @@
 awaitable<void> http_server::serve(std::shared_ptr<daemon::tcp_stream> stream) {
   daemon::scoped_count const active(m_connections);
   boost::beast::flat_buffer buffer;
-  bool is_open = true;
-  while (is_open) {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(m_options.max_header_bytes);
-    parser.body_limit(m_options.max_body_bytes);
-    stream->expires_after(m_options.idle_timeout);
-    auto const [error, size] = co_await http::async_read(*stream, buffer, parser, completion);
-    if (error) {
-      break;
-    }
-    auto request = parser.release();
-    is_open = request.keep_alive();
-    auto const answer = co_await m_handler(std::move(request));
-    auto const bytes = serialize_response(answer.base(), answer.body(), is_open);
-    auto const [failed, written] =
-        co_await asio::async_write(*stream, asio::buffer(bytes), completion);
-    is_open = is_open && !failed;
+  while (co_await serve_request(*stream, buffer)) {
   }
   boost::system::error_code ignored;
   stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+awaitable<bool> http_server::serve_request(daemon::tcp_stream& stream,
+                                           boost::beast::flat_buffer& buffer) {
+  request_parser parser;
+  parser.header_limit(m_options.max_header_bytes);
+  parser.body_limit(m_options.max_body_bytes);
+  stream.expires_after(m_options.idle_timeout);
+  auto const [error, size] = co_await http::async_read_header(stream, buffer, parser, completion);
+  if (error) {
+    co_return false;
+  }
+  base::memory_share memory(m_body_memory);
+  auto failure = std::optional(request_body_failure::no_memory);
+  if (reserve_body(parser, memory)) {
+    failure = co_await read_body(stream, buffer, parser, memory);
+  }
+  if (failure == request_body_failure::no_memory) {
+    spdlog::warn("calls refused reason=bodies_exceed_memory used={}", m_body_memory.used_bytes());
+    co_return co_await write(stream, http_response(http::status::service_unavailable, 11), false);
+  }
+  if (failure) {
+    co_return false;
+  }
+  auto request = parser.release();
+  bool const keep_alive = request.keep_alive();
+  auto const answer = co_await m_handler(std::move(request));
+  co_return co_await write(stream, answer, keep_alive);
+}
+
+awaitable<bool> http_server::write(daemon::tcp_stream& stream, http_response const& answer,
+                                   bool keep_alive) {
+  auto const bytes = serialize_response(answer.base(), answer.body(), keep_alive);
+  auto const [error, written] = co_await asio::async_write(stream, asio::buffer(bytes), completion);
+  co_return keep_alive && !error;
+}
+
 } // namespace catkinlanding::proxy
--- a/services/proxy/http_server.h
+++ b/services/proxy/http_server.h
@@ -2,6 +2,7 @@
 
 #include <services/daemon/coroutine.h>
 #include <services/proxy/http.h>
+#include <services/proxy/request_body.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +24,9 @@
     std::size_t max_connections = 512;
     std::uint32_t max_header_bytes = 16 * 1024;
     std::uint32_t max_body_bytes = 8 * 1024 * 1024;
+    /// Memory for the bodies of all connections. A request whose body doesn't fit is answered with
+    /// 503.
+    std::size_t max_body_memory = 32UL * 1024 * 1024;
     std::chrono::milliseconds idle_timeout = std::chrono::seconds(30);
   };
 
@@ -38,11 +42,18 @@
   daemon::awaitable<void> accept();
   void note_refused();
   daemon::awaitable<void> serve(std::shared_ptr<daemon::tcp_stream> stream);
+  /// Reads one request and answers it. Returns whether the connection stays open.
+  daemon::awaitable<bool> serve_request(daemon::tcp_stream& stream,
+                                        boost::beast::flat_buffer& buffer);
+  /// Returns whether the connection stays open.
+  static daemon::awaitable<bool> write(daemon::tcp_stream& stream, http_response const& answer,
+                                       bool keep_alive);
 
   boost::asio::io_context& m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   options m_options;
   handler m_handler;
+  base::memory_budget m_body_memory;
   std::size_t m_connections = 0;
   std::uint64_t m_refused = 0;
   std::chrono::steady_clock::time_point m_next_warning{};
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Messages that are being received may take up one in this many bytes of the process's memory.
+constexpr std::size_t frame_memory_divisor = 5;
+
 constexpr std::chrono::seconds settings_check_interval{2};
 
 std::string read_file(std::string const& path) {
@@ -39,7 +42,8 @@
   m_peers = std::make_unique<peer_transport>(
       m_io, peer_transport::identity{.self = settings.id(), .incarnation = random_number()},
       peer_transport::sockets{std::move(datagrams), std::move(acceptor)},
-      std::map<base::instance_id, base::address>{}, m_handlers.on_message);
+      std::map<base::instance_id, base::address>{}, m_handlers.on_message,
+      settings.memory_bytes / frame_memory_divisor);
   if (settings.metrics_port != 0) {
     base::address const address{.ip = settings.peers.ip, .port = settings.metrics_port};
     auto metrics_acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_io, address));
--- a/tests/libraries/proxy/memory_budget_test.cpp
+++ b/tests/libraries/base/memory_budget_test.cpp
@@ -1,11 +1,11 @@
-#include <libraries/proxy/memory_budget.h>
+#include <libraries/base/memory_budget.h>
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <vector>
 
-namespace catkinlanding::proxy {
+namespace catkinlanding::base {
 
 namespace {
 
@@ -98,4 +98,4 @@
 
 } // namespace
 
-} // namespace catkinlanding::proxy
+} // namespace catkinlanding::base
--- a/tests/services/proxy/answer_memory_process.cpp
+++ b/tests/services/proxy/answer_memory_process.cpp
@@ -1,12 +1,12 @@
 #include <tests/stand_ins/stalling_endpoint.h>
 #include <tests/support/deployment.h>
+#include <tests/support/process_memory.h>
 #include <tests/support/proxy_deployment.h>
 #include <tests/support/raw_connection.h>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <memory>
 #include <thread>
 
@@ -27,20 +27,6 @@
 constexpr std::size_t bytes_below_header_limit = 30UL * 1024;
 constexpr int slots = 4000;
 
-/// The largest amount of memory that the process has had so far.
-std::size_t peak_memory_of(int process) {
-  std::ifstream status("/proc/" + std::to_string(process) + "/status");
-  std::string name;
-  std::size_t kilobytes = 0;
-  while (status >> name) {
-    if (name == "VmHWM:") {
-      status >> kilobytes;
-      break;
-    }
-  }
-  return kilobytes * 1024;
-}
-
 struct endless_case {
   std::string route;
   std::string behaviour;
--- /dev/null
+++ b/tests/support/process_memory.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstddef>
+
+namespace catkinlanding::testing {
+
+/// The largest amount of memory that the process has had so far, in bytes.
+[[nodiscard]] std::size_t peak_memory_of(int process);
+
+} // namespace catkinlanding::testing
