--- a/libraries/base/memory_budget.h
+++ b/libraries/base/memory_budget.h
@@ -21,6 +21,7 @@
   explicit memory_budget(options options) : m_options(options) {}
   memory_budget(memory_budget const&) = delete;
   memory_budget& operator=(memory_budget const&) = delete;
+  ~memory_budget() = default;
 
   /// Bytes that are held by all shares.
   [[nodiscard]] std::size_t used_bytes() const { return m_used_bytes; }
