base: Let a memory budget outlive those who use it

Coroutines of open connections are destroyed with the event loop, after the servers whose budgets they hold shares of: a request that was cut at the end of a process gave its share back to freed memory. Found by reading, not seen. The shares keep what they count in alive; memory_budget_test has the case.

--- a/libraries/base/memory_budget.h
+++ b/libraries/base/memory_budget.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 
 namespace catkinlanding::base {
 
@@ -18,30 +19,33 @@
     std::size_t free_memory_divisor = 8;
   };
 
-  explicit memory_budget(options options) : m_options(options) {}
-  memory_budget(memory_budget const&) = delete;
-  memory_budget& operator=(memory_budget const&) = delete;
-  ~memory_budget() = default;
+  explicit memory_budget(options options)
+      : m_usage(std::make_shared<usage>(usage{.options = options})) {}
 
   /// Bytes that are held by all shares.
-  [[nodiscard]] std::size_t used_bytes() const { return m_used_bytes; }
+  [[nodiscard]] std::size_t used_bytes() const { return m_usage->used_bytes; }
   /// How often a share was not allowed to grow.
-  [[nodiscard]] std::uint64_t refusals() const { return m_refusals; }
+  [[nodiscard]] std::uint64_t refusals() const { return m_usage->refusals; }
 
 private:
   friend class memory_share;
 
-  [[nodiscard]] bool try_resize(std::size_t held, std::size_t wanted);
+  /// Outlives the budget, as connections may be closed after it at the end of a process.
+  struct usage {
+    memory_budget::options options;
+    std::size_t used_bytes = 0;
+    std::uint64_t refusals = 0;
 
-  options m_options;
-  std::size_t m_used_bytes = 0;
-  std::uint64_t m_refusals = 0;
+    [[nodiscard]] bool try_resize(std::size_t held, std::size_t wanted);
+  };
+
+  std::shared_ptr<usage> m_usage;
 };
 
 /// What one holder has of a budget. It goes back to the budget with the holder.
 class memory_share {
 public:
-  explicit memory_share(memory_budget& budget) : m_budget(&budget) {}
+  explicit memory_share(memory_budget const& budget) : m_usage(budget.m_usage) {}
   memory_share(memory_share&& other) noexcept;
   memory_share& operator=(memory_share&& other) noexcept;
   memory_share(memory_share const&) = delete;
@@ -55,7 +59,7 @@
   [[nodiscard]] std::size_t bytes() const { return m_bytes; }
 
 private:
-  memory_budget* m_budget;
+  std::shared_ptr<memory_budget::usage> m_usage;
   std::size_t m_bytes = 0;
 };
 
--- a/tests/libraries/base/memory_budget_test.cpp
+++ b/tests/libraries/base/memory_budget_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace catkinlanding::base {
@@ -86,6 +86,17 @@
   EXPECT_EQ(budget.used_bytes(), 0U);
 }
 
+// Guards against a share that is given back to a budget that is gone, at the end of a process.
+TEST(memory_budgets, may_end_before_their_shares) {
+  auto budget = std::make_optional<memory_budget>(memory_budget::options{.max_bytes = limit});
+  memory_share one(*budget);
+  ASSERT_TRUE(one.try_resize(small_answer));
+  budget.reset();
+  EXPECT_TRUE(one.try_resize(2 * small_answer));
+  one.release();
+  EXPECT_EQ(one.bytes(), 0U);
+}
+
 // A holder that has more than it would be given now may still give some of it back.
 TEST(memory_budgets, always_allow_a_share_to_shrink) {
   memory_budget budget({.max_bytes = limit});
