--- a/tests/stand_ins/stalling_endpoint.h
+++ b/tests/stand_ins/stalling_endpoint.h
@@ -11,8 +11,8 @@
 /// A test double for a faulty endpoint behind the proxy that has many connections at once. The last
 /// segment of a request's path selects the place in the answer at which it sends bytes without an
 /// end and then waits, with the connection open: interim, header, fields, failure, failure-header,
-/// chunk, trailer, event, body; or `answer`, which is a whole answer. One thread serves all
-/// connections.
+/// chunk, trailer, event, events (whole ones), body; or `answer`, which is a whole answer. One
+/// thread serves all connections.
 class stalling_endpoint {
 public:
   struct options {
