proxy: Give the known leader and the noting of rollouts one place each

Two loops that noted all rollouts are one call of the evaluator, and other_leader stands beside is_serving_leader. No behaviour changes: rollout_orders_test, control_test, rollout_evaluator_test and leaving_endpoints_test pass.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -37,7 +37,7 @@
                       control_effects& out) {
   if (m_replica.role() != consensus::role::leader) {
     bool const is_accepted = accept_for_leader(request);
-    call_reply const elsewhere{.kind = reply_kind::not_leader, .leader = other_leader()};
+    call_reply const elsewhere{.kind = reply_kind::not_leader, .leader = other_leader(m_replica)};
     answer(number, is_accepted ? done_here() : elsewhere, out);
     return;
   }
@@ -120,7 +120,7 @@
 void control::process_request(consensus::join_request const& request, base::instance_id const& from,
                               base::monotonic_time now, control_effects& out) {
   m_voters.note_applicant(request.voter.instance, now);
-  auto const leader = other_leader();
+  auto const leader = other_leader(m_replica);
   // The joining instance may not know the leader, so the request is forwarded to it.
   if (leader && *leader != from) {
     out.messages.push_back({*leader, consensus::message{request}});
@@ -151,7 +151,7 @@
 
 void control::send_referral(base::instance_id const& from, subscription const& subscription,
                             base::monotonic_time now, control_effects& out) {
-  auto const leader = other_leader();
+  auto const leader = other_leader(m_replica);
   out.messages.push_back({from, referral{leader}});
   bool const needs_last_known_state =
       !leader && subscription.is_entry && subscription.known.document_revision == 0;
@@ -274,14 +274,15 @@
 bool control::accept_for_leader(call_request const& request) {
   auto const* announced = std::get_if<announce_endpoint>(&request);
   // That an endpoint leaves is acknowledged by the leader only, once the entry instances know.
-  bool const may_accept =
-      announced != nullptr && !announced->announcement.is_leaving && other_leader().has_value();
+  bool const may_accept = announced != nullptr && !announced->announcement.is_leaving &&
+                          other_leader(m_replica).has_value();
   return may_accept && m_relay.add(announced->announcement);
 }
 
 void control::relay_announcements(base::monotonic_time now, control_effects& out) {
   bool const is_leader = m_replica.role() == consensus::role::leader;
-  auto const leader = is_leader ? std::optional(m_replica.self().instance) : other_leader();
+  auto const leader =
+      is_leader ? std::optional(m_replica.self().instance) : other_leader(m_replica);
   if (!leader) {
     return;
   }
@@ -324,12 +325,6 @@
 
 // The replicated log.
 
-std::optional<base::instance_id> control::other_leader() const {
-  auto const& leader = m_replica.leader();
-  bool const is_known = leader && leader->instance != m_replica.self().instance;
-  return is_known ? std::optional(leader->instance) : std::nullopt;
-}
-
 void control::process_replica_output(base::monotonic_time now, control_effects& out) {
   if (m_monitor.note_role(m_replica, out.events)) {
     change_role(now);
@@ -347,9 +342,7 @@
     m_replica.compact(m_applied, m_state.snapshot(), out.log);
     m_bytes_applied = 0;
   }
-  for (auto const& rollout : m_state.rollouts()) {
-    m_evaluator.note(rollout, now);
-  }
+  m_evaluator.note(m_state.rollouts(), now);
   m_monitor.note_voters(m_replica, out.events);
   push_changes(now, out);
   answer_pending_calls(now, out);
@@ -380,9 +373,7 @@
   auto const revision = m_state.revision();
   bool const is_changed = m_state.apply(*decoded);
   CATKINLANDING_VERIFY(m_state.revision() >= revision);
-  for (auto const& rollout : m_state.rollouts()) {
-    m_evaluator.note(rollout, now);
-  }
+  m_evaluator.note(m_state.rollouts(), now);
   if (m_state.revision() > revision) {
     out.events.push_back({control_event::document_applied, {}, {}, m_state.revision()});
   } else if (auto const* departed = std::get_if<record_departure>(&*decoded)) {
@@ -443,7 +434,7 @@
 }
 
 void control::announce_departure(control_effects& out) const {
-  auto const leader = other_leader();
+  auto const leader = other_leader(m_replica);
   if (m_is_stopping && leader) {
     out.messages.push_back({*leader, departure_notice{}});
   }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -150,8 +150,6 @@
   void propose(call_number number, command const& command, base::monotonic_time now,
                control_effects& out);
 
-  /// Returns the known leader, unless it is this instance.
-  [[nodiscard]] std::optional<base::instance_id> other_leader() const;
   /// Processes the results of replica operations: role changes, committed entries and snapshots.
   void process_replica_output(base::monotonic_time now, control_effects& out);
   /// Begins a term as the leader, or ends it.
--- a/libraries/proxy/group_monitor.cpp
+++ b/libraries/proxy/group_monitor.cpp
@@ -7,6 +7,12 @@
   return replica.role() == consensus::role::leader && replica.holds_lease(now);
 }
 
+std::optional<base::instance_id> other_leader(consensus::replica const& replica) {
+  auto const& leader = replica.leader();
+  bool const is_known = leader && leader->instance != replica.self().instance;
+  return is_known ? std::optional(leader->instance) : std::nullopt;
+}
+
 bool group_monitor::note_role(consensus::replica const& replica, events& out) {
   bool const is_leader = replica.role() == consensus::role::leader;
   if (is_leader == m_was_leader) {
--- a/libraries/proxy/group_monitor.h
+++ b/libraries/proxy/group_monitor.h
@@ -3,6 +3,7 @@
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/control_event.h>
 
+#include <optional>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -26,5 +27,7 @@
 
 /// Whether the replica leads and a majority of the voters responds to it.
 [[nodiscard]] bool is_serving_leader(consensus::replica const& replica, base::monotonic_time now);
+/// The leader that the replica knows, unless it is this instance.
+[[nodiscard]] std::optional<base::instance_id> other_leader(consensus::replica const& replica);
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/rollout_evaluator.cpp
+++ b/libraries/proxy/rollout_evaluator.cpp
@@ -40,6 +40,12 @@
   }
 }
 
+void rollout_evaluator::note(std::vector<rollout> const& rollouts, base::monotonic_time now) {
+  for (auto const& rollout : rollouts) {
+    note(rollout, now);
+  }
+}
+
 void rollout_evaluator::note_ordered_here(base::service_id const& service) {
   auto const known = m_rollouts.find(service);
   if (known != m_rollouts.end()) {
--- a/libraries/proxy/rollout_evaluator.h
+++ b/libraries/proxy/rollout_evaluator.h
@@ -43,6 +43,7 @@
 
   /// Records when this instance first saw the rollout and its current state.
   void note(rollout const& rollout, base::monotonic_time now);
+  void note(std::vector<rollout> const& rollouts, base::monotonic_time now);
   /// Records that the service's latest rollout was ordered at this instance, just before it was
   /// noted. Other instances, and this one after a restart, may note a rollout long after that.
   void note_ordered_here(base::service_id const& service);
