requests: End a wait at once when no attempt fits the time left

What callers saw: a request in the queue behind another that could wait longer was kept until its deadline although its work had long ceased to fit; a whole answer that was held back for a judgement, or for a better one, was given at the deadline when neither could come in time any more.

Cause: only the first of the queue was checked, at its turn, and never one with an answer in hand ('!request.held'), which was sent for a second one that came too late. While a judgement is awaited nothing was checked but the deadline.

Change: each tick ends the wait of what can't start in time any more, whether it waits for its first attempt or another one. The caller gets the answer that is in hand, or else a refusal that says not run.

Test: waiting_requests_test.

--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -115,6 +115,10 @@
       request.phase == phase::claiming && now >= request.claimed_at + m_options.claim_timeout;
   bool const is_pin_late =
       request.phase == phase::pinning && now >= request.pin_asked_at + m_options.pin_timeout;
+  if (waits_in_vain(request, environment, now)) {
+    give_up_waiting(request, environment, now, out);
+    return;
+  }
   if (now < request.expires_at && !is_claim_late && !is_pin_late) {
     return;
   }
@@ -227,6 +231,21 @@
   }
 }
 
+bool table::waits_in_vain(request const& request, environment const& environment,
+                          base::monotonic_time now) {
+  bool const awaits_judgement = request.held && request.attempt == 0;
+  return environment.admission != nullptr && (request.is_waiting || awaits_judgement) &&
+         environment.admission->would_miss_deadline(admission_work(request), now);
+}
+
+void table::give_up_waiting(request& request, environment const& environment,
+                            base::monotonic_time now, effects& out) {
+  leave_queue(request, environment);
+  if (!deliver_held(request, now, out)) {
+    fail(request, refusal(failure_kind::no_endpoint), now, out);
+  }
+}
+
 void table::report_queueing_time(request& request, base::monotonic_time now, effects& out) {
   out.emplace_back(observe_queueing{.customer = request.customer,
                                     .request_class = request.request_class,
@@ -248,8 +267,8 @@
     auto& request = m_requests.at(*number);
     request.is_waiting = false;
     auto const work = admission_work(request);
-    if (environment.admission->would_miss_deadline(work, now) && !request.held) {
-      fail(request, refusal(failure_kind::no_endpoint), now, out);
+    if (environment.admission->would_miss_deadline(work, now)) {
+      give_up_waiting(request, environment, now, out);
       continue;
     }
     start_attempt(request, environment, now, out);
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -212,6 +212,13 @@
   /// Starts queued requests as long as there is capacity for them.
   void start_queued(environment const& environment, base::monotonic_time now, effects& out);
   static void leave_queue(request& request, environment const& environment);
+  /// Whether the request waits for an endpoint, or its answer for a judgement that may lead to
+  /// another attempt, and no attempt would end in time any more.
+  [[nodiscard]] static bool waits_in_vain(request const& request, environment const& environment,
+                                          base::monotonic_time now);
+  /// Ends the wait with the answer that is held back, or else with a refusal.
+  void give_up_waiting(request& request, environment const& environment, base::monotonic_time now,
+                       effects& out);
   /// Ends the wait for capacity and records its duration, zero if the request did not wait.
   static void report_queueing_time(request& request, base::monotonic_time now, effects& out);
   /// Ends a wait that leads to no attempt; records nothing if the request did not wait.
--- /dev/null
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -0,0 +1,201 @@
+#include <libraries/catalogue/json.h>
+#include <libraries/requests/table.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace catkinlanding::requests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::monotonic_time start{1h};
+
+constexpr char const* catalogue_text = R"({
+  "customers": [{"id": "guild", "owner": "ops", "class": "interactive", "keys": ["guild-key"],
+                 "allow": [{"model": "hatline"}]}],
+  "classes": [{"id": "interactive", "owner": "ops", "class": "interactive", "deadline_ms": 10000}],
+  "models": [{"id": "hatline", "owner": "ops", "class": "interactive"}],
+  "versions": [{"model": "hatline", "id": "small", "owner": "ops", "class": "interactive"},
+               {"model": "hatline", "id": "large", "owner": "ops", "class": "interactive"}]
+})";
+
+catalogue::document make_document() {
+  catalogue::document document;
+  catalogue::change change;
+  change.upserts = catalogue::parse_entries(catalogue_text).value();
+  document.apply(change);
+  return document;
+}
+
+endpoints::directory make_directory() {
+  endpoints::directory directory{{.started_at = start}};
+  endpoints::effects ignored;
+  directory.announce({.endpoint = {"engine"},
+                      .incarnation = 1,
+                      .sequence = 1,
+                      .address = {.ip = "127.0.0.1", .port = 1},
+                      .versions = {{{"hatline"}, {"small"}}, {{"hatline"}, {"large"}}}},
+                     start, ignored);
+  return directory;
+}
+
+/// Sends everything to one endpoint, as long as that has room.
+class one_endpoint final : public routing::policy {
+public:
+  tl::expected<routing::choice, routing::choice_error>
+  choose(routing::version_query const& query, routing::routing_context const& /*context*/,
+         base::monotonic_time /*now*/) override {
+    if (free_slots == 0) {
+      return tl::unexpected(routing::choice_error::busy);
+    }
+    --free_slots;
+    return routing::choice{.model = query.model,
+                           .version = query.version.value_or(base::version_id{"small"}),
+                           .endpoint = {"engine"},
+                           .escalates_to =
+                               query.version ? base::version_id{} : base::version_id{"large"}};
+  }
+
+  tl::expected<base::endpoint_id, routing::choice_error> choose_service_endpoint(
+      base::service_id const& /*service*/, std::set<base::endpoint_id> const& /*excluded*/,
+      routing::routing_context const& /*context*/, base::monotonic_time /*now*/) override {
+    return tl::unexpected(routing::choice_error::no_endpoint);
+  }
+
+  std::uint32_t free_slots = 0;
+};
+
+class waiting_requests : public testing::Test {
+protected:
+  waiting_requests() {
+    // The work of the class is known, and one request of it runs all the time.
+    m_policy.free_slots = 1;
+    send(1);
+    m_now += work;
+    answer(m_attempts.back());
+    reduce(answer_evaluated{.number = 1, .judgement = routing::judgement::good});
+    m_policy.free_slots = 1;
+    send(2, 1h);
+    m_effects.clear();
+  }
+
+  void send(request_number number, std::optional<base::duration> deadline = std::nullopt) {
+    caller_request request;
+    request.number = number;
+    request.customer_key = "guild-key";
+    request.target = completion_target{{"hatline"}};
+    request.body = std::make_shared<std::string const>();
+    request.deadline = deadline;
+    reduce(request);
+  }
+
+  void answer(attempt_number attempt) {
+    reduce(attempt_head{attempt});
+    reduce(attempt_finished{attempt});
+  }
+
+  void pass(base::duration time) {
+    m_now += time;
+    effects out;
+    m_table.tick(environment_now(), m_now, out);
+    record(out);
+  }
+
+  void reduce(event const& event) {
+    effects out;
+    m_table.reduce(event, environment_now(), m_now, out);
+    record(out);
+  }
+
+  template<class Effect>
+  [[nodiscard]] std::vector<Effect> all() const {
+    std::vector<Effect> found;
+    for (auto const& effect : m_effects) {
+      if (auto const* one = std::get_if<Effect>(&effect)) {
+        found.push_back(*one);
+      }
+    }
+    return found;
+  }
+
+  static constexpr base::duration work = 2s;
+  static constexpr base::duration class_deadline = 10s;
+  base::monotonic_time m_now = start;
+  one_endpoint m_policy;
+  std::vector<attempt_number> m_attempts;
+  effects m_effects;
+
+private:
+  [[nodiscard]] environment environment_now() {
+    return {.document = m_document,
+            .has_lease = true,
+            .directory = m_directory,
+            .chooser = m_policy,
+            .admission = &m_admission,
+            .has_rating_service = true};
+  }
+
+  void record(effects const& out) {
+    for (auto const& effect : out) {
+      if (auto const* sent = std::get_if<dispatch>(&effect)) {
+        m_attempts.push_back(sent->attempt);
+      }
+      if (auto const* charged = std::get_if<charge>(&effect)) {
+        reduce(bill_replicated{charged->bill.request});
+      }
+      m_effects.push_back(effect);
+    }
+  }
+
+  catalogue::document m_document = make_document();
+  endpoints::directory m_directory = make_directory();
+  limits::admission m_admission{{}};
+  table m_table{{.self = {"entry"}, .incarnation = 1}};
+};
+
+// Only the first of the queue was looked at; one behind it waited for its deadline.
+TEST_F(waiting_requests, are_refused_as_soon_as_their_work_no_longer_fits) {
+  send(3, 1h);
+  send(4);
+  pass(class_deadline - work);
+  EXPECT_TRUE(all<reply_failure>().empty());
+  pass(1ms);
+  auto const failures = all<reply_failure>();
+  ASSERT_EQ(failures.size(), 1U);
+  EXPECT_EQ(failures.front().number, 4U);
+  EXPECT_EQ(failures.front().failure.run_state, run_state::not_run);
+}
+
+// The better answer was started although it would have come too late, or the deadline passed.
+TEST_F(waiting_requests, get_their_held_answer_as_soon_as_a_better_one_no_longer_fits) {
+  m_policy.free_slots = 1;
+  send(3);
+  m_now += work;
+  answer(m_attempts.back());
+  ASSERT_EQ(all<evaluate_answer>().size(), 1U);
+  reduce(answer_evaluated{.number = 3, .judgement = routing::judgement::poor});
+  EXPECT_TRUE(all<reply_end>().empty());
+  pass(class_deadline - 2 * work);
+  EXPECT_TRUE(all<reply_end>().empty());
+  pass(1ms);
+  EXPECT_EQ(all<reply_end>().size(), 1U);
+}
+
+// The answer was held back until the deadline.
+TEST_F(waiting_requests, get_their_held_answer_when_its_judgement_comes_too_late) {
+  m_policy.free_slots = 1;
+  send(3);
+  m_now += work;
+  answer(m_attempts.back());
+  pass(class_deadline - 2 * work);
+  EXPECT_TRUE(all<reply_end>().empty());
+  pass(1ms);
+  EXPECT_EQ(all<reply_end>().size(), 1U);
+}
+
+} // namespace
+
+} // namespace catkinlanding::requests
