requests: Let a retry wait for its turn, and refuse it like a first attempt

What callers saw: when an attempt failed, or its answer was judged poor, the next one started before everything that waited, whatever its priority; and it started although its wait and its work no longer fitted its caller's time, where a first attempt would have been refused.

Cause: only a request that had just arrived went through admission and the queue; later attempts called start_attempt themselves.

Change: each attempt of a completion, the first one or another, is let in by the same rule and waits in the queue in the order of its arrival. One that is refused gets the answer in hand; else, if nothing can have run, the refusal that a first attempt gets; else the failure of its last attempt, as before. The retry budget is asked only for attempts that are let in.

Test: waiting_requests_test, two new cases, both fail on the code before; the third new case guards 'outcome unknown' and holds before as well.

--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -167,21 +167,11 @@
     fail(request, refusal(failure_kind::session_unavailable, default_retry_after), now, out);
     return;
   }
-  bool const is_queued = environment.admission != nullptr &&
-                         std::holds_alternative<completion_target>(incoming.target);
-  if (!is_queued) {
-    start_attempt(request, environment, now, out);
-    return;
-  }
-  auto const work = admission_work(request);
-  if (auto const refused = environment.admission->refuse(work, now)) {
+  if (auto const refused = refuse_to_queue(request, environment, now)) {
     fail(request, refusal(failure_kind::no_endpoint, refused->retry_after), now, out);
     return;
   }
-  environment.admission->wait(work, now);
-  request.is_waiting = true;
-  request.waiting_since = now;
-  start_queued(environment, now, out);
+  start_in_turn(request, environment, now, out);
 }
 
 std::optional<base::duration> table::charge_limits(request& request, environment const& environment,
@@ -224,6 +214,31 @@
           .due = request.expires_at};
 }
 
+bool table::is_queued(request const& request, environment const& environment) {
+  return environment.admission != nullptr &&
+         std::holds_alternative<completion_target>(request.incoming.target);
+}
+
+std::optional<limits::admission::refusal> table::refuse_to_queue(request const& request,
+                                                                 environment const& environment,
+                                                                 base::monotonic_time now) {
+  return is_queued(request, environment)
+             ? environment.admission->refuse(admission_work(request), now)
+             : std::nullopt;
+}
+
+void table::start_in_turn(request& request, environment const& environment,
+                          base::monotonic_time now, effects& out) {
+  if (!is_queued(request, environment)) {
+    start_attempt(request, environment, now, out);
+    return;
+  }
+  environment.admission->wait(admission_work(request), now);
+  request.is_waiting = true;
+  request.waiting_since = now;
+  start_queued(environment, now, out);
+}
+
 void table::leave_queue(request& request, environment const& environment) {
   if (request.is_waiting) {
     environment.admission->cancel(request.incoming.number);
@@ -757,13 +772,11 @@
     environment.chooser.observe_judgement(request.model, request.version, request.request_class,
                                           is_poor, now);
   }
-  bool const is_late = environment.admission != nullptr &&
-                       environment.admission->would_miss_deadline(admission_work(request), now);
-  if (!is_poor || is_late) {
+  if (!is_poor || refuse_to_queue(request, environment, now)) {
     static_cast<void>(deliver_held(request, now, out));
     return;
   }
-  start_attempt(request, environment, now, out);
+  start_in_turn(request, environment, now, out);
 }
 
 bool table::deliver_held(request& request, base::monotonic_time now, effects& out) {
@@ -914,10 +927,18 @@
   end_attempt(*request, environment);
   request->buffered.clear();
   request->may_have_run |= !is_safe_to_retry(failed.kind);
-  if (try_spend_retry(*request, failed.kind, now)) {
-    start_attempt(*request, environment, now, out);
-    start_queued(environment, now, out);
-    return;
+  if (may_retry(*request, now)) {
+    auto const refused = refuse_to_queue(*request, environment, now);
+    if (!refused && try_spend_retry(failed.kind, now)) {
+      start_in_turn(*request, environment, now, out);
+      start_queued(environment, now, out);
+      return;
+    }
+    if (refused && !request->held && !request->may_have_run) {
+      fail(*request, refusal(failure_kind::no_endpoint, refused->retry_after), now, out);
+      start_queued(environment, now, out);
+      return;
+    }
   }
   if (deliver_held(*request, now, out)) {
     start_queued(environment, now, out);
@@ -935,15 +956,15 @@
   start_queued(environment, now, out);
 }
 
-bool table::try_spend_retry(request const& request, attempt_failure_kind kind,
-                            base::monotonic_time now) {
+bool table::may_retry(request const& request, base::monotonic_time now) const {
   bool const can_run_again = request.is_idempotent || !request.may_have_run;
   bool const is_attempt_allowed =
       request.attempts < m_options.max_attempts && now < request.expires_at;
   bool const is_granted = !request.holder || is_claim_valid(request, now);
-  if (!can_run_again || !is_attempt_allowed || !is_granted || request.is_answer_started) {
-    return false;
-  }
+  return can_run_again && is_attempt_allowed && is_granted && !request.is_answer_started;
+}
+
+bool table::try_spend_retry(attempt_failure_kind kind, base::monotonic_time now) {
   // An attempt that did not run caused no load, so its retry needs no budget.
   if (!is_safe_to_retry(kind) && !m_retry_budget.try_spend(now)) {
     ++m_counters.retries_denied;
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -209,6 +209,14 @@
   /// Records how many tokens a charged request used, to correct the estimate that was charged.
   void record_tokens(request& request, std::uint64_t tokens);
   void apply_charge_corrections(environment const& environment, base::monotonic_time now);
+  /// Whether the request's attempts wait in the queue for their turn.
+  [[nodiscard]] static bool is_queued(request const& request, environment const& environment);
+  /// Whether the wait for an attempt, the first one or another, and its work exceed the time left.
+  [[nodiscard]] static std::optional<limits::admission::refusal>
+  refuse_to_queue(request const& request, environment const& environment, base::monotonic_time now);
+  /// Starts an attempt, the first one or another, when it is the request's turn.
+  void start_in_turn(request& request, environment const& environment, base::monotonic_time now,
+                     effects& out);
   /// Starts queued requests as long as there is capacity for them.
   void start_queued(environment const& environment, base::monotonic_time now, effects& out);
   static void leave_queue(request& request, environment const& environment);
@@ -268,8 +276,10 @@
   void tick(request& request, environment const& environment, base::monotonic_time now,
             effects& out);
   void erase(request const& request);
-  [[nodiscard]] bool try_spend_retry(request const& request, attempt_failure_kind kind,
-                                     base::monotonic_time now);
+  /// Whether another attempt is allowed after a failed one.
+  [[nodiscard]] bool may_retry(request const& request, base::monotonic_time now) const;
+  /// Takes a retry out of the budget, if an attempt that failed in this way needs one.
+  [[nodiscard]] bool try_spend_retry(attempt_failure_kind kind, base::monotonic_time now);
   [[nodiscard]] request* find_by_attempt(attempt_number attempt);
 
   options m_options;
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -16,7 +16,9 @@
 constexpr char const* catalogue_text = R"({
   "customers": [{"id": "guild", "owner": "ops", "class": "interactive", "keys": ["guild-key"],
                  "allow": [{"model": "hatline"}]}],
-  "classes": [{"id": "interactive", "owner": "ops", "class": "interactive", "deadline_ms": 10000}],
+  "classes": [{"id": "interactive", "owner": "ops", "class": "interactive", "deadline_ms": 10000},
+              {"id": "report", "owner": "ops", "class": "report", "priority": 5,
+               "deadline_ms": 10000}],
   "models": [{"id": "hatline", "owner": "ops", "class": "interactive"}],
   "versions": [{"model": "hatline", "id": "small", "owner": "ops", "class": "interactive"},
                {"model": "hatline", "id": "large", "owner": "ops", "class": "interactive"}]
@@ -82,13 +84,15 @@
     m_effects.clear();
   }
 
-  void send(request_number number, std::optional<base::duration> deadline = std::nullopt) {
+  void send(request_number number, std::optional<base::duration> deadline = std::nullopt,
+            std::optional<base::class_id> request_class = std::nullopt) {
     caller_request request;
     request.number = number;
     request.customer_key = "guild-key";
     request.target = completion_target{{"hatline"}};
     request.body = std::make_shared<std::string const>();
     request.deadline = deadline;
+    request.request_class = std::move(request_class);
     reduce(request);
   }
 
@@ -196,6 +200,42 @@
   EXPECT_EQ(all<reply_end>().size(), 1U);
 }
 
+// A retry started before anything that waited, whatever its priority.
+TEST_F(waiting_requests, wait_for_their_turn_with_a_retry_too) {
+  m_policy.free_slots = 1;
+  send(3, 1h, base::class_id{"report"});
+  send(4);
+  m_policy.free_slots = 1;
+  reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::refused});
+  ASSERT_EQ(all<dispatch>().size(), 2U);
+  EXPECT_EQ(all<dispatch>().back().priority, 0U);
+}
+
+// A retry was started although it could not end in time.
+TEST_F(waiting_requests, are_refused_a_retry_that_their_first_attempt_would_be_refused) {
+  m_policy.free_slots = 1;
+  send(3);
+  m_now += class_deadline - work + 1ms;
+  send(4, work - 1ms);
+  ASSERT_EQ(all<reply_failure>().size(), 1U);
+  m_policy.free_slots = 1;
+  reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::refused});
+  auto const failures = all<reply_failure>();
+  ASSERT_EQ(failures.size(), 2U);
+  EXPECT_EQ(failures[1].failure.kind, failures[0].failure.kind);
+  EXPECT_EQ(failures[1].failure.run_state, failures[0].failure.run_state);
+  EXPECT_EQ(failures[1].failure.retry_after, failures[0].failure.retry_after);
+}
+
+TEST_F(waiting_requests, are_not_said_not_to_have_run_when_a_retry_is_refused) {
+  m_policy.free_slots = 1;
+  send(3);
+  m_now += class_deadline - work + 1ms;
+  reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::broken});
+  ASSERT_EQ(all<reply_failure>().size(), 1U);
+  EXPECT_EQ(all<reply_failure>().front().failure.run_state, run_state::outcome_unknown);
+}
+
 } // namespace
 
 } // namespace catkinlanding::requests
