limits: Refuse for the work's duration only while it is known

What callers saw: once the requests of a class had taken longer than the class has time for, all later ones were refused for good, as none ended that could show that the work takes less by now. A request of a class of which none had ended was refused if it had less than 1 s left, by a guess.

Cause: the learned duration never grew old, and an unknown one was taken for 1 s.

Change: what was learned of a class counts while another request of it waits or runs. When none is in progress the next one is let in, and its end shows how long the work takes now. An unknown duration refuses nobody.

Test: admission_test, two new cases, both fail on the code before. admission_property gets two cases that held before as well: more time never turns an admission into a refusal, and a repeat is let in like a first attempt.

--- a/libraries/limits/admission.h
+++ b/libraries/limits/admission.h
@@ -4,6 +4,10 @@
 #include <libraries/limits/expected_returns.h>
 #include <libraries/limits/fair_queue.h>
 
+#include <map>
+#include <optional>
+#include <unordered_map>
+
 namespace catkinlanding::limits {
 
 /// Admission control of an entry instance: refuses requests that are not expected to be answered in
@@ -44,11 +48,13 @@
     return !fits(work, base::duration::zero(), now);
   }
 
+  /// Queues a request that was let in. It counts as in progress until `leave`.
   void wait(work const& work, base::monotonic_time now);
   [[nodiscard]] std::optional<std::uint64_t> next();
   /// Returns a request obtained from `next` to its place in the queue.
   void restore(work const& work);
-  void cancel(std::uint64_t number);
+  /// The request waits no longer and starts no further attempt.
+  void leave(std::uint64_t number);
 
   void started(work const& work, base::monotonic_time now);
   void finished(base::class_id const& request_class, base::duration took);
@@ -56,9 +62,32 @@
   [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
 
 private:
+  /// What is known of the requests of one class.
+  struct class_record {
+    /// Smoothed duration of an attempt, in seconds.
+    std::optional<double> cost;
+    /// Requests that wait or run.
+    std::size_t in_progress = 0;
+    /// Smoothed expected and actual waits, in seconds.
+    double expected_wait = 1.0;
+    double actual_wait = 1.0;
+  };
+
+  /// A request that was let in.
+  struct admitted_request {
+    base::class_id request_class;
+    base::monotonic_time since{};
+    /// The wait, in seconds, that was expected by the queue alone; empty once an attempt started.
+    std::optional<double> expected_wait;
+  };
+
   /// Whether the request ends by its deadline if it starts after this wait.
   [[nodiscard]] bool fits(work const& work, base::duration wait, base::monotonic_time now) const;
-  [[nodiscard]] double cost_of(base::class_id const& request_class) const;
+  /// The expected duration of an attempt, in seconds. Zero while no other request of the class is
+  /// in progress: what was learned may no longer hold then, and only another attempt can show it.
+  [[nodiscard]] double expected_cost(work const& work) const;
+  /// What an attempt counts for in its customer's share and in the queue, in seconds of a slot.
+  [[nodiscard]] double accounted_cost(base::class_id const& request_class) const;
   /// The rate at which work is started, in seconds of a slot per second.
   [[nodiscard]] double expected_rate(base::monotonic_time now) const;
   /// Expected wait in seconds behind the queue and further work of the same customer and priority,
@@ -72,29 +101,18 @@
                                                               base::monotonic_time now);
   [[nodiscard]] fair_queue::item item_of(work const& work) const;
 
-  /// The expected wait of a queued request.
-  struct expectation {
-    base::class_id request_class;
-    base::monotonic_time since{};
-    double wait = 0.0;
-  };
-
-  /// Smoothed expected and actual waits of one class, in seconds.
-  struct wait_record {
-    double expected = 1.0;
-    double actual = 1.0;
-  };
+  [[nodiscard]] class_record& record_of(base::class_id const& request_class);
 
   options m_options;
   fair_queue m_queue;
   expected_returns m_returns;
-  /// Smoothed duration of an attempt by class, in seconds.
-  std::map<base::class_id, double> m_costs;
+  std::map<base::class_id, class_record> m_classes;
+  std::unordered_map<std::uint64_t, admitted_request> m_admitted;
+  /// Whether any attempt has finished.
+  bool m_has_evidence = false;
   /// Smoothed rate at which work is started, in seconds of a slot per second.
   double m_rate = 0.0;
   base::monotonic_time m_rate_at{};
-  std::map<std::uint64_t, expectation> m_expectations;
-  std::map<base::class_id, wait_record> m_waits;
 };
 
 } // namespace catkinlanding::limits
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -92,7 +92,7 @@
 void table::reduce(event const& event, environment const& environment, base::monotonic_time now,
                    effects& out) {
   std::visit([&](auto const& alternative) { handle(alternative, environment, now, out); }, event);
-  apply_charge_corrections(environment, now);
+  close_event(environment, now);
 }
 
 void table::tick(environment const& environment, base::monotonic_time now, effects& out) {
@@ -102,7 +102,7 @@
     tick(request, environment, now, out);
   }
   start_queued(environment, now, out);
-  apply_charge_corrections(environment, now);
+  close_event(environment, now);
 }
 
 void table::tick(request& request, environment const& environment, base::monotonic_time now,
@@ -198,7 +198,11 @@
   }
 }
 
-void table::apply_charge_corrections(environment const& environment, base::monotonic_time now) {
+void table::close_event(environment const& environment, base::monotonic_time now) {
+  if (environment.admission != nullptr) {
+    std::ranges::for_each(m_ended, [&](auto number) { environment.admission->leave(number); });
+  }
+  m_ended.clear();
   for (auto const& correction : m_corrections) {
     environment.limiter->correct(correction, now);
   }
@@ -241,7 +245,7 @@
 
 void table::leave_queue(request& request, environment const& environment) {
   if (request.is_waiting) {
-    environment.admission->cancel(request.incoming.number);
+    environment.admission->leave(request.incoming.number);
     request.is_waiting = false;
   }
 }
@@ -906,6 +910,7 @@
   if (request.session) {
     remove_waiting(m_pinning, *request.session, number);
   }
+  m_ended.push_back(number);
   m_requests.erase(number);
 }
 
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -208,7 +208,8 @@
   charge_limits(request& request, environment const& environment, base::monotonic_time now);
   /// Records how many tokens a charged request used, to correct the estimate that was charged.
   void record_tokens(request& request, std::uint64_t tokens);
-  void apply_charge_corrections(environment const& environment, base::monotonic_time now);
+  /// Applies to admission and rate limits what the event has ended.
+  void close_event(environment const& environment, base::monotonic_time now);
   /// Whether the request's attempts wait in the queue for their turn.
   [[nodiscard]] static bool is_queued(request const& request, environment const& environment);
   /// Whether the wait for an attempt, the first one or another, and its work exceed the time left.
@@ -292,6 +293,8 @@
   /// Requests that wait until their session is pinned.
   std::multimap<sessions::session_key, request_number> m_pinning;
   retry_budget m_retry_budget;
+  /// Requests that ended in the current event.
+  std::vector<request_number> m_ended;
   /// Corrections that are applied to the rate limiter at the end of the event.
   std::vector<limits::charge_correction> m_corrections;
   table_counters m_counters;
--- a/tests/libraries/limits/admission_property.cpp
+++ b/tests/libraries/limits/admission_property.cpp
@@ -34,6 +34,9 @@
 
   explicit busy_instance(options options) : m_options(options) {
     m_admission.finished({"interactive"}, duration_of(m_options.work));
+    // One request runs all the time, so that what was learned counts.
+    m_admission.wait(request(0, 0, 1h), m_now);
+    static_cast<void>(m_admission.next());
     auto const started_per_step =
         m_options.rate * std::chrono::duration<double>(teaching_interval).count() / m_options.work;
     double started = 0.0;
@@ -68,6 +71,19 @@
 
   void queue(admission::work const& work) { m_admission.wait(work, m_now); }
 
+  /// Starts the request as if its turn had come at once.
+  void run(admission::work const& work) {
+    m_admission.wait(work, m_now);
+    std::vector<admission::work> others;
+    for (auto number = m_admission.next(); number != work.number; number = m_admission.next()) {
+      auto other = work;
+      other.number = *number;
+      others.push_back(other);
+    }
+    m_admission.started(work, m_now);
+    std::ranges::for_each(others, [&](auto const& other) { m_admission.restore(other); });
+  }
+
   [[nodiscard]] std::optional<admission::refusal> refuse(admission::work const& work) {
     return m_admission.refuse(work, m_now);
   }
@@ -124,6 +140,38 @@
   RC_ASSERT(!instance.lets_in(instance.request(1, priority, duration_of(0.875 * needed))));
 }
 
+/// Of two requests that differ in the time left only, the one with more time is let in if the other
+/// is, whoever waits.
+RC_GTEST_PROP(admission, never_refuses_for_having_more_time, ()) {
+  auto const pace = any_pace();
+  busy_instance instance(pace);
+  auto const groups = *rc::gen::inRange(1, 10);
+  for (int i = 0; i < groups; ++i) {
+    instance.queue(*rc::gen::inRange<std::uint32_t>(1, 5), *rc::gen::inRange<std::uint32_t>(0, 3),
+                   *rc::gen::inRange(1, 30));
+  }
+  auto const customer = *rc::gen::inRange<std::uint32_t>(1, 5);
+  auto const priority = *rc::gen::inRange<std::uint32_t>(0, 3);
+  auto const some_time = duration_of(*rc::gen::inRange(0, 100'000) / 1000.0);
+  auto const more_time = some_time + duration_of(*rc::gen::inRange(0, 100'000) / 1000.0);
+  bool const is_let_in = instance.lets_in(instance.request(customer, priority, some_time));
+  RC_ASSERT(!is_let_in || instance.lets_in(instance.request(customer, priority, more_time)));
+}
+
+/// A request that ran and needs another attempt gets what a first attempt would that arrived with
+/// it and has as much time left.
+RC_GTEST_PROP(admission, lets_a_repeat_in_like_a_first_attempt, ()) {
+  auto const pace = any_pace();
+  busy_instance instance(pace);
+  instance.queue(1, 0, *rc::gen::inRange(1, 100));
+  auto const repeat = instance.request(1, 0, duration_of(*rc::gen::inRange(0, 20'000) / 1000.0));
+  instance.run(repeat);
+  instance.queue(1, 0, *rc::gen::inRange(1, 100));
+  auto first = repeat;
+  first.number = instance.request(1, 0, 0s).number;
+  RC_ASSERT(instance.lets_in(repeat) == instance.lets_in(first));
+}
+
 /// Guards against times to come back that leave out the callers who were told one before, or that
 /// lead past the time at which there is room.
 RC_GTEST_PROP(admission, tells_the_time_at_which_there_is_room, ()) {
--- a/tests/libraries/limits/admission_test.cpp
+++ b/tests/libraries/limits/admission_test.cpp
@@ -39,6 +39,28 @@
   EXPECT_TRUE(admission.refuse(work(5), now).has_value());
 }
 
+// Guards against a class that is refused for ever, as no request of it ends that could show that
+// its work takes less time by now.
+TEST(admission, lets_a_request_in_that_shows_how_long_the_work_takes_now) {
+  admission admission({});
+  admission.finished({"interactive"}, 30s);
+  admission.wait(work(1), now);
+  ASSERT_TRUE(admission.refuse(work(2), now).has_value());
+  EXPECT_FALSE(admission.would_miss_deadline(work(1), now));
+  admission.leave(1);
+  EXPECT_FALSE(admission.refuse(work(3), now).has_value());
+}
+
+// Guards against a refusal by a guess of how long the work takes.
+TEST(admission, lets_requests_of_an_unknown_class_in) {
+  admission admission({});
+  admission.finished({"interactive"}, 5s);
+  auto unknown = work(1);
+  unknown.request_class = {"report"};
+  unknown.due = now + 1ms;
+  EXPECT_FALSE(admission.refuse(unknown, now).has_value());
+}
+
 } // namespace
 
 } // namespace catkinlanding::limits
