requests: Learn how long work takes from all attempts that wait, and only these

What callers saw: where a class's attempts ran out of time one after another, new requests with as little time were let in all the same, waited and failed; where a class had calls of plain services too, requests that could not end in time were let in, as the short calls counted as their work, and their starts as capacity.

Cause: only complete answers taught the duration of the work, those of services included, which neither wait in the queue nor run on the endpoints behind it.

Calls of services teach admission nothing.

Test: waiting_requests_test, two new cases, both fail on the code before.

--- a/libraries/limits/admission.h
+++ b/libraries/limits/admission.h
@@ -57,6 +57,7 @@
   void leave(std::uint64_t number);
 
   void started(work const& work, base::monotonic_time now);
+  /// An attempt has ended after this time, or was given up after it.
   void finished(base::class_id const& request_class, base::duration took);
 
   [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -125,6 +125,8 @@
   bool const was_sent = request.attempt != 0;
   leave_queue(request, environment);
   if (was_sent) {
+    // The work takes at least that long.
+    observe_duration(request, environment, now);
     out.emplace_back(cancel_attempt{request.attempt});
     end_attempt(request, environment);
   }
@@ -243,6 +245,13 @@
   start_queued(environment, now, out);
 }
 
+void table::observe_duration(request const& request, environment const& environment,
+                             base::monotonic_time now) {
+  if (is_queued(request, environment)) {
+    environment.admission->finished(request.request_class, now - request.sent_at);
+  }
+}
+
 void table::leave_queue(request& request, environment const& environment) {
   if (request.is_waiting) {
     environment.admission->leave(request.incoming.number);
@@ -490,7 +499,7 @@
     start_pinning(request, environment, now, out);
     return;
   }
-  if (environment.admission != nullptr) {
+  if (is_queued(request, environment)) {
     environment.admission->started(admission_work(request), now);
   }
   refresh_pin(request, environment, now, out);
@@ -731,9 +740,7 @@
          finished.usage.completion_tokens == 0 ? routing::attempt_verdict::empty
                                                : routing::attempt_verdict::answered,
          finished.usage.completion_tokens, environment, now);
-  if (environment.admission != nullptr) {
-    environment.admission->finished(request->request_class, now - request->sent_at);
-  }
+  observe_duration(*request, environment, now);
   end_attempt(*request, environment);
   request->lines.push_back(make_bill_line(*request, finished.usage, environment));
   if (environment.limiter != nullptr && !request->version.is_empty()) {
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -220,6 +220,9 @@
                      effects& out);
   /// Starts queued requests as long as there is capacity for them.
   void start_queued(environment const& environment, base::monotonic_time now, effects& out);
+  /// Teaches admission how long the current attempt took, if its attempts wait in the queue.
+  static void observe_duration(request const& request, environment const& environment,
+                               base::monotonic_time now);
   static void leave_queue(request& request, environment const& environment);
   /// Whether the request waits for an endpoint, or its answer for a judgement that may lead to
   /// another attempt, and no attempt would end in time any more.
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -15,7 +15,8 @@
 
 constexpr char const* catalogue_text = R"({
   "customers": [{"id": "guild", "owner": "ops", "class": "interactive", "keys": ["guild-key"],
-                 "allow": [{"model": "hatline"}]}],
+                 "allow": [{"model": "hatline"}], "services": ["stock"]}],
+  "services": [{"id": "stock", "owner": "ops", "class": "interactive", "idempotent": true}],
   "classes": [{"id": "interactive", "owner": "ops", "class": "interactive", "deadline_ms": 10000},
               {"id": "report", "owner": "ops", "class": "report", "priority": 5,
                "deadline_ms": 10000}],
@@ -64,7 +65,7 @@
   tl::expected<base::endpoint_id, routing::choice_error> choose_service_endpoint(
       base::service_id const& /*service*/, std::set<base::endpoint_id> const& /*excluded*/,
       routing::routing_context const& /*context*/, base::monotonic_time /*now*/) override {
-    return tl::unexpected(routing::choice_error::no_endpoint);
+    return base::endpoint_id{"engine"};
   }
 
   std::uint32_t free_slots = 0;
@@ -89,7 +90,7 @@
     caller_request request;
     request.number = number;
     request.customer_key = "guild-key";
-    request.target = completion_target{{"hatline"}};
+    request.target = m_target;
     request.body = std::make_shared<std::string const>();
     request.deadline = deadline;
     request.request_class = std::move(request_class);
@@ -127,6 +128,7 @@
 
   static constexpr base::duration work = 2s;
   static constexpr base::duration class_deadline = 10s;
+  request_target m_target = completion_target{{"hatline"}};
   base::monotonic_time m_now = start;
   one_endpoint m_policy;
   std::vector<attempt_number> m_attempts;
@@ -236,6 +238,33 @@
   EXPECT_EQ(all<reply_failure>().front().failure.run_state, run_state::outcome_unknown);
 }
 
+// The work of a class whose attempts all ran out of time was known from those that had not.
+TEST_F(waiting_requests, are_refused_when_attempts_with_more_time_ran_out_of_it) {
+  constexpr request_number attempts = 40;
+  for (request_number number = 3; number < 3 + attempts; ++number) {
+    m_policy.free_slots = 1;
+    send(number);
+    pass(class_deadline);
+  }
+  m_effects.clear();
+  send(100, class_deadline / 2);
+  EXPECT_EQ(all<reply_failure>().size(), 1U);
+}
+
+// Calls of a service counted as work of the endpoints that requests wait for.
+TEST_F(waiting_requests, learn_nothing_from_calls_that_do_not_wait) {
+  constexpr request_number calls = 100;
+  m_target = service_target{.service = {"stock"}, .method = "GET", .path = "/"};
+  for (request_number number = 3; number < 3 + calls; ++number) {
+    send(number);
+    answer(m_attempts.back());
+  }
+  m_effects.clear();
+  m_target = completion_target{{"hatline"}};
+  send(200, work - 1ms);
+  EXPECT_EQ(all<reply_failure>().size(), 1U);
+}
+
 } // namespace
 
 } // namespace catkinlanding::requests
