proxy: Give up an attempt when it takes longer than answers of its route do

What callers saw: an idempotent request was given up after 1.3 target latencies, although its answers may usually take as long, or a tenth of it; it was given up with no time left for another attempt, and again at each retry while all answers took long. A stream was given up after 2.5 target pauses, or when its first event was later than the target.

The target latency is the operator's wish, not a time that says that an endpoint has failed.

Change: each instance learns how long answers of a route, service and model take (answer_times), as TCP learns its retransmission timeout (RFC 6298): the mean and four mean deviations, at least twice the mean, doubled after each attempt that was given up until one is answered. An attempt is given up when it takes longer and another one is expected to be answered in time. A stream's pause counts beyond 2 s, as a sound endpoint may be silent for a second or so, beyond what the operator allows, and beyond the pauses that whole streams of the route had. Without an answer of the route nothing is given up.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -21,6 +21,7 @@
   is_attempting = true;
   has_answer = false;
   has_event = false;
+  longest_pause = {};
   pace = {};
   pending_work = work_of(facts.prompt_tokens);
   return {.number = static_cast<std::uint32_t>(tried.size()),
@@ -41,6 +42,14 @@
           .fingerprint = traits.fingerprint};
 }
 
+void active_request::note_events(base::monotonic_time now) {
+  if (has_event) {
+    longest_pause = std::max<base::duration>(longest_pause, now - progress_at);
+  }
+  has_event = true;
+  progress_at = now;
+}
+
 relay active_request::begin_relay(base::instance_id const& peer) {
   relays.push_back(peer);
   is_relaying = true;
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -38,6 +38,8 @@
   base::monotonic_time attempt_at{};
   /// When the attempt began or last received data.
   base::monotonic_time progress_at{};
+  /// The longest pause between two events of the current attempt's stream.
+  base::duration longest_pause{};
   /// The pace of the current attempt's stream.
   stream_pace pace;
   /// Weighted prompt tokens that the current attempt's endpoint has yet to process.
@@ -55,6 +57,8 @@
   /// Whether any attempt may have executed the request.
   bool may_have_run = false;
 
+  /// Records that events of the current attempt's stream arrived.
+  void note_events(base::monotonic_time now);
   /// Begins an attempt at the endpoint, and describes it without what is known of the registry.
   [[nodiscard]] attempt begin_attempt(known_endpoint const& chosen, base::monotonic_time now);
   /// Passes the request on to another entry instance.
--- /dev/null
+++ b/libraries/proxy/answer_times.cpp
@@ -0,0 +1,67 @@
+#include <libraries/proxy/answer_times.h>
+
+#include <algorithm>
+
+namespace catkinlanding::proxy {
+
+void answer_times::note_answer(active_request const& request, base::monotonic_time now) {
+  m_records[key_of(request)].first.add(now - request.attempt_at);
+}
+
+void answer_times::note_completed(active_request const& request, base::monotonic_time now) {
+  if (!request.has_answer || request.has_delivered) {
+    // Not answered by an endpoint, or only the rest of the answer came with this attempt.
+    return;
+  }
+  auto& record = m_records[key_of(request)];
+  record.whole.add(now - request.attempt_at);
+  if (request.route->is_stream()) {
+    record.pause.add(request.longest_pause);
+  }
+}
+
+void answer_times::note_stalled(active_request const& request) {
+  if (!request.has_answer) {
+    m_records[key_of(request)].first.back_off();
+  }
+}
+
+void answer_times::note_expired(active_request const& request, base::monotonic_time now) {
+  note_stalled(request);
+  if (!request.has_delivered) {
+    // The answer would have taken at least that long.
+    m_records[key_of(request)].whole.add(now - request.attempt_at);
+  }
+}
+
+answer_times::record const& answer_times::of(active_request const& request) const {
+  return find(key_of(request));
+}
+
+answer_times::record const& answer_times::of_largest_model(active_request const& request) const {
+  auto const& models = request.route->models;
+  auto largest = key_of(request);
+  largest.model = models.empty() ? base::model_id{} : models.back();
+  return find(largest);
+}
+
+void answer_times::keep_only(route_table const& routes) {
+  auto const& kept = routes.document().routes;
+  std::erase_if(m_records, [&](auto const& item) {
+    return std::ranges::find(kept, item.first.route, &route::name) == kept.end();
+  });
+}
+
+answer_times::key answer_times::key_of(active_request const& request) {
+  return {.route = request.route->name,
+          .service = request.service,
+          .model = request.model.value_or(base::model_id{})};
+}
+
+answer_times::record const& answer_times::find(key const& key) const {
+  static record const unknown;
+  auto const found = m_records.find(key);
+  return found == m_records.end() ? unknown : found->second;
+}
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -74,6 +74,7 @@
   m_endpoints.note_success(request.endpoint);
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
+  m_answer_times.note_answer(request, now);
   m_escalations.note_first_token(request, now);
   return !m_escalations.should_escalate(request, confidence, m_retries.of(request.service), now);
 }
@@ -114,8 +115,7 @@
     return;
   }
   if (count > 0) {
-    request.has_event = true;
-    request.progress_at = now;
+    request.note_events(now);
   }
   auto const interval = request.pace.note_events(count, now);
   if (interval) {
@@ -138,7 +138,7 @@
                                    {.attempt_at = request.attempt_at,
                                     .progress_at = request.progress_at,
                                     .has_answer = request.has_answer},
-                                   m_endpoints.find(request.endpoint));
+                                   m_answer_times.of(request), m_endpoints.find(request.endpoint));
 }
 
 bool router::try_abandon_stalled(request_number number, base::monotonic_time now) {
@@ -147,8 +147,10 @@
     return false;
   }
   auto const& request = m_requests.at(number);
-  return now + m_options.min_attempt_time < request.deadline &&
-         m_retries.of(request.service).try_spend(now);
+  auto const& usual = m_answer_times.of(request);
+  auto const& work = request.has_answer ? usual.first : usual.whole;
+  bool const has_time = now + work.usual().value_or(base::duration::zero()) <= request.deadline;
+  return has_time && m_retries.of(request.service).try_spend(now);
 }
 
 decision router::fail(request_number number, attempt_failure failure, bool was_delivered,
@@ -222,6 +224,7 @@
   auto const found = m_requests.find(number);
   if (found != m_requests.end()) {
     m_quarantine.note_completed(found->second.traits, now);
+    m_answer_times.note_completed(found->second, now);
   }
 }
 
@@ -324,6 +327,7 @@
     return false;
   }
   m_routes = std::make_shared<route_table const>(document);
+  m_answer_times.keep_only(*m_routes);
   m_subscriber.note_document(document.revision);
   m_document_receiver.note_held(document.revision);
   return true;
@@ -460,10 +464,14 @@
     [[fallthrough]];
   case attempt_failure::malformed:
   case attempt_failure::stalled:
+    if (failure == attempt_failure::stalled) {
+      m_answer_times.note_stalled(request);
+    }
     m_endpoints.note_failure(request.endpoint, now);
     m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::expired:
+    m_answer_times.note_expired(request, now);
     m_escalations.note_first_token(request, now);
     m_observer.note_failure(request, m_versions);
     return;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -2,6 +2,7 @@
 
 #include <libraries/base/random.h>
 #include <libraries/proxy/active_request.h>
+#include <libraries/proxy/answer_times.h>
 #include <libraries/proxy/document_receiver.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
@@ -181,6 +182,7 @@
   std::optional<base::monotonic_time> m_started_at;
   retry_limiter_table m_retries;
   escalation_table m_escalations;
+  answer_times m_answer_times;
   std::unordered_map<request_number, active_request> m_requests;
   rollout_observer m_observer;
   relay_policy m_relays;
--- a/libraries/proxy/stall_policy.cpp
+++ b/libraries/proxy/stall_policy.cpp
@@ -4,37 +4,36 @@
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-base::duration multiply(base::duration duration, double factor) {
-  return std::chrono::duration_cast<base::duration>(duration * factor);
-}
-
-} // namespace
-
 std::optional<base::monotonic_time> stall_policy::deadline(route const& route,
                                                            attempt_times const& times,
+                                                           answer_times::record const& usual,
                                                            known_endpoint const* endpoint) const {
-  if (!route.is_stream()) {
-    bool const has_target = route.target_latency > base::duration::zero() && !times.has_answer;
-    return has_target
-               ? std::optional(times.attempt_at + multiply(route.target_latency, latency_factor))
-               : std::nullopt;
+  if (route.is_stream() && times.has_answer) {
+    // A pause that the operator allows is none that the caller has to be spared.
+    auto const usual_pause = usual.pause.longest_usual().value_or(base::duration::zero());
+    return times.progress_at + std::max({max_sound_silence, route.target_pause, usual_pause});
   }
-  if (times.has_answer) {
-    auto const pause = multiply(route.target_pause, pause_factor);
-    return times.progress_at + std::max(pause, min_timeout);
+  if (route.is_stream()) {
+    return first_event_deadline(times, usual, endpoint);
   }
+  auto const longest = usual.first.longest_usual();
+  return longest && !times.has_answer ? std::optional(times.attempt_at + *longest) : std::nullopt;
+}
+
+std::optional<base::monotonic_time>
+stall_policy::first_event_deadline(attempt_times const& times, answer_times::record const& usual,
+                                   known_endpoint const* endpoint) const {
   // A busy endpoint still sends events on other requests while this prompt is queued; a failed one
   // sends none.
   bool const is_full = endpoint != nullptr && endpoint->announcement.slots != 0 &&
                        endpoint->load() > endpoint->announcement.slots;
-  if (is_full) {
+  auto const longest = usual.first.longest_usual();
+  if (is_full || !longest) {
     return std::nullopt;
   }
   auto const last_activity_at = endpoint == nullptr ? times.attempt_at : endpoint->last_activity_at;
-  auto const due = times.attempt_at + std::max(route.target_latency, min_timeout);
-  return std::max(due, last_activity_at + min_timeout);
+  return std::max(times.attempt_at + std::max(*longest, max_sound_silence),
+                  last_activity_at + max_sound_silence);
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/stall_policy.h
+++ b/libraries/proxy/stall_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/answer_times.h>
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/endpoint_table.h>
 
@@ -8,15 +9,11 @@
 namespace catkinlanding::proxy {
 
 /// Decides when an attempt whose endpoint sends nothing is considered stalled, so that another one
-/// may take its place.
+/// may take its place: when it takes longer than answers of its route do that arrive. Without such
+/// an answer there is no reason to give an attempt up.
 struct stall_policy {
-  /// A stream attempt is considered stalled after a pause of this many times the route's target
-  /// pause, and never before min_timeout. The same minimum applies to an attempt whose first event
-  /// is missing, while its endpoint sends nothing on other requests either.
-  double pause_factor = 2.5;
-  base::duration min_timeout = std::chrono::seconds(2);
-  /// An idempotent request is considered stalled after this many times the route's target latency.
-  double latency_factor = 1.3;
+  /// A sound endpoint may send nothing for a second or so.
+  base::duration max_sound_silence = std::chrono::seconds(2);
 
   /// The times of an attempt.
   struct attempt_times {
@@ -26,10 +23,17 @@
     bool has_answer = false;
   };
 
-  /// Returns nothing while the attempt may be queued on a fully loaded endpoint, and for a route
-  /// without a target. `endpoint` is nullptr if it is not known any more.
+  /// Returns nothing while the attempt may be queued on a fully loaded endpoint, and while too
+  /// little is known. `endpoint` is nullptr if it is not known any more.
+  [[nodiscard]] std::optional<base::monotonic_time> deadline(route const& route,
+                                                             attempt_times const& times,
+                                                             answer_times::record const& usual,
+                                                             known_endpoint const* endpoint) const;
+
+private:
   [[nodiscard]] std::optional<base::monotonic_time>
-  deadline(route const& route, attempt_times const& times, known_endpoint const* endpoint) const;
+  first_event_deadline(attempt_times const& times, answer_times::record const& usual,
+                       known_endpoint const* endpoint) const;
 };
 
 } // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/time_estimate.cpp
@@ -0,0 +1,43 @@
+#include <libraries/proxy/time_estimate.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+/// Weights of a sample in the mean and in the deviation: one in this many.
+constexpr int mean_divisor = 8;
+constexpr int deviation_divisor = 4;
+constexpr int deviations = 4;
+/// Far beyond any deadline by then.
+constexpr std::uint32_t max_doublings = 16;
+
+} // namespace
+
+void time_estimate::add(base::duration sample) {
+  m_doublings = 0;
+  m_shortest = std::min(m_shortest.value_or(sample), sample);
+  if (!m_mean) {
+    m_mean = sample;
+    m_deviation = sample / 2;
+    return;
+  }
+  m_deviation += (std::chrono::abs(*m_mean - sample) - m_deviation) / deviation_divisor;
+  *m_mean += (sample - *m_mean) / mean_divisor;
+}
+
+void time_estimate::back_off() {
+  m_doublings = std::min(m_doublings + 1, max_doublings);
+}
+
+std::optional<base::duration> time_estimate::longest_usual() const {
+  if (!m_mean) {
+    return std::nullopt;
+  }
+  auto const longest = *m_mean + std::max(*m_mean, deviations * m_deviation);
+  return longest * (1U << m_doublings);
+}
+
+} // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -214,10 +214,11 @@
   ASSERT_TRUE(is_attempt(m_router.begin(number, long_request, start)));
   ASSERT_TRUE(m_router.note_answer(number, std::nullopt, start + 100ms));
   m_router.note_events(number, 1, start + 500ms);
-  EXPECT_EQ(m_router.stall_deadline(number), start + 3s);
-  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 2900ms));
-  m_router.note_events(number, 1, start + 2900ms);
-  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 3s));
+  // A sound endpoint may send nothing for some 2 s.
+  EXPECT_EQ(m_router.stall_deadline(number), start + 2500ms);
+  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 2400ms));
+  m_router.note_events(number, 1, start + 2400ms);
+  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 2500ms));
 }
 
 // Guards against a stalled stream that never ends, as its endpoint sends a byte now and then.
@@ -233,9 +234,28 @@
   EXPECT_TRUE(m_router.try_abandon_stalled(number, start + 3s));
 }
 
+// A model engine that runs short of memory interrupts sound streams for seconds.
+TEST_F(routers, allow_a_stream_the_pauses_that_others_of_its_route_had) {
+  receive_state({"a", "b"});
+  auto long_request = facts("/resume/x");
+  long_request.caller_timeout = 30s;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, long_request, start)));
+  ASSERT_TRUE(m_router.note_answer(number, std::nullopt, start + 100ms));
+  m_router.note_events(number, 1, start + 100ms);
+  m_router.note_events(number, 1, start + 1900ms);
+  m_router.note_completed(number, start + 1900ms);
+  m_router.end(number, start + 1900ms);
+  ASSERT_TRUE(is_attempt(m_router.begin(number, long_request, start)));
+  ASSERT_TRUE(m_router.note_answer(number, std::nullopt, start + 100ms));
+  m_router.note_events(number, 1, start + 100ms);
+  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 3700ms));
+}
+
 TEST_F(routers, abandon_a_hanging_idempotent_request) {
   receive_state({"a", "b"});
+  answer_one("/again/x", 130ms);
   ASSERT_TRUE(is_attempt(begin("/again/x")));
+  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 380ms));
   EXPECT_TRUE(m_router.try_abandon_stalled(number, start + 390ms));
   auto const next = fail(attempt_failure::stalled, false, 390ms);
   ASSERT_TRUE(is_attempt(next));
@@ -255,6 +275,7 @@
 // A prompt is queued on a busy endpoint that still sends events on other requests.
 TEST_F(routers, wait_for_a_busy_endpoint_that_serves_other_requests) {
   receive_state({"a"});
+  answer_one("/resume/x", 300ms);
   auto long_request = facts("/resume/x");
   long_request.caller_timeout = 30s;
   ASSERT_TRUE(is_attempt(m_router.begin(number, long_request, start)));
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -75,6 +75,17 @@
     return m_router.begin(number, facts(std::move(path)), start);
   }
 
+  /// Shows the router that an answer on this path takes so long.
+  void answer_one(std::string path, base::duration took) {
+    constexpr request_number other = 1000;
+    auto patient = facts(std::move(path));
+    patient.caller_timeout = std::chrono::hours(1);
+    ASSERT_TRUE(is_attempt(m_router.begin(other, patient, start)));
+    ASSERT_TRUE(m_router.note_answer(other, std::nullopt, start + took));
+    m_router.note_completed(other, start + took);
+    m_router.end(other, start + took);
+  }
+
   [[nodiscard]] decision fail(attempt_failure failure, bool was_delivered = false,
                               base::duration after = std::chrono::milliseconds(10)) {
     return m_router.fail(number, failure, was_delivered, start + after);
