proxy: Replace a doubtful answer where nobody waits and the better one fits

What callers saw: an answer of the small model was thrown away 1.5 s before the deadline, however long the largest model takes (docs/OPERATIONS.md had such a case); how much confidence kept it followed the time to the first event between 0.06 and 0.3 of the target latency, 0.6 at most, and others waited behind the long prompts of the largest model up to that. A quarter of the retries was kept back.

Change: an answer is replaced if it is more likely poor than good (confidence below 0.5); if a whole answer of the largest model is expected to fit into the time left, by what such answers of the route took; and if an endpoint is idle, with a free slot and no prompt to process, so that nobody waits for it. As many retries are kept back as this instance would need if the endpoints of one zone were lost, which the platform asks to be borne. slots_of stood in two files, now in known_endpoint.

--- a/libraries/proxy/endpoint_choice.cpp
+++ b/libraries/proxy/endpoint_choice.cpp
@@ -22,15 +22,6 @@
   return now < endpoint.backoff_until;
 }
 
-std::uint32_t slots_of(known_endpoint const& endpoint, choice_criteria const& criteria) {
-  return endpoint.announcement.slots != 0 ? endpoint.announcement.slots : criteria.slots;
-}
-
-bool has_room(known_endpoint const& endpoint, choice_criteria const& criteria) {
-  auto const slots = slots_of(endpoint, criteria);
-  return slots == 0 || endpoint.load() < slots;
-}
-
 template<class Predicate>
 candidates filter(candidates const& all, Predicate const& predicate) {
   candidates kept;
@@ -54,7 +45,8 @@
 
 /// Returns the endpoints that have capacity, or all if none has.
 candidates prefer_free(candidates all, choice_criteria const& criteria) {
-  auto with_room = filter(all, [&](known_endpoint const& one) { return has_room(one, criteria); });
+  auto with_room =
+      filter(all, [&](known_endpoint const& one) { return one.has_free_slot(criteria.slots); });
   return with_room.empty() ? std::move(all) : std::move(with_room);
 }
 
@@ -62,7 +54,7 @@
 /// capacity; if there are none of these either, all.
 candidates prefer_own_zone(candidates const& usable, choice_criteria const& criteria) {
   auto near = prefer_free(divide_by_zone(usable, criteria.own_zone).near, criteria);
-  bool const is_free = !near.empty() && has_room(*near.front(), criteria);
+  bool const is_free = !near.empty() && near.front()->has_free_slot(criteria.slots);
   return is_free ? std::move(near) : prefer_free(usable, criteria);
 }
 
@@ -76,7 +68,7 @@
   auto cost = endpoint.pending_work() + running_cost * endpoint.load();
   cost += has_cached_prompt ? 0 : criteria.shared_work;
   cost += endpoint.announcement.zone == criteria.own_zone ? 0 : other_zone_cost;
-  cost += has_room(endpoint, criteria) ? 0 : full_cost;
+  cost += endpoint.has_free_slot(criteria.slots) ? 0 : full_cost;
   return cost;
 }
 
@@ -114,7 +106,7 @@
 /// The part of the requests that an endpoint gets among others: what it has free, so that the sum
 /// over all instances fills the endpoints evenly although each sees the load of a while ago.
 double weight_of(known_endpoint const& endpoint, choice_criteria const& criteria) {
-  auto const slots = slots_of(endpoint, criteria);
+  auto const slots = endpoint.slots(criteria.slots);
   return slots > endpoint.load() ? static_cast<double>(slots - endpoint.load())
                                  : 1.0 / (1.0 + static_cast<double>(endpoint.load()));
 }
--- a/libraries/proxy/endpoint_table.h
+++ b/libraries/proxy/endpoint_table.h
@@ -37,6 +37,16 @@
   }
   [[nodiscard]] std::uint32_t load() const { return own_outstanding + other_outstanding; }
   [[nodiscard]] std::uint64_t pending_work() const { return own_pending_work + other_pending_work; }
+  /// Number of requests that it runs concurrently, by its announcement, or else like the others of
+  /// its service; 0 if unknown.
+  [[nodiscard]] std::uint32_t slots(std::uint32_t of_service) const {
+    return announcement.slots != 0 ? announcement.slots : of_service;
+  }
+  /// Whether another request starts at once, as far as that is known.
+  [[nodiscard]] bool has_free_slot(std::uint32_t slots_of_service) const {
+    auto const known_slots = slots(slots_of_service);
+    return known_slots == 0 || load() < known_slots;
+  }
 };
 
 /// The endpoints that an entry instance may send requests to.
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -1,31 +1,47 @@
 #include <libraries/proxy/escalation_policy.h>
 
 #include <algorithm>
-#include <cmath>
+#include <map>
 
 namespace catkinlanding::proxy {
 
-void escalation_policy::note_first_token(base::duration took, base::duration target,
-                                         base::monotonic_time now) {
-  if (target <= base::duration::zero()) {
-    return;
-  }
-  double const seen = std::chrono::duration<double>(took) / std::chrono::duration<double>(target);
-  m_pressure =
-      pressure(now) * (1.0 - m_options.smoothing_factor) + seen * m_options.smoothing_factor;
-  m_noted_at = now;
+namespace {
+
+/// Whether the endpoint would begin another request at once and keep no other waiting.
+bool is_idle(known_endpoint const& endpoint, std::uint32_t service_slots) {
+  return endpoint.has_free_slot(service_slots) && endpoint.pending_work() == 0;
 }
 
-double escalation_policy::required_confidence(base::monotonic_time now) const {
-  double const span = m_options.max_pressure - m_options.min_pressure;
-  double const part = (pressure(now) - m_options.min_pressure) / span;
-  return m_options.max_required_confidence * (1.0 - std::clamp(part, 0.0, 1.0));
+} // namespace
+
+bool escalation_policy::should_escalate(active_request const& request,
+                                        std::optional<double> confidence, answer_times const& times,
+                                        std::vector<known_endpoint const*> const& endpoints,
+                                        base::monotonic_time now) const {
+  auto const& models = request.route->models;
+  bool const has_larger = request.model && !models.empty() && *request.model != models.back();
+  if (!confidence || *confidence >= min_confidence || !has_larger || !request.has_attempts_left() ||
+      request.has_delivered) {
+    return false;
+  }
+  auto const work = times.of_largest_model(request).whole.usual();
+  bool const has_time = now + work.value_or(base::duration::zero()) <= request.deadline;
+  auto const* service = request.routes->find(request.service);
+  return has_time && std::ranges::any_of(endpoints, [&](known_endpoint const* one) {
+           return !request.has_been_sent_to(one->announcement.id) &&
+                  is_idle(*one, service == nullptr ? 0 : service->slots);
+         });
 }
 
-double escalation_policy::pressure(base::monotonic_time now) const {
-  double const half_lives = std::chrono::duration<double>(now - m_noted_at) /
-                            std::chrono::duration<double>(m_options.half_life);
-  return m_pressure * std::exp2(-std::max(half_lives, 0.0));
+std::uint32_t retries_after_zone_loss(std::vector<known_endpoint const*> const& endpoints) {
+  std::map<base::availability_zone_id, std::uint32_t> by_zone;
+  std::uint32_t most = 0;
+  for (auto const* one : endpoints) {
+    auto& requests = by_zone[one->announcement.zone];
+    requests += one->own_outstanding;
+    most = std::max(most, requests);
+  }
+  return most;
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/overload_guard.cpp
+++ b/libraries/proxy/overload_guard.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-std::uint32_t slots_of(known_endpoint const& endpoint, std::uint32_t slots) {
-  return endpoint.announcement.slots != 0 ? endpoint.announcement.slots : slots;
-}
-
 bool is_rejecting(known_endpoint const& endpoint) {
   return endpoint.other_rejections > 0 || !endpoint.rejected_at.empty();
 }
@@ -34,7 +30,7 @@
   std::uint64_t all_slots = 0;
   std::uint64_t free_slots = 0;
   for (auto const* one : endpoints) {
-    auto const own_slots = slots_of(*one, slots);
+    auto const own_slots = one->slots(slots);
     if (own_slots == 0) {
       return;
     }
@@ -45,7 +41,7 @@
   room.max_outstanding = room.outstanding + draw(static_cast<double>(free_slots) / m_instances);
   auto const overbooking = room.is_short ? 1.0 : m_options.overbooking;
   for (auto const* one : endpoints) {
-    auto const free = free_slots_of(*one, slots_of(*one, slots), now);
+    auto const free = free_slots_of(*one, one->slots(slots), now);
     auto const part = std::min(draw(overbooking * free / m_instances), free);
     room.by_endpoint[one->incarnation()] = one->own_outstanding + part;
   }
--- a/libraries/proxy/retry_limiter.cpp
+++ b/libraries/proxy/retry_limiter.cpp
@@ -16,7 +16,7 @@
   ++current_bucket(now).requests;
 }
 
-bool retry_limiter::try_spend(base::monotonic_time now, double reserved_part) {
+bool retry_limiter::try_spend(base::monotonic_time now, std::uint32_t reserved) {
   auto& latest = current_bucket(now);
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
@@ -29,7 +29,7 @@
   }
   auto const instances = std::max<std::uint32_t>(m_instances, 1);
   double const allowed = safety_factor * (m_options.ratio * requests + m_options.slack / instances);
-  if (retries + 1 > allowed * (1.0 - reserved_part)) {
+  if (retries + 1 + reserved > allowed) {
     return false;
   }
   ++latest.retries;
--- a/libraries/proxy/retry_limiter.h
+++ b/libraries/proxy/retry_limiter.h
@@ -23,9 +23,8 @@
 
   void set_instances(std::uint32_t count) { m_instances = count; }
   void note_request(base::monotonic_time now);
-  /// Takes one retry. Returns false if that would exceed the limit, reduced by the reserved
-  /// fraction.
-  [[nodiscard]] bool try_spend(base::monotonic_time now, double reserved_part = 0.0);
+  /// Takes one retry. Returns false if that would leave less than this many.
+  [[nodiscard]] bool try_spend(base::monotonic_time now, std::uint32_t reserved = 0);
 
 private:
   /// Number of buckets that the window is divided into.
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -75,8 +75,15 @@
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
   m_answer_times.note_answer(request, now);
-  m_escalations.note_first_token(request, now);
-  return !m_escalations.should_escalate(request, confidence, m_retries.of(request.service), now);
+  return !try_escalate(request, confidence, now);
+}
+
+bool router::try_escalate(active_request const& request, std::optional<double> confidence,
+                          base::monotonic_time now) {
+  auto const endpoints = m_endpoints.ready(request.service);
+  return m_options.escalations.should_escalate(request, confidence, m_answer_times, endpoints,
+                                               now) &&
+         m_retries.of(request.service).try_spend(now, retries_after_zone_loss(endpoints));
 }
 
 std::vector<notice_change> router::note_notice(request_number number, endpoint_notice const& notice,
@@ -472,7 +479,6 @@
     return;
   case attempt_failure::expired:
     m_answer_times.note_expired(request, now);
-    m_escalations.note_first_token(request, now);
     m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::failed_answer:
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -7,7 +7,7 @@
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
-#include <libraries/proxy/escalation_table.h>
+#include <libraries/proxy/escalation_policy.h>
 #include <libraries/proxy/load_reports.h>
 #include <libraries/proxy/overload_guard.h>
 #include <libraries/proxy/refusal_policy.h>
@@ -52,6 +52,7 @@
     /// No attempt is started with less time than this left before the deadline.
     base::duration min_attempt_time = std::chrono::milliseconds(30);
     stall_policy stalls;
+    escalation_policy escalations;
     refusal_policy::options refusals;
     /// An instance that has found no leader by this time after its start accepts the last known
     /// state of a control instance. Longer than an election takes.
@@ -147,6 +148,10 @@
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
+  /// Whether the largest model should answer instead of the current one. If so, a retry has been
+  /// taken from the retry limit.
+  [[nodiscard]] bool try_escalate(active_request const& request, std::optional<double> confidence,
+                                  base::monotonic_time now);
   /// Decides what follows when the instance to which the request was passed on has failed.
   [[nodiscard]] decision fail_relay(active_request& request, attempt_failure failure,
                                     base::monotonic_time now);
@@ -181,7 +186,6 @@
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
   retry_limiter_table m_retries;
-  escalation_table m_escalations;
   answer_times m_answer_times;
   std::unordered_map<request_number, active_request> m_requests;
   rollout_observer m_observer;
--- /dev/null
+++ b/tests/libraries/proxy/escalations_property.cpp
@@ -0,0 +1,93 @@
+#include <tests/support/router_fixture.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace catkinlanding::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double doubtful = 0.3;
+
+/// A router whose route has a small and a large model.
+class escalations : public routers {
+protected:
+  escalations() {
+    update received;
+    received.state = {.document_revision = 1, .registry_term = 1, .registry_revision = 1};
+    received.document.emplace();
+    received.document->revision = 1;
+    received.document->services = {{.id = {"s"}, .slots = 8}};
+    auto drafts = make_route("/drafts/", route_kind::resumable_stream, 3);
+    drafts.timeout = 2h;
+    drafts.target_latency = 3s;
+    drafts.models = {{"small"}, {"large"}};
+    received.document->routes = {drafts};
+    std::vector<endpoint_record> records;
+    for (auto const* id : {"a", "b", "c"}) {
+      endpoint_announcement const announcement{.id = {id},
+                                               .service = {"s"},
+                                               .address = {.ip = "10.0.0.1", .port = 80},
+                                               .zone = {"here"},
+                                               .number = {.incarnation = 1, .sequence = 1}};
+      records.push_back(
+          {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
+    }
+    received.endpoints = std::move(records);
+    std::ignore = m_router.receive({"control"}, received, start);
+  }
+
+  static request_facts draft(base::duration time_left) {
+    auto made = facts("/drafts/x");
+    made.caller_timeout = time_left;
+    made.prompt_tokens = 1000;
+    return made;
+  }
+
+  /// Whether the answer of the small model is discarded.
+  bool is_escalated(request_number request, base::duration time_left) {
+    RC_ASSERT(is_attempt(m_router.begin(request, draft(time_left), start)));
+    return !m_router.note_answer(request, doubtful, start);
+  }
+
+  /// Shows that whole answers of the largest model take so long.
+  void answer_with_largest_model(base::duration took) {
+    constexpr request_number other = 1000;
+    RC_ASSERT(is_escalated(other, 1h));
+    RC_ASSERT(is_attempt(m_router.fail(other, attempt_failure::low_confidence, false, start)));
+    RC_ASSERT(m_router.note_answer(other, doubtful, start));
+    m_router.note_completed(other, start + took);
+    m_router.end(other, start + took);
+  }
+};
+
+} // namespace
+
+/// Guards against an answer in hand that is thrown away for one that comes too late, and against
+/// one that is kept although the better one fits.
+RC_GTEST_FIXTURE_PROP(escalations, happen_if_the_whole_answer_fits_the_time_left, ()) {
+  auto const work = std::chrono::milliseconds(*rc::gen::inRange(1, 20'000));
+  answer_with_largest_model(work);
+  auto const left = std::chrono::milliseconds(*rc::gen::inRange(40, 40'000));
+  RC_ASSERT(is_escalated(number, left) == (left >= work));
+}
+
+/// Guards against requests that wait behind the long prompts of others whose answers were good
+/// enough to be kept.
+RC_GTEST_FIXTURE_PROP(escalations, happen_only_where_nobody_waits, ()) {
+  update loads;
+  loads.state = {.document_revision = 1, .registry_term = 1, .registry_revision = 1};
+  loads.base_registry_revision = 1;
+  std::vector<endpoint_load> totals;
+  for (auto const* id : {"a", "b", "c"}) {
+    totals.push_back({.endpoint = {id},
+                      .outstanding = 1,
+                      .pending_work = *rc::gen::inRange<std::uint64_t>(1, 100'000)});
+  }
+  loads.loads = load_summary{.totals = std::move(totals)};
+  std::ignore = m_router.receive({"control"}, loads, start);
+  RC_ASSERT(!is_escalated(number, 1h));
+}
+
+} // namespace catkinlanding::proxy
