proxy: Begin an attempt if an answer of its route has come as fast

What callers saw: a request with less than 30 ms left was refused, or not sent again, on every route: where answers take 5 ms it would have been served, and where none comes in under a second it was sent in vain until 30 ms before the deadline.

Cause: min_attempt_time, one figure for all routes.

Test: time_left_property.

--- /dev/null
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -0,0 +1,79 @@
+#include <libraries/proxy/attempt_monitor.h>
+
+namespace catkinlanding::proxy {
+
+void attempt_monitor::note_request(active_request const& request, base::monotonic_time now) {
+  m_retries.of(request.service).note_request(now);
+}
+
+void attempt_monitor::note_answer(active_request const& request, base::monotonic_time now) {
+  m_times.note_answer(request, now);
+}
+
+void attempt_monitor::note_completed(active_request const& request, base::monotonic_time now) {
+  m_times.note_completed(request, now);
+}
+
+void attempt_monitor::note_failure(active_request const& request, attempt_failure failure,
+                                   base::monotonic_time now) {
+  if (failure == attempt_failure::stalled) {
+    m_times.note_stalled(request);
+  } else if (failure == attempt_failure::expired) {
+    m_times.note_expired(request, now);
+  }
+}
+
+bool attempt_monitor::has_time(active_request const& request, base::monotonic_time now) const {
+  auto const& known = m_times.of(request);
+  // Of an answer that was delivered in part only the rest is left.
+  auto const& work = request.has_delivered ? known.first : known.whole;
+  return now + work.shortest().value_or(base::duration::zero()) < request.deadline;
+}
+
+base::duration attempt_monitor::usual_time(active_request const& request) const {
+  return m_times.of(request).whole.usual().value_or(base::duration::zero());
+}
+
+std::optional<base::monotonic_time>
+attempt_monitor::stall_deadline(active_request const& request,
+                                known_endpoint const* endpoint) const {
+  auto const& route = *request.route;
+  bool const may_repeat = route.is_repeatable() && request.has_attempts_left();
+  if (!may_repeat || !request.is_attempting) {
+    return std::nullopt;
+  }
+  return m_options.stalls.deadline(route,
+                                   {.attempt_at = request.attempt_at,
+                                    .progress_at = request.progress_at,
+                                    .has_answer = request.has_answer},
+                                   m_times.of(request), endpoint);
+}
+
+bool attempt_monitor::try_retry(active_request const& request, base::monotonic_time now) {
+  return m_retries.of(request.service).try_spend(now);
+}
+
+bool attempt_monitor::try_abandon_stalled(active_request const& request,
+                                          known_endpoint const* endpoint,
+                                          base::monotonic_time now) {
+  auto const due = stall_deadline(request, endpoint);
+  if (!due || now < *due) {
+    return false;
+  }
+  auto const& known = m_times.of(request);
+  auto const& work = request.has_answer ? known.first : known.whole;
+  bool const has_time = now + work.usual().value_or(base::duration::zero()) <= request.deadline;
+  return has_time && try_retry(request, now);
+}
+
+bool attempt_monitor::try_escalate(active_request const& request, std::optional<double> confidence,
+                                   endpoint_table const& endpoints, base::monotonic_time now) {
+  if (!m_options.escalations.is_doubtful(request, confidence)) {
+    return false;
+  }
+  auto const ready = endpoints.ready(request.service);
+  return m_options.escalations.can_escalate(request, m_times, ready, now) &&
+         m_retries.of(request.service).try_spend(now, retries_after_zone_loss(ready));
+}
+
+} // namespace catkinlanding::proxy
--- /dev/null
+++ b/libraries/proxy/attempt_monitor.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <libraries/proxy/answer_times.h>
+#include <libraries/proxy/escalation_policy.h>
+#include <libraries/proxy/retry_limiter_table.h>
+#include <libraries/proxy/stall_policy.h>
+
+#include <optional>
+
+namespace catkinlanding::proxy {
+
+/// Decides by the time that answers take, and by the time that a request's caller has left, which
+/// attempts are worth beginning and which are given up. Keeps the retries within their limit.
+class attempt_monitor {
+public:
+  struct options {
+    stall_policy stalls;
+    escalation_policy escalations;
+    /// Applied to each service separately.
+    retry_limiter::options retries;
+  };
+
+  explicit attempt_monitor(options options) : m_options(options), m_retries(options.retries) {}
+
+  void set_instances(std::uint32_t instances) { m_retries.set_instances(instances); }
+  /// Forgets the routes that the table does not have.
+  void keep_only(route_table const& routes) { m_times.keep_only(routes); }
+
+  void note_request(active_request const& request, base::monotonic_time now);
+  void note_answer(active_request const& request, base::monotonic_time now);
+  void note_completed(active_request const& request, base::monotonic_time now);
+  void note_failure(active_request const& request, attempt_failure failure,
+                    base::monotonic_time now);
+
+  /// Whether an attempt that begins now may end in its caller's time. False only if no answer of
+  /// the route has come so fast.
+  [[nodiscard]] bool has_time(active_request const& request, base::monotonic_time now) const;
+  /// What an answer to such a request usually takes; zero if unknown.
+  [[nodiscard]] base::duration usual_time(active_request const& request) const;
+  /// When the current attempt is considered stalled; nothing if no other attempt could follow it,
+  /// or while too little is known. `endpoint` is nullptr if it is not known any more.
+  [[nodiscard]] std::optional<base::monotonic_time>
+  stall_deadline(active_request const& request, known_endpoint const* endpoint) const;
+
+  /// Takes a retry for the request. Returns false if none is left.
+  [[nodiscard]] bool try_retry(active_request const& request, base::monotonic_time now);
+  /// Takes a retry if the current attempt has stalled and another one is expected to be answered in
+  /// time.
+  [[nodiscard]] bool try_abandon_stalled(active_request const& request,
+                                         known_endpoint const* endpoint, base::monotonic_time now);
+  /// Takes a retry if the largest model should answer instead of the current one.
+  [[nodiscard]] bool try_escalate(active_request const& request, std::optional<double> confidence,
+                                  endpoint_table const& endpoints, base::monotonic_time now);
+
+private:
+  options m_options;
+  answer_times m_times;
+  retry_limiter_table m_retries;
+};
+
+} // namespace catkinlanding::proxy
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -14,22 +14,23 @@
 
 } // namespace
 
-bool escalation_policy::should_escalate(active_request const& request,
-                                        std::optional<double> confidence, answer_times const& times,
-                                        std::vector<known_endpoint const*> const& endpoints,
-                                        base::monotonic_time now) const {
+bool escalation_policy::is_doubtful(active_request const& request,
+                                    std::optional<double> confidence) const {
   auto const& models = request.route->models;
   bool const has_larger = request.model && !models.empty() && *request.model != models.back();
-  if (!confidence || *confidence >= min_confidence || !has_larger || !request.has_attempts_left() ||
-      request.has_delivered) {
-    return false;
-  }
+  return confidence && *confidence < min_confidence && has_larger && request.has_attempts_left() &&
+         !request.has_delivered;
+}
+
+bool escalation_policy::can_escalate(active_request const& request, answer_times const& times,
+                                     std::vector<known_endpoint const*> const& endpoints,
+                                     base::monotonic_time now) {
   auto const work = times.of_largest_model(request).whole.usual();
   bool const has_time = now + work.value_or(base::duration::zero()) <= request.deadline;
   auto const* service = request.routes->find(request.service);
+  auto const slots = service == nullptr ? 0 : service->slots;
   return has_time && std::ranges::any_of(endpoints, [&](known_endpoint const* one) {
-           return !request.has_been_sent_to(one->announcement.id) &&
-                  is_idle(*one, service == nullptr ? 0 : service->slots);
+           return !request.has_been_sent_to(one->announcement.id) && is_idle(*one, slots);
          });
 }
 
--- a/libraries/proxy/escalation_policy.h
+++ b/libraries/proxy/escalation_policy.h
@@ -19,10 +19,13 @@
   /// An answer in which the model has less confidence, from 0 to 1, is more likely poor than good.
   double min_confidence = 0.5;
 
-  [[nodiscard]] bool should_escalate(active_request const& request,
-                                     std::optional<double> confidence, answer_times const& times,
-                                     std::vector<known_endpoint const*> const& endpoints,
-                                     base::monotonic_time now) const;
+  /// Whether a better answer than the current one is wanted, and can take its place.
+  [[nodiscard]] bool is_doubtful(active_request const& request,
+                                 std::optional<double> confidence) const;
+  /// Whether the largest model's whole answer fits the time left, and one of the endpoints is idle.
+  [[nodiscard]] static bool can_escalate(active_request const& request, answer_times const& times,
+                                         std::vector<known_endpoint const*> const& endpoints,
+                                         base::monotonic_time now);
 };
 
 /// The retries that this instance must be able to make at once: one for each of its requests in the
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -2,22 +2,19 @@
 
 #include <libraries/base/random.h>
 #include <libraries/proxy/active_request.h>
-#include <libraries/proxy/answer_times.h>
+#include <libraries/proxy/attempt_monitor.h>
 #include <libraries/proxy/document_receiver.h>
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
-#include <libraries/proxy/escalation_policy.h>
 #include <libraries/proxy/load_reports.h>
 #include <libraries/proxy/overload_guard.h>
 #include <libraries/proxy/refusal_policy.h>
 #include <libraries/proxy/relay_policy.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/request_quarantine.h>
-#include <libraries/proxy/retry_limiter_table.h>
 #include <libraries/proxy/rollout_observer.h>
 #include <libraries/proxy/route_table.h>
-#include <libraries/proxy/stall_policy.h>
 #include <libraries/proxy/startup_policy.h>
 #include <libraries/proxy/subscriber.h>
 #include <libraries/proxy/version_policy.h>
@@ -45,14 +42,9 @@
     endpoint_notices::options notices;
     overload_guard::options overload;
     request_quarantine::options quarantine;
-    /// Applied to each service separately.
-    retry_limiter::options retries;
+    attempt_monitor::options attempts;
     /// Timeout of a request whose caller specifies none.
     base::duration default_timeout = std::chrono::seconds(60);
-    /// No attempt is started with less time than this left before the deadline.
-    base::duration min_attempt_time = std::chrono::milliseconds(30);
-    stall_policy stalls;
-    escalation_policy escalations;
     refusal_policy::options refusals;
     /// An instance that has found no leader by this time after its start accepts the last known
     /// state of a control instance. Longer than an election takes.
@@ -148,10 +140,6 @@
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
-  /// Whether the largest model should answer instead of the current one. If so, a retry has been
-  /// taken from the retry limit.
-  [[nodiscard]] bool try_escalate(active_request const& request, std::optional<double> confidence,
-                                  base::monotonic_time now);
   /// Decides what follows when the instance to which the request was passed on has failed.
   [[nodiscard]] decision fail_relay(active_request& request, attempt_failure failure,
                                     base::monotonic_time now);
@@ -185,8 +173,7 @@
   request_quarantine m_quarantine;
   refusal_policy m_refusals;
   std::optional<base::monotonic_time> m_started_at;
-  retry_limiter_table m_retries;
-  answer_times m_answer_times;
+  attempt_monitor m_attempts;
   std::unordered_map<request_number, active_request> m_requests;
   rollout_observer m_observer;
   relay_policy m_relays;
