proxy: Hold a request at the start while its caller has time to go elsewhere

What callers saw: while an instance started, a request waited for up to half of its own time, however long or short that was, and for 2.5 s.

Change: a caller that is refused must still be able to reach another instance: callers allow a new connection one second, so the wait ends a second before the deadline. It lasts as long as two elections (the votes of one may be split), finding the leader and one round of announcements, each read where it is set.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -35,6 +35,9 @@
       m_quarantine(m_options.quarantine),
       m_refusals({.recovery_time = max_election_time + m_options.subscriber.search_interval,
                   .announcement_interval = m_options.announcement_interval}),
+      // The votes of a first election may be split.
+      m_startup({.startup_wait = 2 * max_election_time + m_options.subscriber.search_interval +
+                                 m_options.announcement_interval}),
       m_attempts(m_options.attempts), m_relays(m_options.relays) {}
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
@@ -43,7 +46,7 @@
     return std::nullopt;
   }
   auto const caller_timeout = facts.caller_timeout.value_or(m_options.default_timeout);
-  return m_options.startup.wait_end(*m_started_at, caller_timeout, facts.waited, now);
+  return m_startup.wait_end(*m_started_at, caller_timeout - facts.waited, now);
 }
 
 bool router::is_missing_state_for(request_facts const& facts) const {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -48,7 +48,6 @@
     base::duration default_timeout = std::chrono::seconds(60);
     /// Time between two announcements of an endpoint.
     base::duration announcement_interval = std::chrono::seconds(1);
-    startup_policy startup;
     /// An instance that has found no leader by this time after its start accepts the last known
     /// state of a control instance. Longer than an election takes.
     base::duration isolation_timeout = std::chrono::milliseconds(1000);
@@ -180,6 +179,7 @@
   overload_guard m_overload;
   request_quarantine m_quarantine;
   refusal_policy m_refusals;
+  startup_policy m_startup;
   std::optional<base::monotonic_time> m_started_at;
   attempt_monitor m_attempts;
   std::unordered_map<request_number, active_request> m_requests;
--- a/libraries/proxy/startup_policy.cpp
+++ b/libraries/proxy/startup_policy.cpp
@@ -5,12 +5,9 @@
 namespace catkinlanding::proxy {
 
 std::optional<base::monotonic_time> startup_policy::wait_end(base::monotonic_time started_at,
-                                                             base::duration caller_timeout,
-                                                             base::duration waited,
+                                                             base::duration time_left,
                                                              base::monotonic_time now) const {
-  auto const own_limit =
-      std::chrono::duration_cast<base::duration>(caller_timeout * max_wait_fraction - waited);
-  auto const end = std::min(started_at + startup_wait, now + own_limit);
+  auto const end = std::min(started_at + startup_wait, now + time_left - return_time);
   return now < end ? std::optional(end) : std::nullopt;
 }
 
