proxy: Count the time in which a body comes as its caller's time

What callers saw: a body had 15 s after its header, whoever waited: a caller with a minute was cut while it still sent, without an answer, and a connection was kept 14.5 s for one that waited half a second. The time until the body was whole did not count: the endpoint was handed what the caller had stated at first, up to 15 s more than was left.

Cause: body_timeout, and a request whose time began when its body was read.

Change: a caller's time runs from the end of its header; a body may come as long as its caller waits (as long as one that states no time, at most).

--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -59,6 +59,11 @@
 
   // Requests.
 
+  /// The time that a request may take whose caller states this one, or none, before its route is
+  /// known.
+  [[nodiscard]] base::duration time_of(std::optional<base::duration> caller_timeout) const {
+    return std::min(caller_timeout.value_or(m_options.default_timeout), m_options.default_timeout);
+  }
   /// Returns until when the request may wait during startup for the first document or for an
   /// endpoint of its service. Returns nothing if it has no need to wait or may not wait any longer.
   [[nodiscard]] std::optional<base::monotonic_time> wait_for_state(request_facts const& facts,
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -14,8 +14,6 @@
 using daemon::awaitable;
 using daemon::completion;
 
-/// Time for the complete body to arrive after the header.
-constexpr std::chrono::seconds body_timeout{15};
 constexpr std::chrono::seconds reject_timeout{1};
 
 /// Whether the body length is unambiguous. Ambiguous framing would allow request smuggling.
@@ -118,8 +116,8 @@
   }
 }
 
-awaitable<std::optional<http_request>> entry_server::read_request(connection& connection,
-                                                                  base::memory_share& body_memory) {
+awaitable<std::optional<incoming_request>>
+entry_server::read_request(connection& connection, base::memory_share& body_memory) {
   auto const& limits = m_context.router.limits();
   request_parser parser;
   parser.header_limit(limits.max_header_bytes);
@@ -154,7 +152,9 @@
     co_await reject(connection, http::status::service_unavailable, "bodies_exceed_memory");
     co_return std::nullopt;
   }
-  connection.stream.expires_after(body_timeout);
+  auto const arrived_at = now();
+  auto const timeout = m_context.protocol_adapter.read_timeout(parser.get().base());
+  connection.stream.expires_after(m_context.router.time_of(timeout.value_or(std::nullopt)));
   if (parser.get()[http::field::expect] == "100-continue") {
     constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(connection.stream, asio::buffer(continue_response), completion);
@@ -163,7 +163,7 @@
     co_return std::nullopt;
   }
   connection.stream.expires_never();
-  co_return parser.release();
+  co_return incoming_request{.message = parser.release(), .arrived_at = arrived_at};
 }
 
 awaitable<bool> entry_server::read_body(connection& connection, request_parser& parser,
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -47,8 +47,8 @@
   daemon::awaitable<void> serve_requests(connection& connection);
   /// Reads one request, and takes memory for its body. Returns nothing if the connection ended or
   /// the request was rejected.
-  daemon::awaitable<std::optional<http_request>> read_request(connection& connection,
-                                                              base::memory_share& body_memory);
+  daemon::awaitable<std::optional<incoming_request>> read_request(connection& connection,
+                                                                  base::memory_share& body_memory);
   /// Reads the body of a request after its header. Returns false like `read_request`.
   daemon::awaitable<bool> read_body(connection& connection, request_parser& parser,
                                     base::memory_share& body_memory);
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -31,9 +31,9 @@
 
 } // namespace
 
-exchange::exchange(entry_context& context, daemon::tcp_stream& caller, http_request request)
-    : m_context(context), m_caller(caller), m_request(std::move(request)),
-      m_number(++context.last_request_number), m_started_at(now()),
+exchange::exchange(entry_context& context, daemon::tcp_stream& caller, incoming_request request)
+    : m_context(context), m_caller(caller), m_request(std::move(request.message)),
+      m_number(++context.last_request_number), m_started_at(request.arrived_at),
       m_forwarder(context.router, context.answer_memory, caller, m_number, m_started_at),
       m_deadline_timer(context.io), m_stall_timer(context.io) {}
 
@@ -50,9 +50,10 @@
   facts->content_hash = content_hash_of(m_request);
   facts->is_relayed = attempts_before.has_value();
   facts->attempts_before = attempts_before.value_or(0);
+  facts->waited = now() - m_started_at;
   if (m_context.is_stopping) {
     // What has no answer by then would be cut off without one.
-    auto const left = std::max(remaining_until(m_context.stop_deadline), base::duration::zero());
+    auto const left = std::max<base::duration>(m_context.stop_deadline - m_started_at, {});
     facts->caller_timeout = std::min(facts->caller_timeout.value_or(left), left);
   }
   m_id = facts->id;
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -35,12 +35,19 @@
   base::monotonic_time stop_deadline{};
 };
 
+/// A caller's request as it was read.
+struct incoming_request {
+  http_request message;
+  /// When its header was complete. The time of its caller runs from then on.
+  base::monotonic_time arrived_at{};
+};
+
 /// One request of a caller and its answer. Executes the router's decisions: sends the request to
 /// endpoints and forwards the answer. Cancels the request at the endpoint when the caller
 /// disconnects or the deadline passes.
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
-  exchange(entry_context& context, daemon::tcp_stream& caller, http_request request);
+  exchange(entry_context& context, daemon::tcp_stream& caller, incoming_request request);
 
   /// Returns whether the caller's connection can be reused for another request.
   daemon::awaitable<bool> run();
--- a/services/proxy/protocol_adapter.h
+++ b/services/proxy/protocol_adapter.h
@@ -72,6 +72,10 @@
   [[nodiscard]] virtual tl::expected<request_facts, request_error>
   read_request(http_request_header const& header) const = 0;
 
+  /// How long the caller waits for the complete answer; empty if it does not say so.
+  [[nodiscard]] virtual tl::expected<std::optional<base::duration>, request_error>
+  read_timeout(http_request_header const& header) const = 0;
+
   /// Rewrites a caller's header for an endpoint. `remaining` is the time until the deadline, and
   /// `last_event` the id of the last event delivered if the attempt resumes a stream.
   virtual void prepare_request_header(http_request_header& header, attempt const& attempt,
