requests: Tell no time to come back where none is known or helps

What callers saw: a caller whose time was over, and one beyond the connection limit, were told to come back in 1 s, like everyone else; what that second stands for was said nowhere.

Cause: default_retry_after, one figure for everything.

Change: no time where the caller's own is over, or where it is not known when there is room (connections).

Test: waiting_requests_test, one new case, fails on the code before.

--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr base::duration default_retry_after = std::chrono::seconds(1);
+/// Endpoints announce themselves and control instances elect a leader within about this time. An
+/// earlier retry would be decided by what is known now.
+constexpr base::duration news_interval = std::chrono::seconds(1);
 constexpr std::uint64_t tokens_per_price_unit = 1000;
 /// How long after the request's deadline the claim holder can still report the outcome.
 constexpr base::duration claim_grace = std::chrono::seconds(5);
@@ -134,6 +136,7 @@
     return;
   }
   auto kind = failure_kind::deadline_passed;
+  bool const is_time_over = !is_claim_late && !is_pin_late;
   if (is_claim_late) {
     kind = failure_kind::claims_unavailable;
   } else if (is_pin_late) {
@@ -142,7 +145,7 @@
   fail(request,
        {.kind = kind,
         .run_state = was_sent ? run_state::outcome_unknown : run_state::not_run,
-        .retry_after = default_retry_after},
+        .retry_after = is_time_over ? std::nullopt : std::optional(news_interval)},
        now, out);
 }
 
@@ -166,7 +169,7 @@
     return;
   }
   if (is_pin_unavailable(request, environment, now)) {
-    fail(request, refusal(failure_kind::session_unavailable, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::session_unavailable, news_interval), now, out);
     return;
   }
   if (auto const refused = refuse_to_queue(request, environment, now)) {
@@ -310,7 +313,7 @@
 void table::start_claim(request& request, environment const& environment, base::monotonic_time now,
                         effects& out) {
   if (!environment.can_claim) {
-    fail(request, refusal(failure_kind::claims_unavailable, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::claims_unavailable, news_interval), now, out);
     return;
   }
   request.phase = phase::claiming;
@@ -340,7 +343,7 @@
   }
   if (now >= request.claimed_at + m_options.claim_validity) {
     // The log may have expired the key since then, and granted it to another holder.
-    fail(request, refusal(failure_kind::claims_unavailable, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::claims_unavailable, news_interval), now, out);
     return;
   }
   if (decision.verdict.kind == claims::verdict_kind::granted) {
@@ -355,7 +358,7 @@
   request.is_claim_granted = true;
   request.phase = phase::running;
   if (now >= request.expires_at) {
-    fail(request, refusal(failure_kind::deadline_passed, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::deadline_passed), now, out);
     return;
   }
   start_attempt(request, environment, now, out);
@@ -370,7 +373,7 @@
     fail(request,
          {.kind = failure_kind::already_running,
           .run_state = run_state::outcome_unknown,
-          .retry_after = default_retry_after},
+          .retry_after = news_interval},
          now, out);
     return;
   case claims::verdict_kind::content_mismatch:
@@ -380,7 +383,7 @@
     fail(request, refusal(failure_kind::key_reused), now, out);
     return;
   case claims::verdict_kind::full:
-    fail(request, refusal(failure_kind::overloaded, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::overloaded, news_interval), now, out);
     return;
   case claims::verdict_kind::finished:
     break;
@@ -467,7 +470,7 @@
     return refusal(failure_kind::shutting_down, base::duration::zero());
   }
   if (environment.is_billing_full) {
-    return refusal(failure_kind::overloaded, default_retry_after);
+    return refusal(failure_kind::overloaded, news_interval);
   }
   return std::nullopt;
 }
@@ -475,7 +478,7 @@
 void table::start_attempt(request& request, environment const& environment,
                           base::monotonic_time now, effects& out) {
   if (request.holder && !is_claim_valid(request, now)) {
-    fail(request, refusal(failure_kind::claims_unavailable, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::claims_unavailable, news_interval), now, out);
     return;
   }
   auto const endpoint = choose_endpoint(request, environment, now);
@@ -491,7 +494,7 @@
                                    endpoint.error() == routing::choice_error::no_version;
       auto const kind =
           is_pin_unusable ? failure_kind::session_unavailable : to_failure_kind(endpoint.error());
-      fail(request, refusal(kind, default_retry_after), now, out);
+      fail(request, refusal(kind, news_interval), now, out);
     }
     return;
   }
@@ -615,7 +618,7 @@
                           base::monotonic_time now, effects& out) {
   // If the log has answered and its pin is unusable here, this instance's catalogue is outdated.
   if (request.is_pin_decided || !environment.can_pin) {
-    fail(request, refusal(failure_kind::session_unavailable, default_retry_after), now, out);
+    fail(request, refusal(failure_kind::session_unavailable, news_interval), now, out);
     return;
   }
   bool const is_first = !m_pinning.contains(*request.session);
@@ -649,9 +652,9 @@
     request.phase = phase::running;
     request.is_pin_decided = true;
     if (now >= request.expires_at) {
-      fail(request, refusal(failure_kind::deadline_passed, default_retry_after), now, out);
+      fail(request, refusal(failure_kind::deadline_passed), now, out);
     } else if (decided.verdict == sessions::verdict_kind::full) {
-      fail(request, refusal(failure_kind::overloaded, default_retry_after), now, out);
+      fail(request, refusal(failure_kind::overloaded, news_interval), now, out);
     } else {
       start_attempt(request, environment, now, out);
     }
@@ -964,7 +967,7 @@
   }
   auto const kind = failed.kind == attempt_failure_kind::broken ? failure_kind::answer_broken
                                                                 : failure_kind::endpoint_failed;
-  fail(*request, {.kind = kind, .run_state = state, .retry_after = default_retry_after}, now, out);
+  fail(*request, {.kind = kind, .run_state = state, .retry_after = news_interval}, now, out);
   start_queued(environment, now, out);
 }
 
--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -260,7 +260,7 @@
     co_return error;
   }
 
-  /// Answers a caller beyond the connection limit with 503 and a Retry-After header.
+  /// Answers a caller beyond the connection limit with 503. When there is room is not known.
   static awaitable<void> reject_connection(std::shared_ptr<implementation> self,
                                            std::shared_ptr<connection> connection) {
     scoped_count const active(self->m_rejected_connections);
@@ -276,7 +276,6 @@
     }
     http::response<http::string_body> response{http::status::service_unavailable, 11};
     response.set(http::field::content_type, "application/json");
-    response.set(http::field::retry_after, "1");
     response.keep_alive(false);
     response.body() = make_error_response(message_error::too_many_connections);
     response.prepare_payload();
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -238,6 +238,16 @@
   EXPECT_EQ(all<reply_failure>().front().failure.run_state, run_state::outcome_unknown);
 }
 
+// A caller whose time is over was told to come back in a second.
+TEST_F(waiting_requests, are_told_no_time_when_theirs_is_over) {
+  m_policy.free_slots = 1;
+  send(3);
+  pass(class_deadline);
+  ASSERT_EQ(all<reply_failure>().size(), 1U);
+  EXPECT_EQ(all<reply_failure>().front().failure.kind, failure_kind::deadline_passed);
+  EXPECT_FALSE(all<reply_failure>().front().failure.retry_after.has_value());
+}
+
 // The work of a class whose attempts all ran out of time was known from those that had not.
 TEST_F(waiting_requests, are_refused_when_attempts_with_more_time_ran_out_of_it) {
   constexpr request_number attempts = 40;
