requests: Deliver an answer that was held back once

What callers saw: an answer that was held back to be judged was billed a second time when its judgement arrived while the end of the answer waited for its bill, and the process then ended with an exception (map::at).

Cause: the held answer stayed in the request when it was given before its judgement, so the judgement gave it again: two entries of a request whose first end removes it. By reading, has the same fault where the judgement comes within 500 ms after the deadline.

Change: the answer is taken out of the request when it is delivered.

Test: waiting_requests_test, get_their_held_answer_once: two bills and the same exception on the code before.

--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -801,6 +801,8 @@
   request.content_type = request.held->content_type;
   request.status = request.held->status;
   request.version = request.held->version;
+  // A judgement that comes later must not deliver it again.
+  request.held.reset();
   deliver(request, now, out);
   return true;
 }
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -131,6 +131,7 @@
   request_target m_target = completion_target{{"hatline"}};
   base::monotonic_time m_now = start;
   one_endpoint m_policy;
+  bool m_are_bills_replicated = true;
   std::vector<attempt_number> m_attempts;
   effects m_effects;
 
@@ -149,7 +150,8 @@
       if (auto const* sent = std::get_if<dispatch>(&effect)) {
         m_attempts.push_back(sent->attempt);
       }
-      if (auto const* charged = std::get_if<charge>(&effect)) {
+      auto const* charged = std::get_if<charge>(&effect);
+      if (charged != nullptr && m_are_bills_replicated) {
         reduce(bill_replicated{charged->bill.request});
       }
       m_effects.push_back(effect);
@@ -238,6 +240,24 @@
   EXPECT_EQ(all<reply_failure>().front().failure.run_state, run_state::outcome_unknown);
 }
 
+// Guards against an answer that is billed twice, and a process that ends, when a judgement arrives
+// while the end of the answer waits for its bill.
+TEST_F(waiting_requests, get_their_held_answer_once) {
+  m_policy.free_slots = 1;
+  send(3);
+  m_now += work;
+  answer(m_attempts.back());
+  m_are_bills_replicated = false;
+  pass(class_deadline - 2 * work + 1ms);
+  ASSERT_EQ(all<charge>().size(), 1U);
+  auto const id = all<charge>().front().bill.request;
+  reduce(answer_evaluated{.number = 3, .judgement = routing::judgement::good});
+  EXPECT_EQ(all<charge>().size(), 1U);
+  reduce(bill_replicated{id});
+  reduce(bill_replicated{id});
+  EXPECT_EQ(all<reply_end>().size(), 1U);
+}
+
 // A caller whose time is over was told to come back in a second.
 TEST_F(waiting_requests, are_told_no_time_when_theirs_is_over) {
   m_policy.free_slots = 1;
