--- a/libraries/limits/fair_queue.cpp
+++ b/libraries/limits/fair_queue.cpp
@@ -110,7 +110,7 @@
 
 fair_queue::item fair_queue::take(level& level,
                                   std::map<base::customer_id, customer_queue>::iterator queue,
-                                  std::deque<item>::iterator place) {
+                                  std::deque<item>::iterator const& place) {
   auto taken = std::move(*place);
   queue->second.items.erase(place);
   queue->second.cost -= taken.cost;
--- a/libraries/limits/fair_queue.h
+++ b/libraries/limits/fair_queue.h
@@ -73,7 +73,7 @@
   [[nodiscard]] std::optional<item> pop(level& level, std::set<base::model_id> const& full_models);
   /// Takes the item out of its customer's queue.
   static item take(level& level, std::map<base::customer_id, customer_queue>::iterator queue,
-                   std::deque<item>::iterator place);
+                   std::deque<item>::iterator const& place);
   /// Adds to the work served to the item's customer.
   void account(item const& item, double cost);
   /// Drops the accounting once the queue is empty, which bounds the state.
--- a/tests/libraries/proxy/refusal_times_property.cpp
+++ b/tests/libraries/proxy/refusal_times_property.cpp
@@ -64,6 +64,7 @@
 std::vector<std::string> any_endpoints() {
   std::vector<std::string> names;
   auto const count = *rc::gen::inRange(1, 5);
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     names.push_back(std::to_string(i));
   }
