proxy: Take the admission of a request and its outlook out of the router

Change: request_admission makes the request, endpoint_filter says when endpoints accept it, and a request fills in its own refusal. No decision changes.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -82,6 +82,12 @@
   return facts.prompt_tokens - std::min(facts.prompt_tokens, own_tokens);
 }
 
+refusal active_request::describe(refusal made) const {
+  made.route = route->name;
+  made.customer = customer.value_or(base::customer_id{});
+  return made;
+}
+
 refusal_kind active_request::final_refusal(bool is_over) const {
   if (may_have_run) {
     return is_over ? refusal_kind::expired : refusal_kind::outcome_unknown;
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -74,6 +74,8 @@
   /// The refusal that tells whether the request may have been executed and whether its time is
   /// over.
   [[nodiscard]] refusal_kind final_refusal(bool is_over) const;
+  /// Fills in the route and the customer of the request's refusal.
+  [[nodiscard]] refusal describe(refusal made) const;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/endpoint_filter.cpp
+++ b/libraries/proxy/endpoint_filter.cpp
@@ -27,10 +27,14 @@
   return found.empty() ? m_options.versions.old_endpoints(others, service) : found;
 }
 
-std::optional<availability> endpoint_filter::availability(endpoints const& endpoints) const {
-  if (endpoints.empty()) {
-    return std::nullopt;
-  }
+std::optional<availability> endpoint_filter::availability(endpoint_table const& table,
+                                                          active_request const& request) const {
+  auto const ready = m_options.notices.without_leaving(table.ready(request.service));
+  auto const found = eligible(ready, request.service, request.facts);
+  return found.empty() ? std::nullopt : std::optional(availability(found));
+}
+
+availability endpoint_filter::availability(endpoints const& endpoints) const {
   proxy::availability found{.wait = deferral::unlimited};
   bool accepts_now = false;
   double rate = 0.0;
--- a/libraries/proxy/endpoint_filter.h
+++ b/libraries/proxy/endpoint_filter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/active_request.h>
 #include <libraries/proxy/endpoint_notices.h>
 #include <libraries/proxy/overload_guard.h>
 #include <libraries/proxy/version_policy.h>
@@ -46,10 +47,13 @@
   [[nodiscard]] endpoints sendable(endpoints const& eligible, endpoints const& all,
                                    base::service_id const& service,
                                    request_facts const& facts) const;
-  /// Empty if there are no endpoints.
-  [[nodiscard]] std::optional<proxy::availability> availability(endpoints const& endpoints) const;
+  /// When the endpoints accept requests that may receive this one by its version, whether they
+  /// were tried or not. Empty if there are none.
+  [[nodiscard]] std::optional<proxy::availability>
+  availability(endpoint_table const& table, active_request const& request) const;
 
 private:
+  [[nodiscard]] proxy::availability availability(endpoints const& endpoints) const;
   [[nodiscard]] std::optional<deferral> wait_for(known_endpoint const& endpoint) const;
   [[nodiscard]] endpoints without_wait(endpoints endpoints) const;
 
--- a/libraries/proxy/request_admission.cpp
+++ b/libraries/proxy/request_admission.cpp
@@ -1,5 +1,7 @@
 #include <libraries/proxy/request_admission.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
 tl::expected<admission, refusal_kind> admit(route_table const& routes, request_facts const& facts) {
@@ -22,4 +24,20 @@
                    .priority = customer->priority.value_or(route->priority)};
 }
 
+active_request make_request(admitted_request made, base::monotonic_time now) {
+  auto const* route = made.admitted.route;
+  auto const caller_timeout = made.facts.caller_timeout.value_or(made.default_timeout);
+  active_request request;
+  request.customer = made.admitted.customer;
+  request.priority = made.admitted.priority;
+  request.routes = std::move(made.routes);
+  request.route = route;
+  request.service = select_service(*route, made.facts.id);
+  request.began_at = now - made.facts.waited;
+  request.deadline = request.began_at + std::min(caller_timeout, route->timeout);
+  request.traits = traits_of(made.facts);
+  request.facts = std::move(made.facts);
+  return request;
+}
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/request_admission.h
+++ b/libraries/proxy/request_admission.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <libraries/proxy/active_request.h>
 #include <libraries/proxy/request.h>
 #include <libraries/proxy/route_table.h>
 
 #include <tl/expected.hpp>
 
+#include <memory>
 #include <optional>
 
 namespace catkinlanding::proxy {
@@ -23,4 +25,18 @@
 [[nodiscard]] tl::expected<admission, refusal_kind> admit(route_table const& routes,
                                                           request_facts const& facts);
 
+/// What an admitted request is made of.
+struct admitted_request {
+  admission admitted;
+  /// The table that has the request's route.
+  std::shared_ptr<route_table const> routes;
+  request_facts facts;
+  /// The time of a caller that states none.
+  base::duration default_timeout{};
+};
+
+/// The request as it begins. Its time is the shorter of its caller's and its route's, and runs
+/// since it arrived.
+[[nodiscard]] active_request make_request(admitted_request made, base::monotonic_time now);
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -18,13 +18,6 @@
   return options;
 }
 
-/// Fills in the request's route and customer.
-refusal describe(refusal made, active_request const& request) {
-  made.route = request.route->name;
-  made.customer = request.customer.value_or(base::customer_id{});
-  return made;
-}
-
 } // namespace
 
 router::router(options options)
@@ -62,19 +55,11 @@
   if (!admitted) {
     return m_refusals.make(admitted.error());
   }
-  auto const* route = admitted->route;
-  active_request request;
-  request.customer = admitted->customer;
-  request.priority = admitted->priority;
-  auto const caller_timeout =
-      std::min(facts.caller_timeout.value_or(m_options.default_timeout), route->timeout);
-  request.routes = m_routes;
-  request.route = route;
-  request.service = select_service(*route, facts.id);
-  request.began_at = now - facts.waited;
-  request.deadline = request.began_at + caller_timeout;
-  request.traits = traits_of(facts);
-  request.facts = std::move(facts);
+  auto request = make_request({.admitted = *admitted,
+                               .routes = m_routes,
+                               .facts = std::move(facts),
+                               .default_timeout = m_options.default_timeout},
+                              now);
   if (!request.facts.is_relayed) {
     // The instance that passed it on has counted it.
     m_attempts.note_request(request, now);
@@ -379,7 +364,7 @@
 
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
   if (auto quarantined = m_quarantine.find_quarantined(request.traits, now)) {
-    auto refused = describe(m_refusals.make(refusal_kind::quarantined), request);
+    auto refused = request.describe(m_refusals.make(refusal_kind::quarantined));
     refused.retry_after = quarantined->remaining;
     refused.quarantine = std::move(quarantined);
     return refused;
@@ -430,15 +415,9 @@
                           .now = now});
 }
 
-std::optional<availability> router::availability_for(active_request const& request,
-                                                     endpoint_filter const& filter) const {
-  auto const ready = m_notices.without_leaving(m_endpoints.ready(request.service));
-  return filter.availability(filter.eligible(ready, request.service, request.facts));
-}
-
 refusal router::refuse_unsent(active_request const& request, endpoint_filter const& filter,
                               base::monotonic_time now) {
-  auto const endpoints = availability_for(request, filter);
+  auto const endpoints = filter.availability(m_endpoints, request);
   auto const unsent =
       endpoints && endpoints->deferral ? refusal_kind::deferred : refusal_kind::no_endpoint;
   bool const is_unsent = request.tried.empty() && request.unreached.empty();
@@ -453,14 +432,14 @@
                                .usual_time = m_attempts.usual_time(request)},
                               now);
   made.deferral = endpoints ? endpoints->deferral : std::nullopt;
-  return describe(std::move(made), request);
+  return request.describe(std::move(made));
 }
 
 refusal router::final_refusal(active_request const& request, base::monotonic_time now) {
   auto const kind = request.final_refusal(!m_attempts.has_time(request, now));
   return kind == refusal_kind::not_run
-             ? refuse(request, kind, availability_for(request, make_filter(now)), now)
-             : describe(m_refusals.make(kind), request);
+             ? refuse(request, kind, make_filter(now).availability(m_endpoints, request), now)
+             : request.describe(m_refusals.make(kind));
 }
 
 void router::note_failure(active_request& request, attempt_failure failure,
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -150,9 +150,6 @@
   [[nodiscard]] decision fail_relay(active_request& request, attempt_failure failure,
                                     base::monotonic_time now);
   [[nodiscard]] endpoint_filter make_filter(base::monotonic_time now) const;
-  /// The endpoints that may receive the request by its version, tried or not.
-  [[nodiscard]] std::optional<availability> availability_for(active_request const& request,
-                                                             endpoint_filter const& filter) const;
   /// The refusal of a request for which no endpoint can be chosen.
   [[nodiscard]] refusal refuse_unsent(active_request const& request, endpoint_filter const& filter,
                                       base::monotonic_time now);
