--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -1,8 +1,9 @@
-#include <libraries/base/hash.h>
 #include <libraries/base/verify.h>
 #include <libraries/claims/registry.h>
+#include <libraries/requests/endpoint_selection.h>
+#include <libraries/requests/queueing.h>
+#include <libraries/requests/refusals.h>
 #include <libraries/requests/table.h>
-#include <libraries/sessions/usability.h>
 
 #include <algorithm>
 
@@ -10,60 +11,6 @@
 
 namespace {
 
-/// Endpoints announce themselves and control instances elect a leader within about this time. An
-/// earlier retry would be decided by what is known now.
-constexpr base::duration news_interval = std::chrono::seconds(1);
-constexpr std::uint64_t tokens_per_price_unit = 1000;
-/// How long after the request's deadline the claim holder can still report the outcome.
-constexpr base::duration claim_grace = std::chrono::seconds(5);
-/// The last event of a complete stream, as clients expect it.
-constexpr std::string_view stream_end_marker = "[DONE]";
-
-failure refusal(failure_kind kind, std::optional<base::duration> retry_after = std::nullopt) {
-  return {.kind = kind, .run_state = run_state::not_run, .retry_after = retry_after};
-}
-
-failure_kind to_failure_kind(routing::choice_error error) {
-  switch (error) {
-  case routing::choice_error::unknown_model:
-    return failure_kind::unknown_model;
-  case routing::choice_error::not_allowed:
-    return failure_kind::not_allowed;
-  case routing::choice_error::no_version:
-  case routing::choice_error::version_suspended:
-    return failure_kind::no_version;
-  case routing::choice_error::no_endpoint:
-  case routing::choice_error::busy:
-    return failure_kind::no_endpoint;
-  }
-  return failure_kind::no_endpoint;
-}
-
-bool is_safe_to_retry(attempt_failure_kind kind) {
-  return kind == attempt_failure_kind::not_sent || kind == attempt_failure_kind::refused;
-}
-
-/// Hashes the content of a request, to detect an idempotency key that is reused for another one.
-std::uint64_t content_digest(caller_request const& incoming) {
-  auto const& target = std::get<service_target>(incoming.target);
-  std::uint64_t digest = base::stable_hash(target.service.value);
-  digest = base::stable_hash(target.method, digest);
-  digest = base::stable_hash(target.path, digest);
-  digest = base::stable_hash(incoming.content_type, digest);
-  return base::stable_hash(*incoming.body, digest);
-}
-
-/// Whether the end marker of a stream lies in `piece` or across the boundary to the pieces before
-/// it, whose last bytes are kept in `tail`.
-bool contains_stream_end(std::string& tail, std::string_view piece) {
-  tail += piece;
-  bool const is_found = tail.find(stream_end_marker) != std::string::npos;
-  if (tail.size() >= stream_end_marker.size()) {
-    tail.erase(0, tail.size() - (stream_end_marker.size() - 1));
-  }
-  return is_found;
-}
-
 /// Removes the request from those that wait for the key, if it is one of them.
 template<class Key>
 void remove_waiting(std::multimap<Key, request_number>& waiting, Key const& key,
@@ -75,20 +22,6 @@
   }
 }
 
-/// The failure for a duplicate of a request that was sent to an endpoint before and has no stored
-/// answer.
-failure duplicate_failure(claims::run_result result) {
-  switch (result) {
-  case claims::run_result::answered:
-    return {.kind = failure_kind::already_run, .run_state = run_state::ran};
-  case claims::run_result::failed:
-    return {.kind = failure_kind::endpoint_failed, .run_state = run_state::failed};
-  case claims::run_result::unknown:
-    break;
-  }
-  return {.kind = failure_kind::earlier_run_unknown, .run_state = run_state::outcome_unknown};
-}
-
 } // namespace
 
 void table::reduce(event const& event, environment const& environment, base::monotonic_time now,
@@ -156,7 +89,7 @@
   auto& request = it->second;
   request.incoming = incoming;
   request.arrived_at = now;
-  if (auto const refused = admit(request, environment)) {
+  if (auto const refused = m_intake.admit(request, environment)) {
     fail(request, *refused, now, out);
     return;
   }
@@ -214,63 +147,18 @@
   m_corrections.clear();
 }
 
-limits::admission::work table::admission_work(request const& request) {
-  auto const* completion = std::get_if<completion_target>(&request.incoming.target);
-  return {.number = request.incoming.number,
-          .customer = request.customer,
-          .model = completion == nullptr ? base::model_id{} : completion->model,
-          .request_class = request.request_class,
-          .priority = request.priority,
-          .arrived_at = request.arrived_at,
-          .due = request.expires_at};
-}
-
-bool table::is_queued(request const& request, environment const& environment) {
-  return environment.admission != nullptr &&
-         std::holds_alternative<completion_target>(request.incoming.target);
-}
-
-std::optional<limits::admission::refusal> table::refuse_to_queue(request const& request,
-                                                                 environment const& environment,
-                                                                 base::monotonic_time now) {
-  return is_queued(request, environment)
-             ? environment.admission->refuse(admission_work(request), now)
-             : std::nullopt;
-}
-
 void table::start_in_turn(request& request, environment const& environment,
                           base::monotonic_time now, effects& out) {
   if (!is_queued(request, environment)) {
     start_attempt(request, environment, now, out);
     return;
   }
-  environment.admission->wait(admission_work(request), now);
+  environment.admission->wait(request.work(), now);
   request.is_waiting = true;
   request.waiting_since = now;
   start_queued(environment, now, out);
 }
 
-void table::observe_duration(request const& request, environment const& environment,
-                             base::monotonic_time now) {
-  if (is_queued(request, environment)) {
-    environment.admission->finished(request.request_class, now - request.sent_at);
-  }
-}
-
-void table::leave_queue(request& request, environment const& environment) {
-  if (request.is_waiting) {
-    environment.admission->leave(request.incoming.number);
-    request.is_waiting = false;
-  }
-}
-
-bool table::waits_in_vain(request const& request, environment const& environment,
-                          base::monotonic_time now) {
-  bool const awaits_judgement = request.held && request.attempt == 0;
-  return environment.admission != nullptr && (request.is_waiting || awaits_judgement) &&
-         environment.admission->would_miss_deadline(admission_work(request), now);
-}
-
 void table::give_up_waiting(request& request, environment const& environment,
                             base::monotonic_time now, effects& out) {
   leave_queue(request, environment);
@@ -279,19 +167,6 @@
   }
 }
 
-void table::report_queueing_time(request& request, base::monotonic_time now, effects& out) {
-  out.emplace_back(observe_queueing{.customer = request.customer,
-                                    .request_class = request.request_class,
-                                    .queueing = now - request.waiting_since.value_or(now)});
-  request.waiting_since.reset();
-}
-
-void table::end_wait(request& request, base::monotonic_time now, effects& out) {
-  if (request.waiting_since) {
-    report_queueing_time(request, now, out);
-  }
-}
-
 void table::start_queued(environment const& environment, base::monotonic_time now, effects& out) {
   if (environment.admission == nullptr) {
     return;
@@ -300,7 +175,7 @@
   while (auto const number = environment.admission->next(full_models)) {
     auto& request = m_requests.at(*number);
     request.is_waiting = false;
-    auto const work = admission_work(request);
+    auto const work = request.work();
     if (environment.admission->would_miss_deadline(work, now)) {
       give_up_waiting(request, environment, now, out);
       continue;
@@ -321,11 +196,7 @@
   }
   request.phase = phase::claiming;
   request.claimed_at = now;
-  out.emplace_back(
-      claim_action{claims::claim{.request = request.id,
-                                 .digest = content_digest(request.incoming),
-                                 .holder = *request.holder,
-                                 .max_run_time = request.expires_at - now + claim_grace}});
+  out.emplace_back(claim_action{request.claim(now)});
 }
 
 void table::handle(claim_decided const& decided, environment const& environment,
@@ -371,33 +242,13 @@
                              base::monotonic_time now, effects& out) {
   // The claim was not granted, so there is nothing to finish or release in the log.
   request.phase = phase::running;
-  switch (verdict.kind) {
-  case claims::verdict_kind::running_elsewhere:
-    fail(request,
-         {.kind = failure_kind::already_running,
-          .run_state = run_state::outcome_unknown,
-          .retry_after = news_interval},
-         now, out);
-    return;
-  case claims::verdict_kind::content_mismatch:
+  if (verdict.kind == claims::verdict_kind::content_mismatch) {
     // The key has run with other content and can't run again, so this request certainly has not
     // run, even though it holds no claim.
     request.holder.reset();
-    fail(request, refusal(failure_kind::key_reused), now, out);
-    return;
-  case claims::verdict_kind::full:
-    fail(request, refusal(failure_kind::overloaded, news_interval), now, out);
-    return;
-  case claims::verdict_kind::finished:
-    break;
-  case claims::verdict_kind::granted:
-  case claims::verdict_kind::already_released:
-  case claims::verdict_kind::recorded:
-    // A pending claim was neither released nor finished, so it can't get these verdicts.
-    CATKINLANDING_VERIFY(false);
-  }
-  if (!verdict.answer) {
-    fail(request, duplicate_failure(verdict.result), now, out);
+  }
+  if (verdict.kind != claims::verdict_kind::finished || !verdict.answer) {
+    fail(request, duplicate_failure(verdict), now, out);
     return;
   }
   auto const number = request.incoming.number;
@@ -410,11 +261,6 @@
   m_requests.erase(number);
 }
 
-bool table::is_claim_valid(request const& request, base::monotonic_time now) const {
-  // After that the log may have expired the key and granted it to another holder.
-  return request.is_claim_granted && now < request.claimed_at + m_options.claim_validity;
-}
-
 void table::end_claim(request const& request, run_state state, effects& out) {
   if (state == run_state::not_run || request.phase == phase::claiming) {
     out.emplace_back(
@@ -427,67 +273,16 @@
       .request = request.id, .holder = *request.holder, .result = result, .answer = {}}});
 }
 
-std::optional<failure> table::admit(request& request, environment const& environment) {
-  auto const& incoming = request.incoming;
-  auto const* customer = environment.document.find_customer_by_key(incoming.customer_key);
-  if (customer == nullptr) {
-    return refusal(failure_kind::unknown_customer);
-  }
-  request.customer = customer->id;
-  request.request_class = incoming.request_class.value_or(customer->stewardship.request_class);
-  base::duration deadline = std::chrono::seconds(30);
-  if (auto const* known = environment.document.find_class(request.request_class)) {
-    request.priority = known->priority;
-    request.quality_target = known->quality_target;
-    deadline = known->deadline;
-  }
-  request.expires_at = request.arrived_at + incoming.deadline.value_or(deadline);
-  request.id =
-      incoming.idempotency_key
-          ? base::request_id{customer->id.value + "/" + *incoming.idempotency_key}
-          : base::request_id{m_options.self.value + "." + std::to_string(m_options.incarnation) +
-                             "." + std::to_string(++m_last_request)};
-  if (auto const* target = std::get_if<service_target>(&incoming.target)) {
-    auto const* service = environment.document.find_service(target->service);
-    request.is_idempotent = service != nullptr && service->is_idempotent;
-    if (!request.is_idempotent && incoming.idempotency_key) {
-      request.holder = claims::holder{.instance = m_options.self,
-                                      .incarnation = m_options.incarnation,
-                                      .number = incoming.number};
-    }
-    if (service == nullptr) {
-      return refusal(failure_kind::unknown_service);
-    }
-    auto const& allowed = customer->services;
-    if (std::ranges::find(allowed, target->service) == allowed.end()) {
-      return refusal(failure_kind::not_allowed);
-    }
-  }
-  auto const* completion = std::get_if<completion_target>(&incoming.target);
-  bool const has_session = incoming.session && !incoming.session->is_empty();
-  if (environment.pins != nullptr && completion != nullptr && has_session) {
-    request.session = sessions::session_key{
-        .customer = customer->id, .session = *incoming.session, .model = completion->model};
-  }
-  if (m_is_draining) {
-    return refusal(failure_kind::shutting_down, base::duration::zero());
-  }
-  if (environment.is_billing_full) {
-    return refusal(failure_kind::overloaded, news_interval);
-  }
-  return std::nullopt;
-}
-
 void table::start_attempt(request& request, environment const& environment,
                           base::monotonic_time now, effects& out) {
-  if (request.holder && !is_claim_valid(request, now)) {
+  if (request.holder && !request.is_claim_valid(m_options.claim_validity, now)) {
     fail(request, refusal(failure_kind::claims_unavailable, news_interval), now, out);
     return;
   }
   auto const endpoint = choose_endpoint(request, environment, now);
   if (!endpoint) {
     if (endpoint.error() == routing::choice_error::busy && environment.admission != nullptr) {
-      environment.admission->restore(admission_work(request));
+      environment.admission->restore(request.work());
       request.is_waiting = true;
       request.waiting_since = request.waiting_since.value_or(now);
       return;
@@ -506,13 +301,13 @@
     return;
   }
   if (is_queued(request, environment)) {
-    environment.admission->started(admission_work(request), now);
+    environment.admission->started(request.work(), now);
   }
   refresh_pin(request, environment, now, out);
   request.is_pin_decided = false;
   // A non-idempotent request runs at most once, and under a key only with its claim.
   CATKINLANDING_VERIFY(request.is_idempotent || !request.may_have_run);
-  CATKINLANDING_VERIFY(!request.holder || is_claim_valid(request, now));
+  CATKINLANDING_VERIFY(!request.holder || request.is_claim_valid(m_options.claim_validity, now));
   report_queueing_time(request, now, out);
   request.sent_at = now;
   ++request.attempts;
@@ -539,84 +334,6 @@
   out.emplace_back(std::move(effect));
 }
 
-tl::expected<base::endpoint_id, routing::choice_error>
-table::choose_endpoint(request& request, environment const& environment, base::monotonic_time now) {
-  routing::routing_context const routing_context{.document = environment.document,
-                                                 .has_lease = environment.has_lease,
-                                                 .without_lease = environment.without_lease,
-                                                 .directory = environment.directory};
-  if (auto const* target = std::get_if<service_target>(&request.incoming.target)) {
-    return environment.chooser.choose_service_endpoint(target->service, request.excluded,
-                                                       routing_context, now);
-  }
-  auto const pin = usable_pin(request, environment, now);
-  request.needs_pin = request.session && !pin;
-  auto bound_to = pin ? std::optional(pin->version) : std::nullopt;
-  if (request.held) {
-    bound_to = request.escalates_to;
-  }
-  routing::version_query const query{
-      .customer = environment.document.find_customer(request.customer),
-      .model = std::get<completion_target>(request.incoming.target).model,
-      .version = bound_to,
-      .quality_target = request.quality_target,
-      .excluded = request.excluded,
-      .request_class = request.request_class,
-      .session = request.incoming.session,
-      .binds_session = request.needs_pin,
-      .can_escalate = environment.has_rating_service && !request.incoming.is_stream &&
-                      !request.held && !request.session,
-  };
-  if (query.customer == nullptr) {
-    return tl::unexpected(routing::choice_error::not_allowed);
-  }
-  auto choice = environment.chooser.choose(query, routing_context, now);
-  if (!choice) {
-    return tl::unexpected(choice.error());
-  }
-  // Safety checks at the point of dispatch: a version gets no work once it is withdrawn or the
-  // lease has been gone for too long, and a customer only uses versions that it is allowed to use.
-  auto const* version = environment.document.find_version(choice->model, choice->version);
-  CATKINLANDING_VERIFY(
-      version != nullptr &&
-      routing::can_receive_work(*version, environment.has_lease, environment.without_lease));
-  CATKINLANDING_VERIFY(catalogue::is_allowed(*query.customer, choice->model, choice->version));
-  // A session stays on its version, also when an answer is poor.
-  CATKINLANDING_VERIFY(!pin || choice->version == pin->version);
-  CATKINLANDING_VERIFY(!request.session || choice->escalates_to.is_empty());
-  request.session_moved_from = pin ? pin->moved_from : base::version_id{};
-  request.model = choice->model;
-  request.version = choice->version;
-  if (!request.held) {
-    // Escalated answers must not be sampled for rating more often than accepted first answers.
-    request.wants_rating = choice->wants_rating;
-    request.escalates_to = choice->escalates_to;
-  }
-  return choice->endpoint;
-}
-
-std::optional<sessions::pin> table::usable_pin(request const& request,
-                                               environment const& environment,
-                                               base::monotonic_time now) {
-  if (!request.session) {
-    return std::nullopt;
-  }
-  auto const& session = *request.session;
-  auto const* known = environment.pins->find(session, now);
-  if (known == nullptr || !sessions::is_usable(session, known->pin.version, environment.document)) {
-    return std::nullopt;
-  }
-  // If the version was unusable for a while, the session may have moved in the meantime.
-  auto const narrowed =
-      environment.document.last_narrowed(session.customer, session.model, known->pin.version);
-  return known->revision >= narrowed ? std::optional(known->pin) : std::nullopt;
-}
-
-bool table::is_pin_unavailable(request const& request, environment const& environment,
-                               base::monotonic_time now) {
-  return request.session && !environment.can_pin && !usable_pin(request, environment, now);
-}
-
 void table::start_pinning(request& request, environment const& environment,
                           base::monotonic_time now, effects& out) {
   // If the log has answered and its pin is unusable here, this instance's catalogue is outdated.
@@ -727,7 +444,7 @@
     request->wants_rating = request->streamed.size() <= m_options.max_rated_answer_bytes;
   }
   reply_data piece{.number = request->incoming.number, .bytes = data.bytes};
-  bool const is_end = contains_stream_end(request->stream_tail, data.bytes);
+  bool const is_end = request->is_stream_end(data.bytes);
   if (is_end || !request->final_effects.empty()) {
     request->final_effects.emplace_back(std::move(piece));
     return;
@@ -748,7 +465,7 @@
          finished.usage.completion_tokens, environment, now);
   observe_duration(*request, environment, now);
   end_attempt(*request, environment);
-  request->lines.push_back(make_bill_line(*request, finished.usage, environment));
+  request->lines.push_back(request->bill_line(finished.usage, environment.document));
   if (environment.limiter != nullptr && !request->version.is_empty()) {
     environment.limiter->observe(request->request_class, finished.usage.completion_tokens);
   }
@@ -764,7 +481,7 @@
 
 void table::hold_for_evaluation(request& request, effects& out) {
   out.emplace_back(evaluate_answer{.number = request.incoming.number,
-                                   .subject = answer_to_rate(request, request.buffered),
+                                   .subject = request.answer_to_rate(request.buffered),
                                    .escalates_to = request.escalates_to});
   request.held = held_answer{.body = std::move(request.buffered),
                              .content_type = request.content_type,
@@ -847,14 +564,6 @@
   finalize(request, now, out);
 }
 
-routing::rated_answer table::answer_to_rate(request const& request, std::string answer) {
-  return {.model = request.model,
-          .version = request.version,
-          .request_class = request.request_class,
-          .request = request.incoming.body,
-          .answer = std::move(answer)};
-}
-
 void table::add_rating_request(request& request) const {
   constexpr std::uint32_t ok = 200;
   auto const& answer = request.incoming.is_stream ? request.streamed : request.buffered;
@@ -869,7 +578,7 @@
                           .version = was_evaluated ? request.evaluated_version : request.version,
                           .second = was_evaluated ? request.escalates_to : base::version_id{},
                           .request_class = request.request_class},
-                  .subject = answer_to_rate(request, answer)});
+                  .subject = request.answer_to_rate(answer)});
 }
 
 void table::finalize(request& request, base::monotonic_time now, effects& out) {
@@ -980,7 +689,7 @@
   bool const can_run_again = request.is_idempotent || !request.may_have_run;
   bool const is_attempt_allowed =
       request.attempts < m_options.max_attempts && now < request.expires_at;
-  bool const is_granted = !request.holder || is_claim_valid(request, now);
+  bool const is_granted = !request.holder || request.is_claim_valid(m_options.claim_validity, now);
   return can_run_again && is_attempt_allowed && is_granted && !request.is_answer_started;
 }
 
@@ -1016,32 +725,12 @@
   request.attempt = 0;
 }
 
-billing::bill_line table::make_bill_line(request const& request, token_usage const& usage,
-                                         environment const& environment) {
-  billing::bill_line line{.model = request.model,
-                          .version = request.version,
-                          .service = {},
-                          .prompt_tokens = usage.prompt_tokens,
-                          .completion_tokens = usage.completion_tokens,
-                          .price = 0};
-  if (auto const* target = std::get_if<service_target>(&request.incoming.target)) {
-    line.service = target->service;
-    if (auto const* service = environment.document.find_service(target->service)) {
-      line.price = service->price_per_call;
-    }
-  } else if (auto const* version =
-                 environment.document.find_version(request.model, request.version)) {
-    line.price = (usage.prompt_tokens + usage.completion_tokens) *
-                 version->price_per_thousand_tokens / tokens_per_price_unit;
-  }
-  return line;
-}
-
 void table::fail(request& request, failure const& failure, base::monotonic_time now, effects& out) {
   auto reported = failure;
   if (reported.run_state == run_state::not_run) {
     // Only the log knows whether the key was used before, and there is no valid grant from it.
-    bool const is_earlier_run_possible = request.holder && !is_claim_valid(request, now);
+    bool const is_earlier_run_possible =
+        request.holder && !request.is_claim_valid(m_options.claim_validity, now);
     if (request.may_have_run || is_earlier_run_possible) {
       reported.run_state = run_state::outcome_unknown;
     }
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -1,43 +1,15 @@
 #pragma once
 
-#include <libraries/limits/admission.h>
-#include <libraries/limits/rate_limiter.h>
-#include <libraries/requests/effect.h>
+#include <libraries/requests/active_request.h>
+#include <libraries/requests/environment.h>
+#include <libraries/requests/intake.h>
 #include <libraries/requests/retry_budget.h>
-#include <libraries/routing/policy.h>
-#include <libraries/sessions/pin_cache.h>
 
 #include <map>
-#include <set>
 #include <unordered_map>
 
 namespace catkinlanding::requests {
 
-/// The state of the instance that the table's decisions depend on.
-struct environment {
-  catalogue::document const& document;
-  /// Whether this instance holds a lease, under which its catalogue is known to be current.
-  bool has_lease = false;
-  /// Time since the lease expired.
-  base::duration without_lease{};
-  endpoints::directory& directory;
-  routing::policy& chooser;
-  /// Queues requests until an endpoint has capacity; if null, they are rejected instead.
-  limits::admission* admission = nullptr;
-  /// Enforces the rate limits of customers and classes; if null, there are none.
-  limits::rate_limiter* limiter = nullptr;
-  /// Whether the log that grants claims is believed to be reachable.
-  bool can_claim = false;
-  /// Whether a rating service is expected to evaluate answers in time.
-  bool has_rating_service = false;
-  /// The versions that sessions are pinned to; if null, sessions are not pinned.
-  sessions::pin_cache* pins = nullptr;
-  /// Whether the log that pins sessions is believed to be reachable.
-  bool can_pin = false;
-  /// Whether the outbox has no room for more bills.
-  bool is_billing_full = false;
-};
-
 /// Counters since the start of this instance.
 struct table_counters {
   /// Events of attempts that were cancelled or replaced before.
@@ -75,100 +47,22 @@
   };
 
   explicit table(options options)
-      : m_options(std::move(options)), m_retry_budget(m_options.retries) {}
+      : m_options(std::move(options)), m_intake(m_options.self, m_options.incarnation),
+        m_retry_budget(m_options.retries) {}
 
   void reduce(event const& event, environment const& environment, base::monotonic_time now,
               effects& out);
   void tick(environment const& environment, base::monotonic_time now, effects& out);
 
   /// Rejects new requests from now on; running ones continue.
-  void drain() { m_is_draining = true; }
+  void drain() { m_intake.drain(); }
 
   [[nodiscard]] std::size_t size() const { return m_requests.size(); }
   [[nodiscard]] table_counters const& counters() const { return m_counters; }
 
 private:
-  enum class phase : std::uint8_t {
-    /// Waits for its claim; nothing has been sent.
-    claiming,
-    /// Waits until its session is pinned to a version; no attempt is in flight.
-    pinning,
-    running,
-    /// The answer is complete, but its end is held until the bill and the claim's finish are
-    /// replicated.
-    finalizing,
-  };
-
-  struct held_answer {
-    std::string body;
-    std::string content_type;
-    std::uint32_t status = 200;
-    base::version_id version;
-  };
-
-  struct request {
-    caller_request incoming;
-    base::request_id id;
-    base::customer_id customer;
-    base::class_id request_class;
-    std::uint32_t priority = 0;
-    double quality_target = 0.0;
-    base::monotonic_time arrived_at{};
-    base::monotonic_time expires_at{};
-    std::optional<base::monotonic_time> first_byte;
-    bool is_idempotent = true;
-    /// Whether any part of an answer was sent to the caller.
-    bool is_answer_started = false;
-    int attempts = 0;
-    attempt_number attempt = 0;
-    base::endpoint_id endpoint;
-    base::model_id model;
-    base::version_id version;
-    std::set<base::endpoint_id> excluded;
-    std::string buffered;
-    std::string content_type;
-    std::uint32_t status = 200;
-    base::monotonic_time sent_at{};
-    /// Whether the request is in the admission queue.
-    bool is_waiting = false;
-    /// When the current wait for capacity began; reset once its duration is recorded.
-    std::optional<base::monotonic_time> waiting_since;
-    /// Whether the answer is sampled for the rating service.
-    bool wants_rating = false;
-    /// The streamed answer, collected for the rating service.
-    std::string streamed;
-    /// The version whose answer was evaluated, whether or not the answer was replaced.
-    base::version_id evaluated_version;
-    /// The version that the request is sent to next if the answer is rated poor.
-    base::version_id escalates_to;
-    /// A complete answer that is held back until it is evaluated or replaced by a better one.
-    std::optional<held_answer> held;
-    std::vector<billing::bill_line> lines;
-    /// What was charged to the rate limits.
-    std::optional<limits::charge> charged;
-    table::phase phase = table::phase::running;
-    /// Set if the request must be claimed before it is sent.
-    std::optional<claims::holder> holder;
-    base::monotonic_time claimed_at{};
-    bool is_claim_granted = false;
-    /// Set if the request belongs to a session that is pinned to a version.
-    std::optional<sessions::session_key> session;
-    base::monotonic_time pin_asked_at{};
-    /// Whether the log has to pin the session before the request is sent.
-    bool needs_pin = false;
-    /// Whether the log has answered since the last attempt.
-    bool is_pin_decided = false;
-    base::version_id session_moved_from;
-    /// Whether an endpoint may have executed a failed attempt.
-    bool may_have_run = false;
-    bool awaits_bill_replication = false;
-    bool awaits_claim_finish = false;
-    base::monotonic_time finalize_deadline{};
-    /// The effects that are held back until the request is finalized.
-    effects final_effects;
-    /// The last streamed bytes, to find an end marker that is split across pieces.
-    std::string stream_tail;
-  };
+  using request = active_request;
+  using phase = request_phase;
 
   void handle(caller_request const& incoming, environment const& environment,
               base::monotonic_time now, effects& out);
@@ -193,9 +87,6 @@
   void handle(bill_replicated const& replicated, environment const& environment,
               base::monotonic_time now, effects& out);
 
-  /// A copy of the answer for the rating service.
-  [[nodiscard]] static routing::rated_answer answer_to_rate(request const& request,
-                                                            std::string answer);
   /// Adds the rating request to the final effects, if the answer is sampled.
   void add_rating_request(request& request) const;
   /// Holds the answer back and asks the rating service to evaluate it.
@@ -210,46 +101,17 @@
   void record_tokens(request& request, std::uint64_t tokens);
   /// Applies to admission and rate limits what the event has ended.
   void close_event(environment const& environment, base::monotonic_time now);
-  /// Whether the request's attempts wait in the queue for their turn.
-  [[nodiscard]] static bool is_queued(request const& request, environment const& environment);
-  /// Whether the wait for an attempt, the first one or another, and its work exceed the time left.
-  [[nodiscard]] static std::optional<limits::admission::refusal>
-  refuse_to_queue(request const& request, environment const& environment, base::monotonic_time now);
   /// Starts an attempt, the first one or another, when it is the request's turn.
   void start_in_turn(request& request, environment const& environment, base::monotonic_time now,
                      effects& out);
   /// Starts queued requests as long as there is capacity for them.
   void start_queued(environment const& environment, base::monotonic_time now, effects& out);
-  /// Teaches admission how long the current attempt took, if its attempts wait in the queue.
-  static void observe_duration(request const& request, environment const& environment,
-                               base::monotonic_time now);
-  static void leave_queue(request& request, environment const& environment);
-  /// Whether the request waits for an endpoint, or its answer for a judgement that may lead to
-  /// another attempt, and no attempt would end in time any more.
-  [[nodiscard]] static bool waits_in_vain(request const& request, environment const& environment,
-                                          base::monotonic_time now);
   /// Ends the wait with the answer that is held back, or else with a refusal.
   void give_up_waiting(request& request, environment const& environment, base::monotonic_time now,
                        effects& out);
-  /// Ends the wait for capacity and records its duration, zero if the request did not wait.
-  static void report_queueing_time(request& request, base::monotonic_time now, effects& out);
-  /// Ends a wait that leads to no attempt; records nothing if the request did not wait.
-  static void end_wait(request& request, base::monotonic_time now, effects& out);
-  [[nodiscard]] static limits::admission::work admission_work(request const& request);
 
-  [[nodiscard]] std::optional<failure> admit(request& request, environment const& environment);
   void start_attempt(request& request, environment const& environment, base::monotonic_time now,
                      effects& out);
-  [[nodiscard]] tl::expected<base::endpoint_id, routing::choice_error>
-  choose_endpoint(request& request, environment const& environment, base::monotonic_time now);
-  /// The session's pin, unless it is unknown, or the catalogue does not allow its version now or
-  /// has disallowed it at any time since the log confirmed it.
-  [[nodiscard]] static std::optional<sessions::pin>
-  usable_pin(request const& request, environment const& environment, base::monotonic_time now);
-  /// Whether the request needs a pin from the log, and the log is unreachable.
-  [[nodiscard]] static bool is_pin_unavailable(request const& request,
-                                               environment const& environment,
-                                               base::monotonic_time now);
   /// Asks the log to pin the request's session to the chosen version.
   void start_pinning(request& request, environment const& environment, base::monotonic_time now,
                      effects& out);
@@ -261,8 +123,6 @@
   static void report(request const& request, routing::attempt_verdict verdict,
                      std::uint64_t completion_tokens, environment const& environment,
                      base::monotonic_time now);
-  [[nodiscard]] static billing::bill_line
-  make_bill_line(request const& request, token_usage const& usage, environment const& environment);
   void fail(request& request, failure const& failure, base::monotonic_time now, effects& out);
   void start_claim(request& request, environment const& environment, base::monotonic_time now,
                    effects& out);
@@ -270,8 +130,6 @@
                    effects& out);
   void answer_duplicate(request& request, claims::verdict const& verdict, base::monotonic_time now,
                         effects& out);
-  /// Whether the claim was granted so recently that the log can't have expired it.
-  [[nodiscard]] bool is_claim_valid(request const& request, base::monotonic_time now) const;
   /// Finishes or releases the claim of a request that gets no answer.
   static void end_claim(request const& request, run_state state, effects& out);
   void finalize(request& request, base::monotonic_time now, effects& out);
@@ -290,8 +148,7 @@
   std::map<request_number, request> m_requests;
   std::unordered_map<attempt_number, request_number> m_attempts;
   attempt_number m_last_attempt = 0;
-  std::uint64_t m_last_request = 0;
-  bool m_is_draining = false;
+  intake m_intake;
   std::multimap<base::request_id, request_number> m_finalizing;
   /// Requests that wait until their session is pinned.
   std::multimap<sessions::session_key, request_number> m_pinning;
