proxy: Hold a request at the start no longer than its route allows

What callers saw: while an instance started, a request waited for an endpoint past its route's timeout, if its caller had stated more time than that.

Cause: the wait looked at the caller's time only. Its last second, in which the caller can go elsewhere, was counted from there too.

Change: the time of a request is computed in one place, for the wait and for its deadline: the shorter of its caller's and its route's.

--- a/libraries/proxy/request_admission.cpp
+++ b/libraries/proxy/request_admission.cpp
@@ -24,9 +24,14 @@
                    .priority = customer->priority.value_or(route->priority)};
 }
 
+base::duration allowed_time(request_facts const& facts, route const* route,
+                            base::duration default_timeout) {
+  auto const caller_timeout = facts.caller_timeout.value_or(default_timeout);
+  return route == nullptr ? caller_timeout : std::min(caller_timeout, route->timeout);
+}
+
 active_request make_request(admitted_request made, base::monotonic_time now) {
   auto const* route = made.admitted.route;
-  auto const caller_timeout = made.facts.caller_timeout.value_or(made.default_timeout);
   active_request request;
   request.customer = made.admitted.customer;
   request.priority = made.admitted.priority;
@@ -34,7 +39,7 @@
   request.route = route;
   request.service = select_service(*route, made.facts.id);
   request.began_at = now - made.facts.waited;
-  request.deadline = request.began_at + std::min(caller_timeout, route->timeout);
+  request.deadline = request.began_at + allowed_time(made.facts, route, made.default_timeout);
   request.traits = traits_of(made.facts);
   request.facts = std::move(made.facts);
   return request;
--- a/libraries/proxy/request_admission.h
+++ b/libraries/proxy/request_admission.h
@@ -25,6 +25,11 @@
 [[nodiscard]] tl::expected<admission, refusal_kind> admit(route_table const& routes,
                                                           request_facts const& facts);
 
+/// How long a request may take from its arrival on: the shorter of its caller's time, or this
+/// default where it states none, and its route's. `route` is nullptr while unknown.
+[[nodiscard]] base::duration allowed_time(request_facts const& facts, route const* route,
+                                          base::duration default_timeout);
+
 /// What an admitted request is made of.
 struct admitted_request {
   admission admitted;
@@ -35,8 +40,7 @@
   base::duration default_timeout{};
 };
 
-/// The request as it begins. Its time is the shorter of its caller's and its route's, and runs
-/// since it arrived.
+/// The request as it begins. Its time runs since it arrived.
 [[nodiscard]] active_request make_request(admitted_request made, base::monotonic_time now);
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -38,8 +38,9 @@
   if (!m_started_at || !is_missing_state_for(facts)) {
     return std::nullopt;
   }
-  auto const caller_timeout = facts.caller_timeout.value_or(m_options.default_timeout);
-  return m_startup.wait_end(*m_started_at, caller_timeout - facts.waited, now);
+  auto const* route = m_routes->find(facts.host, facts.path);
+  auto const time_allowed = allowed_time(facts, route, m_options.default_timeout);
+  return m_startup.wait_end(*m_started_at, time_allowed - facts.waited, now);
 }
 
 bool router::is_missing_state_for(request_facts const& facts) const {
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -57,6 +57,21 @@
   EXPECT_EQ(m_router.wait_for_state(request, start + 600ms), std::nullopt);
 }
 
+// A request was held past its route's timeout, as only its caller's time was looked at.
+TEST_F(routers, hold_requests_no_longer_than_their_route_allows) {
+  std::ignore = m_router.tick(start);
+  receive_state({});
+  update received;
+  received.state = {.document_revision = 2, .registry_term = 1, .registry_revision = 1};
+  auto brief = make_route("/brief/", route_kind::idempotent, 2);
+  brief.timeout = 1500ms;
+  received.document = document{.revision = 2, .routes = {brief}};
+  ASSERT_TRUE(m_router.receive({"control"}, received, start).is_changed);
+  auto request = facts("/brief/x");
+  request.caller_timeout = 25s;
+  EXPECT_EQ(m_router.wait_for_state(request, start + 100ms), start + 600ms);
+}
+
 TEST_F(routers, count_time_spent_waiting_towards_the_deadline) {
   receive_state({"a"});
   auto waited = facts("/once/x");
