proxy: Weigh a prompt by the time that its model takes

What callers saw: a prompt counted ten times at the largest model of every route. Where that model takes three times as long, its endpoint was avoided for work long done; where it takes thirty times as long, others were queued behind it.

Cause: largest_model_weight, which follows from the models of two sites.

Change: a model's prompts weigh as many times as its answers on the route take to begin, against the smallest model's, as this instance has seen them; like the smallest's before any was seen. Models between the two count too.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -1,15 +1,15 @@
 #include <libraries/proxy/active_request.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkinlanding::proxy {
 
-namespace {
-
-/// How many times longer the largest model takes to process a prompt token than the smallest.
-constexpr std::uint64_t largest_model_weight = 10;
-
-} // namespace
+void active_request::choose_model() {
+  if (!model && !facts.model && !route->models.empty()) {
+    model = route->models.front();
+  }
+}
 
 attempt active_request::begin_attempt(known_endpoint const& chosen, base::monotonic_time now) {
   endpoint = chosen.announcement.id;
@@ -71,10 +71,13 @@
   return facts.attempts_before + tried.size() < route->max_attempts;
 }
 
+std::uint32_t active_request::slots() const {
+  auto const* known = routes->find(service);
+  return known == nullptr ? 0 : known->slots;
+}
+
 std::uint64_t active_request::work_of(std::uint64_t tokens) const {
-  auto const& models = route->models;
-  bool const is_largest = models.size() > 1 && model == models.back();
-  return is_largest ? tokens * largest_model_weight : tokens;
+  return static_cast<std::uint64_t>(std::llround(model_weight * static_cast<double>(tokens)));
 }
 
 std::uint64_t active_request::shared_prompt_tokens() const {
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -35,6 +35,8 @@
   /// The model chosen by the system, fixed at the first attempt because another model could not
   /// continue the same answer. Changes only when a low-confidence answer is escalated.
   std::optional<base::model_id> model;
+  /// How many times as long this model takes for a prompt as the smallest of the route.
+  double model_weight = 1.0;
   base::monotonic_time attempt_at{};
   /// When the attempt began or last received data.
   base::monotonic_time progress_at{};
@@ -59,15 +61,19 @@
 
   /// Records that events of the current attempt's stream arrived.
   void note_events(base::monotonic_time now);
+  /// Chooses the smallest model of the route, unless the caller named one or one was chosen before.
+  void choose_model();
   /// Begins an attempt at the endpoint, and describes it without what is known of the registry.
   [[nodiscard]] attempt begin_attempt(known_endpoint const& chosen, base::monotonic_time now);
   /// Passes the request on to another entry instance.
   [[nodiscard]] relay begin_relay(base::instance_id const& peer);
   /// Whether it was sent to the endpoint, or could not be.
   [[nodiscard]] bool has_been_sent_to(base::endpoint_id const& id) const;
+  /// Number of requests that an endpoint of the service runs concurrently; 0 if unknown.
+  [[nodiscard]] std::uint32_t slots() const;
   /// Whether its route allows another endpoint.
   [[nodiscard]] bool has_attempts_left() const;
-  /// The work of processing this many prompt tokens, weighted by the size of the request's model.
+  /// The work of processing this many prompt tokens, weighted by the request's model.
   [[nodiscard]] std::uint64_t work_of(std::uint64_t tokens) const;
   /// The tokens of the prompt without the part that belongs to the request alone.
   [[nodiscard]] std::uint64_t shared_prompt_tokens() const;
--- a/libraries/proxy/answer_times.cpp
+++ b/libraries/proxy/answer_times.cpp
@@ -45,6 +45,19 @@
   return find(largest);
 }
 
+double answer_times::relative_work(active_request const& request) const {
+  auto const& models = request.route->models;
+  auto smallest = key_of(request);
+  smallest.model = models.empty() ? base::model_id{} : models.front();
+  auto const own_time = of(request).first.usual();
+  auto const smallest_time = find(smallest).first.usual();
+  if (!own_time || !smallest_time || *smallest_time <= base::duration::zero()) {
+    return 1.0;
+  }
+  using seconds = std::chrono::duration<double>;
+  return std::max(1.0, seconds(*own_time) / seconds(*smallest_time));
+}
+
 void answer_times::keep_only(route_table const& routes) {
   auto const& kept = routes.document().routes;
   std::erase_if(m_records, [&](auto const& item) {
--- a/libraries/proxy/answer_times.h
+++ b/libraries/proxy/answer_times.h
@@ -34,6 +34,9 @@
   [[nodiscard]] record const& of(active_request const& request) const;
   /// The same with the largest model of its route.
   [[nodiscard]] record const& of_largest_model(active_request const& request) const;
+  /// How many times as long as with the smallest model of its route an answer to the request takes
+  /// to begin, most of which is spent on the prompt. 1 while that is unknown.
+  [[nodiscard]] double relative_work(active_request const& request) const;
   /// Forgets the routes that the table does not have.
   void keep_only(route_table const& routes);
 
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -37,6 +37,10 @@
   [[nodiscard]] bool has_time(active_request const& request, base::monotonic_time now) const;
   /// What an answer to such a request usually takes; zero if unknown.
   [[nodiscard]] base::duration usual_time(active_request const& request) const;
+  /// How many times as long the request's model takes for a prompt as the smallest of its route.
+  [[nodiscard]] double relative_work(active_request const& request) const {
+    return m_times.relative_work(request);
+  }
   /// When the current attempt is considered stalled; nothing if no other attempt could follow it,
   /// or while too little is known. `endpoint` is nullptr if it is not known any more.
   [[nodiscard]] std::optional<base::monotonic_time>
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -18,8 +18,7 @@
                                      base::monotonic_time now) {
   auto const work = times.of_largest_model(request).whole.usual();
   bool const has_time = now + work.value_or(base::duration::zero()) <= request.deadline;
-  auto const* service = request.routes->find(request.service);
-  auto const slots = service == nullptr ? 0 : service->slots;
+  auto const slots = request.slots();
   return has_time && std::ranges::any_of(endpoints, [&](known_endpoint const* one) {
            return !request.has_been_sent_to(one->announcement.id) && one->is_idle(slots);
          });
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -383,15 +383,12 @@
   auto const filter = make_filter(now);
   auto const eligible = filter.eligible(endpoints, request.service, request.facts);
   auto const sendable = filter.sendable(eligible, endpoints, request.service, request.facts);
-  auto const& models = request.route->models;
-  if (!request.model && !request.facts.model && !models.empty()) {
-    request.model = models.front();
-  }
-  auto const* service = request.routes->find(request.service);
+  request.choose_model();
+  request.model_weight = m_attempts.relative_work(request);
   choice_criteria const criteria{.own_zone = m_options.zone,
                                  .affinity = affinity_of(request.facts.prompt),
                                  .shared_work = request.work_of(request.shared_prompt_tokens()),
-                                 .slots = service == nullptr ? 0 : service->slots,
+                                 .slots = request.slots(),
                                  .salt = m_random()};
   auto const* chosen = choose_endpoint(sendable, criteria, now);
   if (chosen == nullptr) {
--- a/tests/libraries/proxy/escalations_property.cpp
+++ b/tests/libraries/proxy/escalations_property.cpp
@@ -51,6 +51,19 @@
     return !m_router.note_answer(request, doubtful, start);
   }
 
+  /// The prompt work that this instance reports to the others.
+  std::uint64_t reported_pending_work() {
+    std::uint64_t work = 0;
+    for (auto const& sent : m_router.tick(start + 1s)) {
+      if (auto const* report = std::get_if<subscription>(&sent.message)) {
+        for (auto const& load : report->loads) {
+          work += load.pending_work;
+        }
+      }
+    }
+    return work;
+  }
+
   /// Shows that whole answers of the largest model take so long.
   void answer_with_largest_model(base::duration took) {
     constexpr request_number other = 1000;
@@ -90,4 +103,26 @@
   RC_ASSERT(!is_escalated(number, 1h));
 }
 
+/// Guards against prompts that are queued behind one that takes longer than it counts for, and
+/// against endpoints that are avoided for work that they have long done.
+RC_GTEST_FIXTURE_PROP(escalations, count_for_the_time_that_the_largest_model_takes, ()) {
+  auto const small_time = std::chrono::milliseconds(*rc::gen::inRange(1, 1000));
+  auto const ratio = *rc::gen::inRange<std::uint64_t>(1, 50);
+  auto const escalate = [&](request_number request) {
+    RC_ASSERT(is_attempt(m_router.begin(request, draft(1h), start)));
+    auto const answered_at = start + small_time;
+    RC_ASSERT(!m_router.note_answer(request, doubtful, answered_at));
+    auto const next = m_router.fail(request, attempt_failure::low_confidence, false, answered_at);
+    RC_ASSERT(is_attempt(next));
+  };
+  constexpr request_number first = 1;
+  escalate(first);
+  auto const first_ends_at = start + small_time * (1 + ratio);
+  RC_ASSERT(m_router.note_answer(first, doubtful, first_ends_at));
+  m_router.end(first, first_ends_at);
+  escalate(first + 1);
+  auto const expected = draft(1h).prompt_tokens * ratio;
+  RC_ASSERT(reported_pending_work() == expected);
+}
+
 } // namespace catkinlanding::proxy
