--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 #include <libraries/base/overloaded.h>
 #include <libraries/base/try.h>
 #include <libraries/base/verify.h>
+#include <services/daemon/clock.h>
 #include <services/daemon/daemon.h>
 
 #include <boost/asio/post.hpp>
@@ -21,10 +22,6 @@
 /// Queued replies have this long to be written before the shutdown checks for requests in flight.
 constexpr std::chrono::milliseconds reply_flush_interval{200};
 
-base::monotonic_time now() {
-  return std::chrono::time_point_cast<base::duration>(std::chrono::steady_clock::now());
-}
-
 std::uint64_t random_number() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
--- a/services/proxy/clock.h
+++ b/services/proxy/clock.h
@@ -1,16 +1,13 @@
 #pragma once
 
-#include <libraries/base/time.h>
+#include <services/daemon/clock.h>
 
+#include <cstdint>
 #include <random>
 
 namespace catkinlanding::proxy {
 
-/// The current time. Only this process layer reads the clock; the code under libraries/ gets the
-/// time as an argument.
-[[nodiscard]] inline base::monotonic_time now() {
-  return std::chrono::time_point_cast<base::duration>(std::chrono::steady_clock::now());
-}
+using daemon::now;
 
 /// A random number from the system, for generator seeds and incarnation numbers.
 [[nodiscard]] inline std::uint64_t random_number() {
