daemon: Give a request its whole time after an idle connection

What callers saw: a caller that kept a connection, and sent its next request on it without delay, was cut off without an answer when the connection had been idle for most of read_timeout: its body had only what was left.

Cause: one timeout ran over the idle time, the header and the body. The setting promises the idle time and, apart from it, the time from a request's first byte to its last.

Change: the timeout begins again with the first byte.

Test: bad_input_process, one new case (3 s idle of 4, body 2 s after the header): no answer on the code before.

--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -228,6 +228,10 @@
       parser.body_limit(self->m_options.max_body_size);
       parser.header_limit(self->m_options.max_header_size);
       stream.expires_after(self->m_options.read_timeout);
+      if (!co_await wait_for_request(*connection)) {
+        break;
+      }
+      stream.expires_after(self->m_options.read_timeout);
       auto const [head_error, head_size] =
           co_await http::async_read_header(stream, connection->buffer, parser, completion);
       scoped_count const busy(self->m_busy_connections);
@@ -242,6 +246,19 @@
     stream.socket().shutdown(tcp_socket::shutdown_both, ignored);
   }
 
+  /// Waits for the first bytes of the next request. Returns false if the connection ended.
+  static awaitable<bool> wait_for_request(connection& connection) {
+    constexpr std::size_t first_read_bytes = 4096;
+    auto& buffer = connection.buffer;
+    if (buffer.size() > 0) {
+      co_return true;
+    }
+    auto const [error, size] =
+        co_await connection.stream.async_read_some(buffer.prepare(first_read_bytes), completion);
+    buffer.commit(size);
+    co_return !error;
+  }
+
   static awaitable<beast::error_code> read_body(connection& connection,
                                                 http::request_parser<http::string_body>& parser) {
     auto& stream = connection.stream;
--- a/tests/services/daemon/bad_input_process.cpp
+++ b/tests/services/daemon/bad_input_process.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <random>
+#include <thread>
 
 namespace catkinlanding::testing {
 
@@ -213,6 +214,25 @@
   }));
 }
 
+// The time for which a kept connection had been idle was taken off the time for its next request,
+// and a caller that sent without delay was cut off without an answer.
+TEST(slow_callers, have_the_whole_time_for_a_request_after_an_idle_connection) {
+  constexpr std::chrono::seconds read_timeout{4};
+  deployment deployment(
+      {{.id = "a1", .zone = "a", .is_control = true, .read_timeout = read_timeout}});
+  deployment.start_all_instances();
+  deployment.found();
+  auto const applied = deployment.apply("a1", catalogue_builder().add_service("orders").text());
+  ASSERT_EQ(applied.exit_code, 0) << applied.output;
+  raw_connection const caller(deployment.caller_port("a1"));
+  std::this_thread::sleep_for(read_timeout * 3 / 4);
+  ASSERT_TRUE(caller.send("POST /services/orders/1 HTTP/1.1\r\nAuthorization: Bearer guild-key\r\n"
+                          "Content-Length: 4\r\n\r\n"));
+  std::this_thread::sleep_for(read_timeout / 2);
+  ASSERT_TRUE(caller.send("felt"));
+  EXPECT_EQ(caller.read_until("\r\n", response_timeout).substr(0, 9), "HTTP/1.1 ");
+}
+
 } // namespace
 
 } // namespace catkinlanding::testing
