daemon: Count the time in which a body comes as its caller's time

What callers saw: a request's deadline ran from the end of its body: a caller with 10 s whose body took 8 s waited up to 18 s, and work was begun that it no longer waited for. A body was read for read_timeout although its caller had stated less.

Change: the time runs from the end of the header. The body may come for as long as the caller states, and read_timeout at most, which is the operator's bound. A request whose time is over by then is refused as not run, calls of services too.

Test: waiting_requests_test, two new cases, both fail on the code before.

--- a/libraries/requests/event.h
+++ b/libraries/requests/event.h
@@ -44,6 +44,8 @@
   std::optional<base::session_id> session;
   std::optional<base::class_id> request_class;
   std::optional<base::duration> deadline;
+  /// For how long the body came after the header. The caller has been waiting since then.
+  base::duration waited{};
   base::wall_time received_at{};
 };
 
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -88,11 +88,15 @@
   CATKINLANDING_VERIFY(is_new);
   auto& request = it->second;
   request.incoming = incoming;
-  request.arrived_at = now;
+  request.arrived_at = now - incoming.waited;
   if (auto const refused = m_intake.admit(request, environment)) {
     fail(request, *refused, now, out);
     return;
   }
+  if (now >= request.expires_at) {
+    fail(request, refusal(failure_kind::deadline_passed), now, out);
+    return;
+  }
   if (auto const retry_after = charge_limits(request, environment, now)) {
     fail(request, refusal(failure_kind::limit_reached, retry_after), now, out);
     return;
--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -1,6 +1,7 @@
 #include <libraries/base/try.h>
 #include <services/daemon/caller_protocol.h>
 #include <services/daemon/caller_server.h>
+#include <services/daemon/clock.h>
 #include <services/daemon/coroutine.h>
 #include <services/daemon/scoped_count.h>
 
@@ -33,6 +34,13 @@
 using caller_reply = std::variant<requests::reply_head, requests::reply_data, requests::reply_end,
                                   requests::reply_failure>;
 
+/// A caller's request as it was read.
+struct incoming_request {
+  caller_message message;
+  /// When its header was complete. The time of its caller runs from then on.
+  base::monotonic_time arrived_at{};
+};
+
 /// A caller's connection. Shared by its coroutine and by the handler that waits for a disconnect.
 struct connection {
   explicit connection(tcp_socket socket) : stream(std::move(socket)) {}
@@ -231,16 +239,24 @@
       if (!co_await wait_for_request(*connection)) {
         break;
       }
-      stream.expires_after(self->m_options.read_timeout);
+      auto const timeout_at = now() + self->m_options.read_timeout;
+      stream.expires_at(timeout_at);
       auto const [head_error, head_size] =
           co_await http::async_read_header(stream, connection->buffer, parser, completion);
       scoped_count const busy(self->m_busy_connections);
+      auto const arrived_at = now();
+      if (!head_error) {
+        // Nobody waits for the rest of a body beyond the deadline that its caller states.
+        auto const deadline = read_deadline(parser.get()).value_or(std::nullopt);
+        stream.expires_at(deadline ? std::min(timeout_at, arrived_at + *deadline) : timeout_at);
+      }
       auto const error = head_error ? head_error : co_await read_body(*connection, parser);
       if (error) {
         co_await self->send_parse_error(stream, error);
         break;
       }
-      keeps_alive = co_await self->handle_request(connection, parser.release());
+      incoming_request request{.message = parser.release(), .arrived_at = arrived_at};
+      keeps_alive = co_await self->handle_request(connection, std::move(request));
     }
     beast::error_code ignored;
     stream.socket().shutdown(tcp_socket::shutdown_both, ignored);
@@ -340,14 +356,15 @@
     }
   }
 
-  awaitable<bool> handle_request(std::shared_ptr<connection> connection, caller_message message) {
+  awaitable<bool> handle_request(std::shared_ptr<connection> connection, incoming_request request) {
     auto& stream = connection->stream;
+    auto& message = request.message;
     std::string_view const target = message.target();
     if (target == "/v1/chat/completions" && message.method() == http::verb::post) {
-      co_return co_await handle_completion(connection, std::move(message));
+      co_return co_await handle_completion(connection, std::move(request));
     }
     if (target.starts_with(services_prefix)) {
-      co_return co_await handle_service_call(connection, std::move(message));
+      co_return co_await handle_service_call(connection, std::move(request));
     }
     if (target == "/endpoints/announce" && message.method() == http::verb::post) {
       co_return co_await handle_announcement(stream, std::move(message));
@@ -367,7 +384,8 @@
   }
 
   awaitable<bool> handle_completion(std::shared_ptr<connection> connection,
-                                    caller_message message) {
+                                    incoming_request request) {
+    auto const& message = request.message;
     auto const fields = parse_completion(message.body());
     if (!fields) {
       co_return co_await send_response(connection->stream, message, http::status::bad_request,
@@ -376,11 +394,12 @@
     // Must be a named variable: the compiler destroys a braced temporary twice if it is part of a
     // co_await expression.
     requests::request_target target = requests::completion_target{fields->model};
-    co_return co_await submit(connection, message, std::move(target), fields->is_stream);
+    co_return co_await submit(connection, request, std::move(target), fields->is_stream);
   }
 
   awaitable<bool> handle_service_call(std::shared_ptr<connection> connection,
-                                      caller_message message) {
+                                      incoming_request request) {
+    auto const& message = request.message;
     auto const rest = std::string_view(message.target()).substr(services_prefix.size());
     auto const slash = std::min(rest.find('/'), rest.size());
     requests::service_target called{.service = {std::string(rest.substr(0, slash))},
@@ -390,7 +409,7 @@
       called.path = "/";
     }
     requests::request_target target = std::move(called);
-    co_return co_await submit(connection, message, std::move(target), false);
+    co_return co_await submit(connection, request, std::move(target), false);
   }
 
   awaitable<bool> handle_announcement(tcp_stream& stream, caller_message message) {
@@ -405,8 +424,9 @@
                                      R"({"announce_again_ms":1000})");
   }
 
-  awaitable<bool> submit(std::shared_ptr<connection> connection, caller_message& message,
+  awaitable<bool> submit(std::shared_ptr<connection> connection, incoming_request& incoming,
                          requests::request_target target, bool is_stream) {
+    auto& message = incoming.message;
     auto request = read_headers(message);
     if (!request) {
       co_return co_await send_response(connection->stream, message, http::status::bad_request,
@@ -416,6 +436,7 @@
     request->number = number;
     request->target = std::move(target);
     request->is_stream = is_stream;
+    request->waited = now() - incoming.arrived_at;
     request->received_at =
         std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     request->body = std::make_shared<std::string const>(std::move(message.body()));
--- a/services/daemon/caller_server.h
+++ b/services/daemon/caller_server.h
@@ -33,7 +33,7 @@
     /// is aborted.
     std::size_t max_queued_bytes = 1024 * 1024;
     /// Limits the idle time between two requests, and the time from a request's first byte to its
-    /// last.
+    /// last. The body of a caller that states a deadline may not come later than that either.
     base::duration read_timeout = std::chrono::seconds(15);
     /// Limits each write of a part of an answer.
     base::duration write_timeout = std::chrono::seconds(30);
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -89,7 +89,8 @@
   }
 
   void send(request_number number, std::optional<base::duration> deadline = std::nullopt,
-            std::optional<base::class_id> request_class = std::nullopt) {
+            std::optional<base::class_id> request_class = std::nullopt,
+            base::duration waited = {}) {
     caller_request request;
     request.number = number;
     request.customer_key = "guild-key";
@@ -97,6 +98,7 @@
     request.body = std::make_shared<std::string const>();
     request.deadline = deadline;
     request.request_class = std::move(request_class);
+    request.waited = waited;
     reduce(request);
   }
 
@@ -280,6 +282,27 @@
   EXPECT_FALSE(all<reply_failure>().front().failure.retry_after.has_value());
 }
 
+// The time in which a body came did not count, and a caller waited as much longer.
+TEST_F(waiting_requests, have_less_time_after_a_slow_body) {
+  m_policy.free_slots = 1;
+  send(3, class_deadline, std::nullopt, class_deadline - work);
+  pass(work);
+  ASSERT_EQ(all<reply_failure>().size(), 1U);
+  EXPECT_EQ(all<reply_failure>().front().failure.kind, failure_kind::deadline_passed);
+  send(4, class_deadline, std::nullopt, class_deadline - work + 1ms);
+  EXPECT_EQ(all<reply_failure>().size(), 2U);
+}
+
+// A call was sent to its service though its caller's time had passed while the body came.
+TEST_F(waiting_requests, are_not_sent_after_a_body_that_took_all_their_time) {
+  m_target = service_target{.service = {"stock"}, .method = "GET", .path = "/"};
+  auto const attempts = m_attempts.size();
+  send(3, class_deadline, std::nullopt, class_deadline);
+  EXPECT_EQ(m_attempts.size(), attempts);
+  ASSERT_EQ(all<reply_failure>().size(), 1U);
+  EXPECT_EQ(all<reply_failure>().front().failure.run_state, run_state::not_run);
+}
+
 // The work of a class whose attempts all ran out of time was known from those that had not.
 TEST_F(waiting_requests, are_refused_when_attempts_with_more_time_ran_out_of_it) {
   constexpr request_number attempts = 40;
