--- a/libraries/proxy/rollout_observer.cpp
+++ b/libraries/proxy/rollout_observer.cpp
@@ -10,7 +10,6 @@
 
 /// Returns the rollout that the current attempt is evidence for; nullptr if there is none.
 rollout const* counted_rollout(active_request const& request, version_policy const& versions) {
-  // Some requests fail wherever they run, so further attempts are no independent evidence.
   return request.tried.size() == 1 ? versions.evaluated_rollout(request.service) : nullptr;
 }
 
--- a/libraries/proxy/rollout_observer.h
+++ b/libraries/proxy/rollout_observer.h
@@ -8,7 +8,9 @@
 
 namespace catkinlanding::proxy {
 
-/// Decides which attempts are evidence for a rollout of their service, and counts them.
+/// Decides which attempts are evidence for a rollout of their service, and counts them. This judges
+/// a version and decides nothing about a request. Only first attempts count: some requests fail
+/// wherever they run, so their further attempts are no independent evidence.
 class rollout_observer {
 public:
   /// Drops the tallies of rollouts that are no longer evaluated.
@@ -19,7 +21,8 @@
   void note_failure(active_request const& request, version_policy const& versions);
   void note_event_interval(active_request const& request, version_policy const& versions,
                            base::duration interval);
-  /// Counts an attempt that its caller gave up waiting for as a late answer.
+  /// Counts an attempt that its caller gave up waiting for as a late answer, if it took longer than
+  /// the operator wants answers of its route to take. Callers may leave sooner for other reasons.
   void note_unanswered(active_request const& request, version_policy const& versions,
                        base::monotonic_time now);
 
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -31,9 +31,10 @@
     /// Increases with each start of this instance, so that request ids never repeat.
     std::uint64_t incarnation = 0;
     int max_attempts = 3;
-    /// A request whose claim is not decided within this time fails.
+    /// A request whose claim is not decided within this time fails, and one whose session is not
+    /// pinned. An election of the log's leader is over by then; if the log is away for longer,
+    /// another instance may reach it.
     base::duration claim_timeout = std::chrono::seconds(2);
-    /// A request whose session is not pinned within this time fails.
     base::duration pin_timeout = std::chrono::seconds(2);
     /// Far below the time after which the log expires a claim, so that an instance that was
     /// suspended for longer does not act on an expired grant.
