proxy: Take no attempt that ran out of time for the fastest answer

What callers saw: one attempt that ran out of time, at an endpoint that fell silent, closed its route at that instance: if no answer of the route had come before, all later callers with as much time were refused as expired, for good, as nothing was sent that could have shown a faster answer.

Change: it tells only that an answer takes longer than that.

Test: router_test, one new case, fails on the code before (refused as expired).

--- a/libraries/proxy/answer_times.cpp
+++ b/libraries/proxy/answer_times.cpp
@@ -30,7 +30,7 @@
   note_stalled(request);
   if (!request.has_delivered) {
     // The answer would have taken at least that long.
-    m_records[key_of(request)].whole.add(now - request.attempt_at);
+    m_records[key_of(request)].whole.add_unfinished(now - request.attempt_at);
   }
 }
 
--- a/libraries/proxy/time_estimate.cpp
+++ b/libraries/proxy/time_estimate.cpp
@@ -19,6 +19,15 @@
 void time_estimate::add(base::duration sample) {
   m_doublings = 0;
   m_shortest = std::min(m_shortest.value_or(sample), sample);
+  smooth(sample);
+}
+
+void time_estimate::add_unfinished(base::duration sample) {
+  m_doublings = 0;
+  smooth(sample);
+}
+
+void time_estimate::smooth(base::duration sample) {
   if (!m_mean) {
     m_mean = sample;
     m_deviation = sample / 2;
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -195,6 +195,16 @@
             refusal_kind::expired_unsent);
 }
 
+// One attempt that ran out of time was taken for the fastest answer of its route, and all callers
+// with as much time were refused from then on.
+TEST_F(routers, try_again_with_as_much_time_as_an_attempt_ran_out_of) {
+  receive_state({"a"});
+  ASSERT_TRUE(is_attempt(begin("/once/x")));
+  EXPECT_EQ(refusal_of(fail(attempt_failure::expired, false, 1s)), refusal_kind::expired);
+  m_router.end(number, start + 1s);
+  EXPECT_TRUE(is_attempt(m_router.begin(number, facts("/once/x"), start + 1s)));
+}
+
 TEST_F(routers, use_the_shorter_of_caller_and_route_timeout) {
   receive_state({"a"});
   auto const made = begin("/once/x");
