proxy: Hold no request back by answers of long ago

What callers saw: where the answers of a route had once been slow, callers with less time were refused for as long as no caller with more time came along; and once answers of the largest model did not fit, it was never asked again, as nothing else shows how long it takes.

Cause: what was learned of a route's answers never grew old.

Change: it holds back no request once the latest sample is older than the route's timeout: whatever ran then is over.

Test: time_left_property and escalations_property, one new property each, both fail in the first case on the code before.

--- a/libraries/proxy/answer_times.cpp
+++ b/libraries/proxy/answer_times.cpp
@@ -5,7 +5,7 @@
 namespace catkinlanding::proxy {
 
 void answer_times::note_answer(active_request const& request, base::monotonic_time now) {
-  m_records[key_of(request)].first.add(now - request.attempt_at);
+  update(request, now).first.add(now - request.attempt_at);
 }
 
 void answer_times::note_completed(active_request const& request, base::monotonic_time now) {
@@ -13,7 +13,7 @@
     // Not answered by an endpoint, or only the rest of the answer came with this attempt.
     return;
   }
-  auto& record = m_records[key_of(request)];
+  auto& record = update(request, now);
   record.whole.add(now - request.attempt_at);
   if (request.route->is_stream()) {
     record.pause.add(request.longest_pause);
@@ -30,7 +30,7 @@
   note_stalled(request);
   if (!request.has_delivered) {
     // The answer would have taken at least that long.
-    m_records[key_of(request)].whole.add_unfinished(now - request.attempt_at);
+    update(request, now).whole.add_unfinished(now - request.attempt_at);
   }
 }
 
@@ -71,6 +71,13 @@
           .model = request.model.value_or(base::model_id{})};
 }
 
+answer_times::record& answer_times::update(active_request const& request,
+                                           base::monotonic_time now) {
+  auto& record = m_records[key_of(request)];
+  record.updated_at = now;
+  return record;
+}
+
 answer_times::record const& answer_times::find(key const& key) const {
   static record const unknown;
   auto const found = m_records.find(key);
--- a/libraries/proxy/answer_times.h
+++ b/libraries/proxy/answer_times.h
@@ -19,6 +19,13 @@
     time_estimate whole;
     /// The longest pause between two events of a stream.
     time_estimate pause;
+    base::monotonic_time updated_at{};
+
+    /// Whether requests may still run that began before the latest sample, by the time that their
+    /// route allows. Older times hold back no request, as nothing else would show newer ones.
+    [[nodiscard]] bool is_current(route const& route, base::monotonic_time now) const {
+      return now <= updated_at + route.timeout;
+    }
   };
 
   /// Records that the current attempt's answer began.
@@ -50,6 +57,8 @@
   };
 
   [[nodiscard]] static key key_of(active_request const& request);
+  /// The record of requests like this one, which gets a sample now.
+  [[nodiscard]] record& update(active_request const& request, base::monotonic_time now);
   [[nodiscard]] record const& find(key const& key) const;
 
   std::map<key, record> m_records;
--- a/libraries/proxy/attempt_monitor.cpp
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -26,8 +26,9 @@
 bool attempt_monitor::has_time(active_request const& request, base::monotonic_time now) const {
   auto const& known = m_times.of(request);
   // Of an answer that was delivered in part only the rest is left.
-  auto const& work = request.has_delivered ? known.first : known.whole;
-  return now + work.shortest().value_or(base::duration::zero()) < request.deadline;
+  auto const shortest = (request.has_delivered ? known.first : known.whole).shortest();
+  bool const is_known = shortest && known.is_current(*request.route, now);
+  return now + (is_known ? *shortest : base::duration::zero()) < request.deadline;
 }
 
 base::duration attempt_monitor::usual_time(active_request const& request) const {
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -33,7 +33,7 @@
                     base::monotonic_time now);
 
   /// Whether an attempt that begins now may end in its caller's time. False only if no answer of
-  /// the route has come so fast.
+  /// the route has come so fast, and one has come lately.
   [[nodiscard]] bool has_time(active_request const& request, base::monotonic_time now) const;
   /// What an answer to such a request usually takes; zero if unknown.
   [[nodiscard]] base::duration usual_time(active_request const& request) const;
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -16,8 +16,10 @@
 bool escalation_policy::can_escalate(active_request const& request, answer_times const& times,
                                      std::vector<known_endpoint const*> const& endpoints,
                                      base::monotonic_time now) {
-  auto const work = times.of_largest_model(request).whole.usual();
-  bool const has_time = now + work.value_or(base::duration::zero()) <= request.deadline;
+  auto const& known = times.of_largest_model(request);
+  auto const work = known.whole.usual();
+  bool const has_time =
+      !work || !known.is_current(*request.route, now) || now + *work <= request.deadline;
   auto const slots = request.slots();
   return has_time && std::ranges::any_of(endpoints, [&](known_endpoint const* one) {
            return !request.has_been_sent_to(one->announcement.id) && one->is_idle(slots);
--- a/libraries/proxy/escalation_policy.h
+++ b/libraries/proxy/escalation_policy.h
@@ -22,7 +22,8 @@
   /// Whether a better answer than the current one is wanted, and can take its place.
   [[nodiscard]] bool is_doubtful(active_request const& request,
                                  std::optional<double> confidence) const;
-  /// Whether the largest model's whole answer fits the time left, and one of the endpoints is idle.
+  /// Whether the largest model's whole answer fits the time left, as far as that is known lately,
+  /// and one of the endpoints is idle.
   [[nodiscard]] static bool can_escalate(active_request const& request, answer_times const& times,
                                          std::vector<known_endpoint const*> const& endpoints,
                                          base::monotonic_time now);
--- a/tests/libraries/proxy/escalations_property.cpp
+++ b/tests/libraries/proxy/escalations_property.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr double doubtful = 0.3;
+constexpr std::chrono::hours drafts_timeout{2};
 
 /// A router whose route has a small and a large model.
 class escalations : public routers {
@@ -20,7 +21,7 @@
     received.document->revision = 1;
     received.document->services = {{.id = {"s"}, .slots = 8}};
     auto drafts = make_route("/drafts/", route_kind::resumable_stream, 3);
-    drafts.timeout = 2h;
+    drafts.timeout = drafts_timeout;
     drafts.target_latency = 3s;
     drafts.models = {{"small"}, {"large"}};
     received.document->routes = {drafts};
@@ -103,6 +104,17 @@
   RC_ASSERT(!is_escalated(number, 1h));
 }
 
+/// Guards against an instance that never asks the largest model again after a time in which its
+/// answers did not fit: nothing else shows how long they take now.
+RC_GTEST_FIXTURE_PROP(escalations, are_decided_by_recent_answers_only, ()) {
+  auto const work = std::chrono::milliseconds(*rc::gen::inRange(1, 20'000));
+  auto const left = std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(1, work.count() + 1));
+  answer_with_largest_model(work + 1ms);
+  auto const later = start + work + 1ms + drafts_timeout + 1ms;
+  RC_ASSERT(is_attempt(m_router.begin(1, draft(left), later)));
+  RC_ASSERT(!m_router.note_answer(1, doubtful, later));
+}
+
 /// Guards against prompts that are queued behind one that takes longer than it counts for, and
 /// against endpoints that are avoided for work that they have long done.
 RC_GTEST_FIXTURE_PROP(escalations, count_for_the_time_that_the_largest_model_takes, ()) {
--- a/tests/libraries/proxy/time_left_property.cpp
+++ b/tests/libraries/proxy/time_left_property.cpp
@@ -12,12 +12,15 @@
 
 class time_left : public routers {
 protected:
+  static constexpr std::chrono::milliseconds longest_answer{2'000};
+
   /// Shows the router some answers on this path. Returns the shortest time that one took.
   base::duration answer_some(std::string const& path) {
     auto shortest = base::duration::max();
     auto const answers = *rc::gen::inRange(1, 10);
     for (int i = 0; i < answers; ++i) {
-      auto const took = std::chrono::milliseconds(*rc::gen::inRange(1, 2'000));
+      auto const took =
+          std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(1, longest_answer.count()));
       answer_one(path, took);
       shortest = std::min<base::duration>(shortest, took);
     }
@@ -64,6 +67,20 @@
   RC_ASSERT(is_attempt(retry) == is_first_sent);
 }
 
+/// Guards against a route that is closed for good to callers with little time: what was learned of
+/// it holds while requests may run that saw the same.
+RC_GTEST_FIXTURE_PROP(time_left, is_judged_by_recent_answers_only, ()) {
+  receive_state({"a"});
+  auto const* path = any_path();
+  auto const shortest = answer_some(path);
+  auto made = facts(path);
+  made.caller_timeout = shortest;
+  RC_ASSERT(!is_attempt(m_router.begin(number, made, start)));
+  m_router.end(number, start);
+  auto const later = start + longest_answer + make_route(path, {}, 1).timeout + 1ms;
+  RC_ASSERT(is_attempt(m_router.begin(number, made, later)));
+}
+
 /// More time never turns an admission into a refusal.
 RC_GTEST_FIXTURE_PROP(time_left, never_refuses_for_having_more, ()) {
   receive_state({"a"});
