--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -1,8 +1,10 @@
-#include <libraries/base/try.h>
+#include <services/daemon/caller_connection.h>
+#include <services/daemon/caller_headers.h>
 #include <services/daemon/caller_protocol.h>
 #include <services/daemon/caller_server.h>
 #include <services/daemon/clock.h>
 #include <services/daemon/coroutine.h>
+#include <services/daemon/reply_queue.h>
 #include <services/daemon/scoped_count.h>
 
 #include <boost/asio/post.hpp>
@@ -10,8 +12,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
-#include <deque>
 #include <map>
 
 namespace catkinlanding::daemon {
@@ -23,126 +23,10 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-/// Limits the content type, idempotency key, session and class headers. A request with a longer
-/// value is rejected.
-constexpr std::size_t max_name_length = 256;
 constexpr std::size_t max_rejected_connections = 256;
 constexpr std::chrono::seconds rejection_timeout{1};
 constexpr std::string_view services_prefix = "/services/";
 
-using caller_message = http::request<http::string_body>;
-using caller_reply = std::variant<requests::reply_head, requests::reply_data, requests::reply_end,
-                                  requests::reply_failure>;
-
-/// A caller's request as it was read.
-struct incoming_request {
-  caller_message message;
-  /// When its header was complete. The time of its caller runs from then on.
-  base::monotonic_time arrived_at{};
-};
-
-/// A caller's connection. Shared by its coroutine and by the handler that waits for a disconnect.
-struct connection {
-  explicit connection(tcp_socket socket) : stream(std::move(socket)) {}
-
-  tcp_stream stream;
-  beast::flat_buffer buffer;
-};
-
-/// The replies that are queued for one caller.
-struct reply_queue {
-  explicit reply_queue(asio::io_context& context) : wakeup(context) {
-    wakeup.expires_at(steady_timer::time_point::max());
-  }
-
-  void push(caller_reply reply) {
-    if (auto const* data = std::get_if<requests::reply_data>(&reply)) {
-      waiting_bytes += data->bytes.size();
-    }
-    replies.push_back(std::move(reply));
-    wakeup.cancel();
-  }
-
-  [[nodiscard]] caller_reply pop() {
-    auto reply = std::move(replies.front());
-    replies.pop_front();
-    if (auto const* data = std::get_if<requests::reply_data>(&reply)) {
-      waiting_bytes -= data->bytes.size();
-    }
-    return reply;
-  }
-
-  /// Drops the queued replies and ends the answer without its last chunk, so that the client
-  /// detects that it is incomplete.
-  void abort_answer(requests::request_number number) {
-    is_aborted = true;
-    replies.clear();
-    waiting_bytes = 0;
-    push(requests::reply_failure{.number = number, .failure = {}, .is_answer_started = true});
-  }
-
-  std::deque<caller_reply> replies;
-  std::size_t waiting_bytes = 0;
-  /// Whether the answer is streamed, so that data accumulates here if the caller reads slowly.
-  bool is_stream = false;
-  bool is_aborted = false;
-  steady_timer wakeup;
-};
-
-std::optional<std::string> header(caller_message const& message, std::string_view name) {
-  auto const it = message.find(name);
-  if (it == message.end()) {
-    return std::nullopt;
-  }
-  return std::string(it->value());
-}
-
-std::string bearer_key(caller_message const& message) {
-  constexpr std::string_view prefix = "Bearer ";
-  std::string_view const value = message[http::field::authorization];
-  return std::string(value.starts_with(prefix) ? value.substr(prefix.size()) : value);
-}
-
-tl::expected<std::optional<base::duration>, message_error>
-read_deadline(caller_message const& message) {
-  constexpr std::int64_t max_deadline_ms = 24 * 60 * 60 * 1000;
-  auto const text = header(message, "Catkinlanding-Deadline-Ms");
-  if (!text) {
-    return std::nullopt;
-  }
-  std::int64_t value = 0;
-  auto const* const end = text->data() + text->size();
-  auto const result = std::from_chars(text->data(), end, value);
-  if (result.ec != std::errc{} || result.ptr != end || value < 1 || value > max_deadline_ms) {
-    return tl::unexpected(message_error::bad_deadline);
-  }
-  return std::chrono::milliseconds(value);
-}
-
-/// Reads the fields of a request that are sent as headers.
-tl::expected<requests::caller_request, message_error> read_headers(caller_message const& message) {
-  requests::caller_request request;
-  request.customer_key = bearer_key(message);
-  request.content_type = message[http::field::content_type];
-  request.idempotency_key = header(message, "Idempotency-Key");
-  if (auto session = header(message, "Catkinlanding-Session")) {
-    request.session = base::session_id{std::move(*session)};
-  }
-  if (auto name = header(message, "Catkinlanding-Class")) {
-    request.request_class = base::class_id{std::move(*name)};
-  }
-  request.deadline = CATKINLANDING_TRY(read_deadline(message));
-  bool const is_too_long =
-      request.content_type.size() > max_name_length ||
-      (request.idempotency_key && request.idempotency_key->size() > max_name_length) ||
-      (request.session && request.session->value.size() > max_name_length) ||
-      (request.request_class && request.request_class->value.size() > max_name_length);
-  if (is_too_long) {
-    return tl::unexpected(message_error::header_too_long);
-  }
-  return request;
-}
-
 } // namespace
 
 class caller_server::implementation : public std::enable_shared_from_this<implementation> {
@@ -207,7 +91,7 @@
   void handle_connection(tcp_socket socket) {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto accepted = std::make_shared<connection>(std::move(socket));
+    auto accepted = std::make_shared<caller_connection>(std::move(socket));
     if (m_connections < m_options.max_connections) {
       spawn(m_context, "callers", serve(shared_from_this(), std::move(accepted)));
     } else if (m_rejected_connections < max_rejected_connections) {
@@ -227,16 +111,16 @@
   }
 
   static awaitable<void> serve(std::shared_ptr<implementation> self,
-                               std::shared_ptr<connection> connection) {
+                               std::shared_ptr<caller_connection> connection) {
     scoped_count const open(self->m_connections);
     auto& stream = connection->stream;
     bool keeps_alive = true;
     while (keeps_alive) {
-      http::request_parser<http::string_body> parser;
+      caller_request_parser parser;
       parser.body_limit(self->m_options.max_body_size);
       parser.header_limit(self->m_options.max_header_size);
       stream.expires_after(self->m_options.read_timeout);
-      if (!co_await wait_for_request(*connection)) {
+      if (!co_await connection->wait_for_request()) {
         break;
       }
       auto const timeout_at = now() + self->m_options.read_timeout;
@@ -250,9 +134,9 @@
         auto const deadline = read_deadline(parser.get()).value_or(std::nullopt);
         stream.expires_at(deadline ? std::min(timeout_at, arrived_at + *deadline) : timeout_at);
       }
-      auto const error = head_error ? head_error : co_await read_body(*connection, parser);
+      auto const error = head_error ? head_error : co_await connection->read_body(parser);
       if (error) {
-        co_await self->send_parse_error(stream, error);
+        co_await self->send_parse_error(*connection, error);
         break;
       }
       incoming_request request{.message = parser.release(), .arrived_at = arrived_at};
@@ -262,43 +146,12 @@
     stream.socket().shutdown(tcp_socket::shutdown_both, ignored);
   }
 
-  /// Waits for the first bytes of the next request. Returns false if the connection ended.
-  static awaitable<bool> wait_for_request(connection& connection) {
-    constexpr std::size_t first_read_bytes = 4096;
-    auto& buffer = connection.buffer;
-    if (buffer.size() > 0) {
-      co_return true;
-    }
-    auto const [error, size] =
-        co_await connection.stream.async_read_some(buffer.prepare(first_read_bytes), completion);
-    buffer.commit(size);
-    co_return !error;
-  }
-
-  static awaitable<beast::error_code> read_body(connection& connection,
-                                                http::request_parser<http::string_body>& parser) {
-    auto& stream = connection.stream;
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> response{http::status::continue_, 11};
-      auto const [error, size] = co_await http::async_write(stream, response, completion);
-      if (error) {
-        co_return error;
-      }
-    }
-    if (parser.is_done()) {
-      co_return beast::error_code{};
-    }
-    auto const [error, size] =
-        co_await http::async_read(stream, connection.buffer, parser, completion);
-    co_return error;
-  }
-
   /// Answers a caller beyond the connection limit with 503. When there is room is not known.
   static awaitable<void> reject_connection(std::shared_ptr<implementation> self,
-                                           std::shared_ptr<connection> connection) {
+                                           std::shared_ptr<caller_connection> connection) {
     scoped_count const active(self->m_rejected_connections);
     auto& stream = connection->stream;
-    http::request_parser<http::string_body> parser;
+    caller_request_parser parser;
     parser.header_limit(self->m_options.max_header_size);
     parser.body_limit(self->m_options.max_body_size);
     stream.expires_after(rejection_timeout);
@@ -313,10 +166,10 @@
     response.body() = make_error_response(message_error::too_many_connections);
     response.prepare_payload();
     co_await http::async_write(stream, response, completion);
-    co_await drain(stream);
+    co_await connection->drain(rejection_timeout);
   }
 
-  awaitable<void> send_parse_error(tcp_stream& stream, beast::error_code error) {
+  awaitable<void> send_parse_error(caller_connection& connection, beast::error_code error) {
     auto status = http::status::bad_request;
     auto reason = message_error::not_http;
     if (error == http::error::body_limit) {
@@ -334,29 +187,13 @@
     response.keep_alive(false);
     response.body() = make_error_response(reason);
     response.prepare_payload();
-    stream.expires_after(m_options.write_timeout);
-    co_await http::async_write(stream, response, completion);
-    co_await drain(stream);
-  }
-
-  /// Reads and discards what the caller still sends, up to a limit of time and size. Closing a
-  /// socket with unread bytes sends a reset, and the caller may then lose the error response.
-  static awaitable<void> drain(tcp_stream& stream) {
-    constexpr std::size_t max_drained_bytes = 16 * 1024 * 1024;
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp_socket::shutdown_send, ignored);
-    std::array<char, 16 * 1024> buffer{};
-    stream.expires_after(rejection_timeout);
-    for (std::size_t read = 0; read < max_drained_bytes;) {
-      auto const [error, size] = co_await stream.async_read_some(asio::buffer(buffer), completion);
-      if (error) {
-        co_return;
-      }
-      read += size;
-    }
+    connection.stream.expires_after(m_options.write_timeout);
+    co_await http::async_write(connection.stream, response, completion);
+    co_await connection.drain(rejection_timeout);
   }
 
-  awaitable<bool> handle_request(std::shared_ptr<connection> connection, incoming_request request) {
+  awaitable<bool> handle_request(std::shared_ptr<caller_connection> connection,
+                                 incoming_request request) {
     auto& stream = connection->stream;
     auto& message = request.message;
     std::string_view const target = message.target();
@@ -383,7 +220,7 @@
                                      make_error_response(message_error::unknown_path));
   }
 
-  awaitable<bool> handle_completion(std::shared_ptr<connection> connection,
+  awaitable<bool> handle_completion(std::shared_ptr<caller_connection> connection,
                                     incoming_request request) {
     auto const& message = request.message;
     auto const fields = parse_completion(message.body());
@@ -397,7 +234,7 @@
     co_return co_await submit(connection, request, std::move(target), fields->is_stream);
   }
 
-  awaitable<bool> handle_service_call(std::shared_ptr<connection> connection,
+  awaitable<bool> handle_service_call(std::shared_ptr<caller_connection> connection,
                                       incoming_request request) {
     auto const& message = request.message;
     auto const rest = std::string_view(message.target()).substr(services_prefix.size());
@@ -424,7 +261,7 @@
                                      R"({"announce_again_ms":1000})");
   }
 
-  awaitable<bool> submit(std::shared_ptr<connection> connection, incoming_request& incoming,
+  awaitable<bool> submit(std::shared_ptr<caller_connection> connection, incoming_request& incoming,
                          requests::request_target target, bool is_stream) {
     auto& message = incoming.message;
     auto request = read_headers(message);
@@ -454,7 +291,7 @@
 
   /// Reports a caller that disconnects before its answer is complete. If the caller pipelines its
   /// next request, the socket becomes readable and a later disconnect isn't detected here.
-  void watch_for_disconnect(std::shared_ptr<connection> const& connection,
+  void watch_for_disconnect(std::shared_ptr<caller_connection> const& connection,
                             requests::request_number number) {
     connection->stream.socket().async_wait(
         tcp_socket::wait_read,
