proxy: Take no pause of the instance itself for a stall of an endpoint

What callers saw: where answers take a millisecond, an attempt was given up after three, also when only this instance had not run for that time; a retry was spent on it, and the ending of an endpoint under a request went uncounted, so that the request was sent on.

An instance that has used up its processor share may not run for the rest of a tenth of a second, and sees answers later by that.

Change: what is usual is exceeded by a tenth of a second at least.

--- a/libraries/proxy/time_estimate.cpp
+++ b/libraries/proxy/time_estimate.cpp
@@ -11,6 +11,9 @@
 constexpr int mean_divisor = 8;
 constexpr int deviation_divisor = 4;
 constexpr int deviations = 4;
+/// An instance that has used up its share of a processor may not run for so long, and sees by as
+/// much later what has arrived.
+constexpr std::chrono::milliseconds max_own_pause{100};
 /// Far beyond any deadline by then.
 constexpr std::uint32_t max_doublings = 16;
 
@@ -45,7 +48,8 @@
   if (!m_mean) {
     return std::nullopt;
   }
-  auto const longest = *m_mean + std::max(*m_mean, deviations * m_deviation);
+  auto const excess = std::max<base::duration>({*m_mean, deviations * m_deviation, max_own_pause});
+  auto const longest = *m_mean + excess;
   return longest * (1U << m_doublings);
 }
 
--- a/libraries/proxy/time_estimate.h
+++ b/libraries/proxy/time_estimate.h
@@ -21,7 +21,8 @@
   /// What the duration usually is; empty before the first sample.
   [[nodiscard]] std::optional<base::duration> usual() const { return m_mean; }
   /// What the duration exceeds only if something is wrong: at least twice what is usual, as giving
-  /// up costs the usual time once more. Empty before the first sample.
+  /// up costs the usual time once more, and what is usual beside a pause of this instance. Empty
+  /// before the first sample.
   [[nodiscard]] std::optional<base::duration> longest_usual() const;
   /// The shortest finished sample; empty before the first one.
   [[nodiscard]] std::optional<base::duration> shortest() const { return m_shortest; }
