proxy: Replace an attempt only if an endpoint accepts the next one

What callers saw: an attempt was given up as stalled though no other endpoint could take the request, and its caller got 502 in place of the answer that was on its way. An answer in hand was discarded for one of the largest model whose only idle endpoint had asked for a pause, and the caller got none.

Cause: both looked at the attempts that the route allows, and escalations at ready endpoints, but not at the endpoints to which the next attempt may be sent.

Change: both ask the filter that chooses the next endpoint (endpoint_filter::sendable, which has the steps that stood in the router).

Test: router_test, never_abandon_a_request_that_no_other_endpoint_can_take, and escalations_property, need_an_endpoint_that_accepts_the_request; both fail on the code before.

--- a/libraries/proxy/attempt_monitor.cpp
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -54,27 +54,22 @@
   return m_retries.of(request.service).try_spend(now);
 }
 
-bool attempt_monitor::try_abandon_stalled(active_request const& request,
+bool attempt_monitor::may_abandon_stalled(active_request const& request,
                                           known_endpoint const* endpoint,
-                                          base::monotonic_time now) {
+                                          base::monotonic_time now) const {
   auto const due = stall_deadline(request, endpoint);
   if (!due || now < *due) {
     return false;
   }
   auto const& known = m_times.of(request);
   auto const& work = request.has_answer ? known.first : known.whole;
-  bool const has_time = now + work.usual().value_or(base::duration::zero()) <= request.deadline;
-  return has_time && try_retry(request, now);
+  return now + work.usual().value_or(base::duration::zero()) <= request.deadline;
 }
 
-bool attempt_monitor::try_escalate(active_request const& request, std::optional<double> confidence,
-                                   endpoint_table const& endpoints, base::monotonic_time now) {
-  if (!m_options.escalations.is_doubtful(request, confidence)) {
-    return false;
-  }
-  auto const ready = endpoints.ready(request.service);
-  return m_options.escalations.can_escalate(request, m_times, ready, now) &&
-         m_retries.of(request.service).try_spend(now, retries_after_zone_loss(ready));
+bool attempt_monitor::try_escalate(active_request const& request,
+                                   service_endpoints const& endpoints, base::monotonic_time now) {
+  return m_options.escalations.can_escalate(request, m_times, endpoints.others, now) &&
+         m_retries.of(request.service).try_spend(now, retries_after_zone_loss(endpoints.ready));
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -48,13 +48,24 @@
 
   /// Takes a retry for the request. Returns false if none is left.
   [[nodiscard]] bool try_retry(active_request const& request, base::monotonic_time now);
-  /// Takes a retry if the current attempt has stalled and another one is expected to be answered in
-  /// time.
-  [[nodiscard]] bool try_abandon_stalled(active_request const& request,
-                                         known_endpoint const* endpoint, base::monotonic_time now);
+  /// Whether the current attempt has stalled and another one is expected to be answered in time.
+  [[nodiscard]] bool may_abandon_stalled(active_request const& request,
+                                         known_endpoint const* endpoint,
+                                         base::monotonic_time now) const;
+  /// Whether a better answer than the current one is wanted, and can take its place.
+  [[nodiscard]] bool is_doubtful(active_request const& request,
+                                 std::optional<double> confidence) const {
+    return m_options.escalations.is_doubtful(request, confidence);
+  }
+  struct service_endpoints {
+    /// Those that the request may be sent to next.
+    std::vector<known_endpoint const*> others;
+    /// All that are ready.
+    std::vector<known_endpoint const*> ready;
+  };
   /// Takes a retry if the largest model should answer instead of the current one.
-  [[nodiscard]] bool try_escalate(active_request const& request, std::optional<double> confidence,
-                                  endpoint_table const& endpoints, base::monotonic_time now);
+  [[nodiscard]] bool try_escalate(active_request const& request, service_endpoints const& endpoints,
+                                  base::monotonic_time now);
 
 private:
   options m_options;
--- a/libraries/proxy/endpoint_filter.cpp
+++ b/libraries/proxy/endpoint_filter.cpp
@@ -10,10 +10,15 @@
   return m_options.versions.eligible_endpoints(all, service, facts);
 }
 
-endpoint_filter::endpoints endpoint_filter::sendable(endpoints const& eligible_endpoints,
-                                                     endpoints const& all,
-                                                     base::service_id const& service,
-                                                     request_facts const& facts) const {
+endpoint_filter::endpoints endpoint_filter::sendable(endpoint_table const& table,
+                                                     active_request const& request) const {
+  auto const& service = request.service;
+  auto const& facts = request.facts;
+  auto all = m_options.notices.without_leaving(table.ready(service));
+  std::erase_if(all, [&](known_endpoint const* one) {
+    return request.has_been_sent_to(one->announcement.id);
+  });
+  auto const eligible_endpoints = eligible(all, service, facts);
   auto found = without_wait(eligible_endpoints);
   if (!found.empty() || eligible_endpoints.empty()) {
     return found;
--- a/libraries/proxy/endpoint_filter.h
+++ b/libraries/proxy/endpoint_filter.h
@@ -39,20 +39,19 @@
 
   explicit endpoint_filter(options options) : m_options(options) {}
 
-  [[nodiscard]] endpoints eligible(endpoints const& all, base::service_id const& service,
-                                   request_facts const& facts) const;
-  /// Returns those of the eligible endpoints that accept a request now. If there are none, others
-  /// of the same version may take their place, and those of the old version that of a rollout's
-  /// target.
-  [[nodiscard]] endpoints sendable(endpoints const& eligible, endpoints const& all,
-                                   base::service_id const& service,
-                                   request_facts const& facts) const;
+  /// The endpoints that the request may be sent to now and was not sent to yet. If none of those
+  /// that it is meant for accepts one, others of the same version may take their place, and those
+  /// of the old version that of a rollout's target.
+  [[nodiscard]] endpoints sendable(endpoint_table const& table,
+                                   active_request const& request) const;
   /// When the endpoints accept requests that may receive this one by its version, whether they
   /// were tried or not. Empty if there are none.
   [[nodiscard]] std::optional<proxy::availability>
   availability(endpoint_table const& table, active_request const& request) const;
 
 private:
+  [[nodiscard]] endpoints eligible(endpoints const& all, base::service_id const& service,
+                                   request_facts const& facts) const;
   [[nodiscard]] proxy::availability availability(endpoints const& endpoints) const;
   [[nodiscard]] std::optional<deferral> wait_for(known_endpoint const& endpoint) const;
   [[nodiscard]] endpoints without_wait(endpoints endpoints) const;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -38,8 +38,8 @@
   if (!m_started_at || !is_missing_state_for(facts)) {
     return std::nullopt;
   }
-  auto const* route = m_routes->find(facts.host, facts.path);
-  auto const time_allowed = allowed_time(facts, route, m_options.default_timeout);
+  auto const time_allowed =
+      allowed_time(facts, m_routes->find(facts.host, facts.path), m_options.default_timeout);
   return m_startup.wait_end(*m_started_at, time_allowed - facts.waited, now);
 }
 
@@ -85,7 +85,11 @@
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
   m_attempts.note_answer(request, now);
-  return !m_attempts.try_escalate(request, confidence, m_endpoints, now);
+  return !m_attempts.is_doubtful(request, confidence) ||
+         !m_attempts.try_escalate(request,
+                                  {.others = make_filter(now).sendable(m_endpoints, request),
+                                   .ready = m_endpoints.ready(request.service)},
+                                  now);
 }
 
 std::vector<notice_change> router::note_notice(request_number number, endpoint_notice const& notice,
@@ -141,9 +145,13 @@
 
 bool router::try_abandon_stalled(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
-  return found != m_requests.end() &&
-         m_attempts.try_abandon_stalled(found->second, m_endpoints.find(found->second.endpoint),
-                                        now);
+  if (found == m_requests.end()) {
+    return false;
+  }
+  auto const& request = found->second;
+  return m_attempts.may_abandon_stalled(request, m_endpoints.find(request.endpoint), now) &&
+         !make_filter(now).sendable(m_endpoints, request).empty() &&
+         m_attempts.try_retry(request, now);
 }
 
 decision router::fail(request_number number, attempt_failure failure, bool was_delivered,
@@ -170,12 +178,11 @@
     request.unreached.push_back(std::move(request.tried.back()));
     request.tried.pop_back();
   }
-  bool const has_attempts = request.has_attempts_left();
   // For low-confidence and stalled attempts the retry was already taken when they were aborted.
   bool const is_retry_prepaid = failure == attempt_failure::low_confidence ||
                                 failure == attempt_failure::stalled ||
                                 (failure == attempt_failure::unreachable && request.tried.empty());
-  if (may_repeat && may_continue && has_attempts &&
+  if (may_repeat && may_continue && request.has_attempts_left() &&
       (is_retry_prepaid || m_attempts.try_retry(request, now))) {
     auto next = attempt_next(request, now);
     if (!std::holds_alternative<refusal>(next) || !request.may_have_run) {
@@ -376,13 +383,7 @@
   if (m_relays.is_hopeless(request)) {
     return refuse_unsent(request, make_filter(now), now);
   }
-  auto endpoints = m_notices.without_leaving(m_endpoints.ready(request.service));
-  std::erase_if(endpoints, [&](known_endpoint const* one) {
-    return request.has_been_sent_to(one->announcement.id);
-  });
   auto const filter = make_filter(now);
-  auto const eligible = filter.eligible(endpoints, request.service, request.facts);
-  auto const sendable = filter.sendable(eligible, endpoints, request.service, request.facts);
   request.choose_model();
   request.model_weight = m_attempts.relative_work(request);
   choice_criteria const criteria{.own_zone = m_options.zone,
@@ -390,7 +391,7 @@
                                  .shared_work = request.work_of(request.shared_prompt_tokens()),
                                  .slots = request.slots(),
                                  .salt = m_random()};
-  auto const* chosen = choose_endpoint(sendable, criteria, now);
+  auto const* chosen = choose_endpoint(filter.sendable(m_endpoints, request), criteria, now);
   if (chosen == nullptr) {
     return refuse_unsent(request, filter, now);
   }
--- a/tests/libraries/proxy/escalations_property.cpp
+++ b/tests/libraries/proxy/escalations_property.cpp
@@ -2,6 +2,8 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -78,6 +80,25 @@
 
 } // namespace
 
+// An answer was discarded for one of an endpoint that wanted no requests, and its caller got none.
+TEST_F(escalations, need_an_endpoint_that_accepts_the_request) {
+  base::endpoint_id const kept{"a"};
+  std::set<base::endpoint_id> paused;
+  request_number last = 1;
+  while (paused.size() < 2) {
+    auto const sent = m_router.begin(++last, draft(1h), start);
+    ASSERT_TRUE(is_attempt(sent));
+    auto const& endpoint = std::get<attempt>(sent).endpoint;
+    if (endpoint != kept) {
+      std::ignore = m_router.note_notice(last, {.pause = 10s}, start);
+      paused.insert(endpoint);
+    }
+    m_router.end(last, start);
+  }
+  ASSERT_TRUE(is_attempt(m_router.begin(1, draft(1h), start)));
+  EXPECT_TRUE(m_router.note_answer(1, doubtful, start));
+}
+
 /// Guards against an answer in hand that is thrown away for one that comes too late, and against
 /// one that is kept although the better one fits.
 RC_GTEST_FIXTURE_PROP(escalations, happen_if_the_whole_answer_fits_the_time_left, ()) {
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -293,6 +293,23 @@
   EXPECT_EQ(m_router.stall_deadline(number), std::nullopt);
 }
 
+// An attempt was given up although no other endpoint could take the request, which then failed.
+TEST_F(routers, never_abandon_a_request_that_no_other_endpoint_can_take) {
+  receive_state({"a"});
+  answer_one("/again/x", 130ms);
+  ASSERT_TRUE(is_attempt(begin("/again/x")));
+  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 390ms));
+}
+
+// Where answers take a millisecond, a short pause of the instance itself was taken for a stall.
+TEST_F(routers, never_abandon_a_request_for_an_own_pause) {
+  receive_state({"a", "b"});
+  answer_one("/again/x", 1ms);
+  ASSERT_TRUE(is_attempt(begin("/again/x")));
+  EXPECT_FALSE(m_router.try_abandon_stalled(number, start + 100ms));
+  EXPECT_TRUE(m_router.try_abandon_stalled(number, start + 101ms));
+}
+
 TEST_F(routers, never_abandon_at_most_once_requests) {
   receive_state({"a", "b"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
