proxy: Name the document in each line of an ended request, and what is lost on the way to it

A refusal named neither the revision nor the age of what it was decided by, an update that is ignored left no line, and two contents under one number looked alike, so the four hypotheses of docs/incidents/changes-not-in-force.md could not be told apart. Now: revision, hash of the content and ages in 'entry ended', both hashes in 'call answered', 'control update_outdated' (a line a second at most), 'control document_repeated' (at powers of two), 'peers connection_lost' (a line a second at most), and the gauge outdated_updates. No decision changed.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -4,7 +4,7 @@
 #include <libraries/proxy/voter_policy.h>
 
 #include <algorithm>
-#include <iterator>
+#include <bit>
 
 namespace catkinlanding::proxy {
 
@@ -146,7 +146,20 @@
       note_endpoint(source.endpoint, out);
     }
   }
-  out.messages.push_back(m_publisher.reply_to(from, published(now), now));
+  send_state(m_publisher.reply_to(from, published(now), now), out);
+}
+
+void control::send_state(outgoing state, control_effects& out) const {
+  if (state.repeats_document) {
+    auto const& downstream = m_publisher.downstreams().all().at(state.to);
+    // Each doubling is enough to see how long it lasts.
+    if (std::has_single_bit(downstream.document_repeats)) {
+      out.events.push_back({control_event::document_repeated, state.to.value,
+                            "held=" + std::to_string(downstream.known.document_revision),
+                            downstream.document_repeats});
+    }
+  }
+  out.messages.push_back(std::move(state));
 }
 
 void control::send_referral(base::instance_id const& from, subscription const& subscription,
@@ -164,9 +177,10 @@
 
 void control::handle(base::instance_id const& from, document_request const& request,
                      base::monotonic_time now, control_effects& out) {
-  auto part = is_serving_leader(m_replica, now) ? m_publisher.part(request) : std::nullopt;
+  auto part =
+      is_serving_leader(m_replica, now) ? m_publisher.part_for(from, request) : std::nullopt;
   if (part) {
-    out.messages.push_back({from, std::move(*part)});
+    send_state(std::move(*part), out);
   }
 }
 
@@ -482,8 +496,9 @@
   if (!is_serving_leader(m_replica, now)) {
     return;
   }
-  auto messages = m_publisher.push(published(now), now);
-  std::ranges::move(messages, std::back_inserter(out.messages));
+  for (auto& message : m_publisher.push(published(now), now)) {
+    send_state(std::move(message), out);
+  }
 }
 
 void control::note_endpoint(base::endpoint_id const& id, control_effects& out) const {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -111,6 +111,8 @@
   void handle(base::instance_id const& from, relayed_announcements const& relayed,
               base::monotonic_time now, control_effects& out);
 
+  /// Sends an update or a part of a document to an entry instance.
+  void send_state(outgoing state, control_effects& out) const;
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
   void send_referral(base::instance_id const& from, subscription const& subscription,
--- a/libraries/proxy/document.cpp
+++ b/libraries/proxy/document.cpp
@@ -1,3 +1,5 @@
+#include <libraries/base/codec.h>
+#include <libraries/base/hash.h>
 #include <libraries/proxy/document.h>
 
 #include <algorithm>
@@ -56,6 +58,10 @@
 
 } // namespace
 
+std::uint64_t fingerprint_of(document const& document) {
+  return base::stable_hash(base::encode(document));
+}
+
 char const* name_of(document_fault_kind kind) {
   switch (kind) {
   case fault_kind::no_revision:
--- a/libraries/proxy/document.h
+++ b/libraries/proxy/document.h
@@ -170,6 +170,10 @@
 
 [[nodiscard]] char const* name_of(document_fault_kind kind);
 
+/// Identifies the content of a document, so that two under one revision can be told apart. The same
+/// on all instances.
+[[nodiscard]] std::uint64_t fingerprint_of(document const& document);
+
 /// Returns every fault of the document.
 [[nodiscard]] std::vector<document_fault> find_faults(document const& document);
 
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -18,6 +18,10 @@
   base::monotonic_time last_request_at{};
   base::monotonic_time document_sent_at{};
   std::uint64_t document_sent = 0;
+  /// The part of a large document that was last sent to it; nothing if none was.
+  std::optional<document_request> part_sent;
+  /// How often a document, or a part of one, was sent to it again.
+  std::uint64_t document_repeats = 0;
   /// The revision of the whole registry that was last sent to it; 0 if none was.
   std::uint64_t registry_sent = 0;
   base::monotonic_time registry_sent_at{};
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -146,6 +146,8 @@
   /// Bytes that the sender already has.
   std::uint64_t offset = 0;
 
+  bool operator==(document_request const&) const = default;
+
   template<class Archive>
   void serialize(Archive& archive) {
     archive(revision, offset);
--- a/libraries/proxy/route_table.cpp
+++ b/libraries/proxy/route_table.cpp
@@ -4,7 +4,8 @@
 
 namespace catkinlanding::proxy {
 
-route_table::route_table(proxy::document document) : m_document(std::move(document)) {
+route_table::route_table(proxy::document document)
+    : m_document(std::move(document)), m_fingerprint(fingerprint_of(m_document)) {
   for (std::size_t i = 0; i < m_document.routes.size(); ++i) {
     auto const& route = m_document.routes[i];
     m_hosts[route.host].emplace(route.path_prefix, i);
--- a/libraries/proxy/route_table.h
+++ b/libraries/proxy/route_table.h
@@ -27,6 +27,8 @@
 
   [[nodiscard]] proxy::document const& document() const { return m_document; }
   [[nodiscard]] std::uint64_t revision() const { return m_document.revision; }
+  /// Identifies the document's content; 0 before the first document.
+  [[nodiscard]] std::uint64_t fingerprint() const { return m_fingerprint; }
   /// Whether requests to non-public routes need a key.
   [[nodiscard]] bool has_customers() const { return !m_document.customers.empty(); }
 
@@ -35,6 +37,7 @@
   using prefix_index = std::map<std::string, std::size_t, std::less<>>;
 
   proxy::document m_document;
+  std::uint64_t m_fingerprint = 0;
   std::map<std::string, prefix_index, std::less<>> m_hosts;
   std::unordered_map<std::string, std::size_t> m_keys;
   std::unordered_map<base::service_id, std::size_t> m_services;
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -239,6 +239,14 @@
   m_requests.erase(found);
 }
 
+document_status router::status_of_document(base::monotonic_time now) const {
+  return {.revision = m_routes->revision(),
+          .fingerprint = m_routes->fingerprint(),
+          .age = m_document_since ? std::optional<base::duration>(now - *m_document_since)
+                                  : std::nullopt,
+          .leader_age = m_subscriber.age(now)};
+}
+
 std::vector<outgoing> router::tick(base::monotonic_time now) {
   m_started_at = m_started_at.value_or(now);
   m_notices.sweep(m_endpoints, now);
@@ -281,6 +289,7 @@
   std::visit(base::overloaded{
                  [&](update const& one) {
                    if (m_subscriber.is_outdated(one)) {
+                     result.is_outdated = true;
                      return;
                    }
                    m_subscriber.note_update(one, from, now);
@@ -292,7 +301,7 @@
                  },
                  [&](document_part const& one) {
                    auto const received = m_document_receiver.add(one);
-                   result.is_changed = received && apply(*received);
+                   result.is_changed = received && apply(*received, now);
                    result.messages = request_document(now);
                  },
                  [&](referral const& one) {
@@ -313,6 +322,7 @@
     return false;
   }
   m_routes = std::make_shared<route_table const>(state.document);
+  m_document_since = now;
   m_subscriber.note_document(state.document.revision);
   constexpr std::uint64_t no_term = 0;
   for (auto const& record : state.endpoints) {
@@ -322,11 +332,12 @@
   return true;
 }
 
-bool router::apply(document const& document) {
+bool router::apply(document const& document, base::monotonic_time now) {
   if (document.revision <= m_routes->revision()) {
     return false;
   }
   m_routes = std::make_shared<route_table const>(document);
+  m_document_since = now;
   m_attempts.keep_only(*m_routes);
   m_subscriber.note_document(document.revision);
   m_document_receiver.note_held(document.revision);
@@ -336,7 +347,7 @@
 bool router::apply(update const& update, base::monotonic_time now) {
   bool is_changed = false;
   if (update.document) {
-    is_changed = apply(*update.document);
+    is_changed = apply(*update.document, now);
   }
   if (update.offered_document > m_routes->revision()) {
     m_document_receiver.note_offer(update.offered_document);
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -29,6 +29,17 @@
 
 namespace catkinlanding::proxy {
 
+/// The document by which an instance decides requests.
+struct document_status {
+  std::uint64_t revision = 0;
+  /// Identifies its content.
+  std::uint64_t fingerprint = 0;
+  /// How long it has been in force; nothing before the first document.
+  std::optional<base::duration> age;
+  /// How long ago the leader last sent anything; nothing if it never has.
+  std::optional<base::duration> leader_age;
+};
+
 /// Routing logic of an entry instance. Selects the endpoint for each request, decides whether to
 /// retry after a failure, and determines the outcome that is reported to the caller. Performs no
 /// I/O: the caller of this class carries out its decisions and reports the results back.
@@ -120,6 +131,8 @@
   struct receive_result {
     /// Whether the document or the endpoints changed.
     bool is_changed = false;
+    /// Whether the message was ignored, as it is older than what is known.
+    bool is_outdated = false;
     std::vector<outgoing> messages;
   };
 
@@ -128,6 +141,9 @@
 
   [[nodiscard]] caller_limits const& limits() const { return m_routes->document().limits; }
   [[nodiscard]] std::uint64_t document_revision() const { return m_routes->revision(); }
+  /// The document by which requests are decided now.
+  [[nodiscard]] document_status status_of_document(base::monotonic_time now) const;
+  [[nodiscard]] known_state const& known() const { return m_subscriber.known(); }
   [[nodiscard]] std::size_t endpoint_count() const { return m_endpoints.size(); }
   [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
   [[nodiscard]] bool is_connected(base::monotonic_time now) const {
@@ -166,7 +182,7 @@
   void finish_attempt(active_request& request);
   bool apply(update const& update, base::monotonic_time now);
   /// Puts the document in force if it is newer than the current one. Returns whether it is.
-  bool apply(document const& document);
+  bool apply(document const& document, base::monotonic_time now);
   bool apply(last_known_state const& state, base::monotonic_time now);
 
   options m_options;
@@ -174,6 +190,7 @@
   subscriber m_subscriber;
   document_receiver m_document_receiver;
   std::shared_ptr<route_table const> m_routes = std::make_shared<route_table const>();
+  std::optional<base::monotonic_time> m_document_since;
   endpoint_table m_endpoints;
   load_reports m_reports;
   version_policy m_versions;
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -22,14 +22,15 @@
 outgoing state_publisher::reply_to(base::instance_id const& from, source const& source,
                                    base::monotonic_time now) {
   auto& downstream = m_downstreams.all().at(from);
-  auto sent = make_update(from, downstream, source, now);
+  auto reply = make_update(from, downstream, source, now);
   if (downstream.is_entry) {
+    auto& sent = std::get<update>(reply.message);
     sent.loads = m_downstreams.loads_for(downstream, now);
     sent.evidence = source.quarantine.report(now);
     sent.rejection_limits = source.rejection_limits.all(now);
     sent.relay_peers = m_downstreams.relay_peers_for(from, now);
   }
-  return {from, std::move(sent)};
+  return reply;
 }
 
 std::vector<outgoing> state_publisher::push(source const& source, base::monotonic_time now) {
@@ -43,16 +44,16 @@
   auto const instances = static_cast<std::int64_t>(m_downstreams.size());
   m_pushing_until = std::max(m_pushing_until, now) + instances * m_options.push_time_per_instance;
   for (auto& [id, downstream] : m_downstreams.all()) {
-    messages.push_back({id, make_update(id, downstream, source, now)});
+    messages.push_back(make_update(id, downstream, source, now));
   }
   return messages;
 }
 
-update state_publisher::make_update(base::instance_id const& to, downstream& downstream,
-                                    source const& source, base::monotonic_time now) {
+outgoing state_publisher::make_update(base::instance_id const& to, downstream& downstream,
+                                      source const& source, base::monotonic_time now) {
   update sent{.state = source.revisions()};
   auto const& known = downstream.known;
-  add_document(sent, downstream, source.state.document(), now);
+  bool const repeats_document = add_document(sent, downstream, source.state.document(), now);
   sent.is_registry_complete = source.is_registry_complete;
   add_registry(sent, downstream, source.registry, now);
   downstream.has_restarted = false;
@@ -64,7 +65,7 @@
     sent.rate_grants = source.rates.grants_for(to, now);
   }
   sent.control_instances = instances_of(source.replica.current_configuration().voters);
-  return sent;
+  return {to, std::move(sent), repeats_document};
 }
 
 void state_publisher::add_registry(update& sent, downstream& downstream,
@@ -127,31 +128,51 @@
   return changes->second;
 }
 
-void state_publisher::add_document(update& sent, downstream& downstream, document const& document,
+bool state_publisher::add_document(update& sent, downstream& downstream, document const& document,
                                    base::monotonic_time now) {
   auto const held = downstream.known.document_revision;
   if (held >= document.revision) {
-    return;
+    return false;
   }
   sent.state.document_revision = held;
   if (!downstream.is_entry) {
-    return;
+    return false;
   }
   m_documents.offer(document);
   if (!m_documents.is_small()) {
     sent.offered_document = document.revision;
-    return;
+    return false;
   }
-  bool const was_just_sent = !downstream.has_restarted &&
-                             downstream.document_sent == document.revision &&
-                             now < downstream.document_sent_at + m_options.push_interval;
+  bool const was_sent = !downstream.has_restarted && downstream.document_sent == document.revision;
+  bool const was_just_sent =
+      was_sent && now < downstream.document_sent_at + m_options.push_interval;
   if (was_just_sent) {
-    return;
+    return false;
   }
   sent.state.document_revision = document.revision;
   sent.document = document;
   downstream.document_sent = document.revision;
   downstream.document_sent_at = now;
+  downstream.document_repeats += was_sent ? 1 : 0;
+  return was_sent;
+}
+
+std::optional<outgoing> state_publisher::part_for(base::instance_id const& to,
+                                                  document_request const& request) {
+  auto part = m_documents.part(request);
+  if (!part) {
+    return std::nullopt;
+  }
+  auto const found = m_downstreams.all().find(to);
+  if (found == m_downstreams.all().end()) {
+    return outgoing{to, std::move(*part)};
+  }
+  auto& downstream = found->second;
+  document_request const sent{.revision = part->revision, .offset = part->offset};
+  bool const was_sent = downstream.part_sent == sent;
+  downstream.part_sent = sent;
+  downstream.document_repeats += was_sent ? 1 : 0;
+  return outgoing{to, std::move(*part), was_sent};
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -66,17 +66,16 @@
                                                            endpoint_registry const& registry,
                                                            base::monotonic_time now);
   /// The requested part of a large document; nothing if none has been offered.
-  [[nodiscard]] std::optional<document_part> part(document_request const& request) const {
-    return m_documents.part(request);
-  }
+  [[nodiscard]] std::optional<outgoing> part_for(base::instance_id const& to,
+                                                 document_request const& request);
 
   /// The subscribed instances.
   [[nodiscard]] downstream_table& downstreams() { return m_downstreams; }
   [[nodiscard]] downstream_table const& downstreams() const { return m_downstreams; }
 
 private:
-  [[nodiscard]] update make_update(base::instance_id const& to, downstream& downstream,
-                                   source const& source, base::monotonic_time now);
+  [[nodiscard]] outgoing make_update(base::instance_id const& to, downstream& downstream,
+                                     source const& source, base::monotonic_time now);
   /// Whether a whole registry may be sent now.
   [[nodiscard]] bool try_take_registry(endpoint_registry const& registry, base::monotonic_time now);
   [[nodiscard]] shared_list<endpoint_record> changes_since(std::uint64_t revision,
@@ -86,8 +85,8 @@
   void add_registry(update& sent, downstream& downstream, endpoint_registry const& registry,
                     base::monotonic_time now);
   /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
-  /// lacks it. Control instances have it from the log.
-  void add_document(update& sent, downstream& downstream, document const& document,
+  /// lacks it. Control instances have it from the log. Returns whether the document is sent again.
+  bool add_document(update& sent, downstream& downstream, document const& document,
                     base::monotonic_time now);
 
   options m_options;
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -11,6 +11,9 @@
 struct outgoing {
   base::instance_id to;
   proxy::message message;
+  /// Whether the message repeats a document, or a part of one, that the recipient was sent before
+  /// and still lacks.
+  bool repeats_document = false;
 };
 
 /// Synchronizes an instance with the leader of the control instances: finds the leader, sends it
--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -181,6 +181,7 @@
     stream.expires_after(connect_timeout);
     auto const [error] = co_await stream.async_connect(m_peers.at(to), completion);
     if (error) {
+      log_lost(to, *connection, "connect");
       remove_connection(to, connection);
       co_return;
     }
@@ -194,6 +195,7 @@
       auto const [error, size] =
           co_await asio::async_write(stream, asio::buffer(frame.data() + sent, chunk), completion);
       if (error) {
+        log_lost(to, *connection, "write");
         remove_connection(to, connection);
         co_return;
       }
@@ -271,4 +273,16 @@
                m_unreadable_frames);
 }
 
+void frame_transport::log_lost(base::instance_id const& to, connection const& connection,
+                               char const* reason) {
+  ++m_lost_connections;
+  auto const now = std::chrono::steady_clock::now();
+  if (now < m_next_loss_line) {
+    return;
+  }
+  m_next_loss_line = now + warning_interval;
+  spdlog::warn("peers connection_lost to={} reason={} frames={} bytes={} total={}", to.value,
+               reason, connection.queue.size(), connection.queued_bytes, m_lost_connections);
+}
+
 } // namespace catkinlanding::daemon
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -78,6 +78,8 @@
   void remove_connection(base::instance_id const& to,
                          std::shared_ptr<connection> const& connection);
   void log_unreadable(char const* what, std::size_t bytes);
+  /// Logs that the connection to an instance failed, and which of its frames are lost.
+  void log_lost(base::instance_id const& to, connection const& connection, char const* reason);
 
   boost::asio::io_context& m_context;
   std::map<base::instance_id, boost::asio::ip::tcp::endpoint> m_peers;
@@ -88,6 +90,8 @@
   std::size_t m_inbound_connections = 0;
   base::memory_budget m_frame_memory;
   std::uint64_t m_unreadable_frames = 0;
+  std::uint64_t m_lost_connections = 0;
+  std::chrono::steady_clock::time_point m_next_loss_line{};
   std::chrono::steady_clock::time_point m_next_warning{};
 };
 
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -46,11 +46,11 @@
 }
 
 char const* name_of_event(control_event event) {
-  constexpr std::array<char const*, 13> names{
-      "leadership_won",    "leadership_lost", "document_applied", "rollout_changed",
-      "rollout_requested", "rollout_decided", "endpoint_changed", "voters_changed",
-      "voters_proposed",   "quorum_gained",   "quorum_lost",      "instance_joined",
-      "instance_lost"};
+  constexpr std::array<char const*, 14> names{
+      "leadership_won",    "leadership_lost",  "document_applied", "rollout_changed",
+      "rollout_requested", "rollout_decided",  "endpoint_changed", "voters_changed",
+      "voters_proposed",   "quorum_gained",    "quorum_lost",      "instance_joined",
+      "instance_lost",     "document_repeated"};
   return names.at(static_cast<std::size_t>(event));
 }
 
@@ -241,13 +241,17 @@
   if (is_routine) {
     return;
   }
-  std::uint64_t revision = 0;
+  auto const& state = m_control->state();
   if (auto const* replacement = std::get_if<replace_document>(&call)) {
-    revision = replacement->document.revision;
+    spdlog::info("call answered call={} reply={} revision={} held={} term={} content={:x} "
+                 "held_content={:x}",
+                 name_of_call(call), name_of(reply.kind), replacement->document.revision,
+                 state.revision(), m_control->replica().term(),
+                 fingerprint_of(replacement->document), fingerprint_of(state.document()));
+    return;
   }
-  spdlog::info("call answered call={} reply={} revision={} held={} term={}", name_of_call(call),
-               name_of(reply.kind), revision, m_control->state().revision(),
-               m_control->replica().term());
+  spdlog::info("call answered call={} reply={} revision=0 held={} term={}", name_of_call(call),
+               name_of(reply.kind), state.revision(), m_control->replica().term());
 }
 
 std::string control_process::leader_address(call_reply const& reply) const {
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -22,6 +22,8 @@
 /// see each other's requests.
 constexpr double trial_share_factor = 0.85;
 constexpr double permille = 1000.0;
+/// Shortest time between two lines about outdated updates, which may come in series.
+constexpr std::chrono::seconds outdated_line_interval{1};
 /// The part of the process's memory that answers may take up in buffers: one in this many bytes.
 /// Each open request takes up more, in proportion to their number.
 constexpr std::size_t answer_memory_divisor = 10;
@@ -86,6 +88,7 @@
             metrics.set_gauge("endpoints", static_cast<double>(m_router.endpoint_count()));
             metrics.set_gauge("document_revision",
                               static_cast<double>(m_router.document_revision()));
+            metrics.set_gauge("outdated_updates", static_cast<double>(m_outdated_updates));
             metrics.set_gauge("answer_buffer_bytes",
                               static_cast<double>(m_answer_memory.used_bytes()));
             metrics.set_gauge("answer_buffers_refused",
@@ -171,6 +174,9 @@
   if (received_update != nullptr) {
     log_rollouts(*received_update, from);
   }
+  if (received.is_outdated && received_update != nullptr) {
+    log_outdated(*received_update, from);
+  }
   if (!received.is_changed) {
     return;
   }
@@ -178,8 +184,9 @@
     timer->cancel();
   }
   if (m_router.document_revision() != revision) {
-    spdlog::info("control document revision={} before={} from={}", m_router.document_revision(),
-                 revision, from.value);
+    auto const held = m_router.status_of_document(now());
+    spdlog::info("control document revision={} before={} from={} content={:x}", held.revision,
+                 revision, from.value, held.fingerprint);
   }
   if (std::holds_alternative<last_known_state>(message)) {
     spdlog::warn("control isolated revision={} endpoints={} from={}", m_router.document_revision(),
@@ -197,6 +204,24 @@
   }
 }
 
+void entry_process::log_outdated(update const& received, base::instance_id const& from) {
+  ++m_outdated_updates;
+  auto const time = now();
+  if (time < m_next_outdated_line) {
+    return;
+  }
+  m_next_outdated_line = time + outdated_line_interval;
+  auto const& known = m_router.known();
+  spdlog::warn("control update_outdated from={} document={} offered={} term={} known_term={} "
+               "registry_revision={} known_registry_revision={} rollouts_revision={} "
+               "known_rollouts_revision={} revision={} total={}",
+               from.value, received.document ? received.document->revision : 0,
+               received.offered_document, received.state.registry_term, known.registry_term,
+               received.state.registry_revision, known.registry_revision,
+               received.state.rollouts_revision, known.rollouts_revision,
+               m_router.document_revision(), m_outdated_updates);
+}
+
 void entry_process::log_rollouts(update const& received, base::instance_id const& from) {
   if (!received.rollouts) {
     return;
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -27,6 +27,8 @@
   daemon::awaitable<void> probe(base::address address);
   void send(std::vector<outgoing> messages);
   void on_message(base::instance_id const& from, message const& message);
+  /// Logs what an ignored update holds, and what is known instead, at most once in a while.
+  void log_outdated(update const& received, base::instance_id const& from);
   static void log_rollouts(update const& received, base::instance_id const& from);
   void on_stop();
   void stop_when_idle();
@@ -41,6 +43,8 @@
   std::unique_ptr<http_server> m_readiness_server;
   base::monotonic_time m_last_sweep{};
   base::monotonic_time m_stop_deadline{};
+  std::uint64_t m_outdated_updates = 0;
+  base::monotonic_time m_next_outdated_line{};
   bool m_was_connected = false;
   bool m_was_cut_off = false;
   bool m_had_relay_peers = false;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -466,7 +466,8 @@
                       .events = m_forwarder.events().events(),
                       .first_event = m_forwarder.timing().first_event(),
                       .longest_pause = m_forwarder.timing().longest_pause(),
-                      .took = took});
+                      .took = took,
+                      .document = m_context.router.status_of_document(now())});
 }
 
 void exchange::take_notices(answer_metadata const& metadata, attempt const& attempt) {
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -6,22 +6,30 @@
 
 namespace {
 
-/// Logged as the age of endpoints that no leader has confirmed.
+/// Logged as the age of what no leader has sent.
 constexpr std::int64_t unknown_age = -1;
 
 std::int64_t to_milliseconds(base::duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+std::int64_t to_age(std::optional<base::duration> age) {
+  return age ? to_milliseconds(*age) : unknown_age;
+}
+
 } // namespace
 
 void ended(ended_request const& request) {
   spdlog::info("entry ended request={} outcome={} reason={} route={} customer={} attempts={} "
-               "events={} first_event_ms={} longest_pause_ms={} took_ms={}",
+               "events={} first_event_ms={} longest_pause_ms={} took_ms={} revision={} "
+               "content={:x} revision_age_ms={} "
+               "leader_age_ms={}",
                request.id.value, name_of(request.end), request.reason, request.route,
                request.customer, request.attempts, request.events,
                to_milliseconds(request.first_event.value_or(base::duration::zero())),
-               to_milliseconds(request.longest_pause), to_milliseconds(request.took));
+               to_milliseconds(request.longest_pause), to_milliseconds(request.took),
+               request.document.revision, request.document.fingerprint,
+               to_age(request.document.age), to_age(request.document.leader_age));
 }
 
 void waited(base::request_id const& id, router const& router, base::duration time) {
@@ -39,8 +47,7 @@
       id.value, session, attempt.number, attempt.endpoint.value, attempt.version.value,
       attempt.model ? attempt.model->value : "", attempt.route, attempt.document_revision,
       attempt.load, to_milliseconds(attempt.deadline - now), attempt.prompt, attempt.fingerprint,
-      attempt.registry_term, attempt.registry_revision,
-      attempt.registry_age ? to_milliseconds(*attempt.registry_age) : unknown_age);
+      attempt.registry_term, attempt.registry_revision, to_age(attempt.registry_age));
 }
 
 void relayed(base::request_id const& id, relay const& relay) {
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -23,6 +23,8 @@
   std::optional<base::duration> first_event;
   base::duration longest_pause{};
   base::duration took{};
+  /// The document in force at the end, by which a refusal was decided.
+  document_status document;
 };
 
 void ended(ended_request const& request);
