tests: Reproduce changes that are acknowledged and not in force, with real processes

A relay on loopback between an entry and a control instance carries datagrams and connections apart, so that a connection can be slow, or lose what it takes without an error, while the datagrams arrive.

--- a/tests/support/proxy_deployment.cpp
+++ b/tests/support/proxy_deployment.cpp
@@ -62,6 +62,8 @@
   auto const& ip = m_ips.at(name);
   auto const at = [&](int port) { return ip + ":" + std::to_string(port); };
   bool const is_control = name == "control";
+  auto const seed = m_seed_ips.find(name);
+  auto const seed_ip = seed == m_seed_ips.end() ? control_ip : seed->second;
   json const settings = {
       {"name", name},
       {"zone", "north"},
@@ -70,7 +72,7 @@
         {"callers", is_control ? "" : at(m_caller_port)},
         {"readiness", is_control ? "" : at(m_ready_port)},
         {"calls", is_control ? at(m_call_port) : ""}}},
-      {"seeds", {std::string(control_ip) + ":" + std::to_string(m_call_port)}},
+      {"seeds", {seed_ip + ":" + std::to_string(m_call_port)}},
       {"first_start", true},
       {"data_folder", is_control ? (m_folder / "data").string() : ""},
       {"log_level", log_level},
--- a/tests/support/proxy_deployment.h
+++ b/tests/support/proxy_deployment.h
@@ -26,6 +26,8 @@
   /// Returns whether both entry instances became ready and know both endpoints.
   [[nodiscard]] bool start();
   void start_process(std::string const& name);
+  /// Makes the instance, when it is started, look for the control instance at this address.
+  void use_seed(std::string const& name, std::string const& ip) { m_seed_ips[name] = ip; }
   /// Rewrites the settings file of the process with another log level. The process has to reload
   /// it.
   void change_log_level(std::string const& name, std::string const& level) const;
@@ -62,6 +64,7 @@
 
   std::filesystem::path m_folder;
   std::map<std::string, std::string> m_ips;
+  std::map<std::string, std::string> m_seed_ips;
   int m_peer_port;
   int m_caller_port;
   int m_ready_port;
