proxy: Judge the document of an update by its own revision

What callers saw: a route or key whose change was acknowledged is refused as unknown (CONFIG). Cause: an update is dropped whole if newer endpoints or rollouts are known, and an update with a document goes over a connection, where any later change of an endpoint, a datagram, overtakes it. While endpoints change and the connection is slow the document is never in force. Class: a message with several parts, each with an order of its own, judged by one of them. The document has its revision, which never goes back, so it is put in force whatever else the update holds; the rest is judged as before. The same class at the entry's own word: it said that it holds the revision that the sender of an update assumes, and would then never be sent that document; it now says what is in force.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -288,14 +288,14 @@
   receive_result result;
   std::visit(base::overloaded{
                  [&](update const& one) {
-                   if (m_subscriber.is_outdated(one)) {
-                     result.is_outdated = true;
-                     return;
+                   result.is_outdated = m_subscriber.is_outdated(one);
+                   result.is_changed = apply_document(one, now);
+                   if (!result.is_outdated) {
+                     m_subscriber.note_update(one, from, now);
+                     result.is_changed |= apply(one, now);
                    }
-                   m_subscriber.note_update(one, from, now);
-                   result.is_changed = apply(one, now);
                    result.messages = request_document(now);
-                   if (one.has_departure()) {
+                   if (!result.is_outdated && one.has_departure()) {
                      result.messages.push_back({from, confirmation{m_subscriber.known()}});
                    }
                  },
@@ -344,14 +344,16 @@
   return true;
 }
 
-bool router::apply(update const& update, base::monotonic_time now) {
-  bool is_changed = false;
-  if (update.document) {
-    is_changed = apply(*update.document, now);
-  }
+bool router::apply_document(update const& update, base::monotonic_time now) {
+  bool const is_changed = update.document && apply(*update.document, now);
   if (update.offered_document > m_routes->revision()) {
     m_document_receiver.note_offer(update.offered_document);
   }
+  return is_changed;
+}
+
+bool router::apply(update const& update, base::monotonic_time now) {
+  bool is_changed = false;
   for (auto const& record : update.endpoints) {
     m_endpoints.apply(record, update.state.registry_term);
     is_changed = true;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -131,7 +131,7 @@
   struct receive_result {
     /// Whether the document or the endpoints changed.
     bool is_changed = false;
-    /// Whether the message was ignored, as it is older than what is known.
+    /// Whether the endpoints and rollouts of an update were ignored, as newer ones are known.
     bool is_outdated = false;
     std::vector<outgoing> messages;
   };
@@ -180,7 +180,11 @@
   [[nodiscard]] refusal final_refusal(active_request const& request, base::monotonic_time now);
   void note_failure(active_request& request, attempt_failure failure, base::monotonic_time now);
   void finish_attempt(active_request& request);
+  /// Applies all of an update but its document.
   bool apply(update const& update, base::monotonic_time now);
+  /// Puts the document of an update in force, or requests it, if it is newer than the current one.
+  /// It has a revision of its own, so that it may be overtaken by changes of the endpoints.
+  bool apply_document(update const& update, base::monotonic_time now);
   /// Puts the document in force if it is newer than the current one. Returns whether it is.
   bool apply(document const& document, base::monotonic_time now);
   bool apply(last_known_state const& state, base::monotonic_time now);
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -103,7 +103,6 @@
 }
 
 bool subscriber::advance(update const& update) {
-  m_known.document_revision = std::max(m_known.document_revision, update.state.document_revision);
   m_known.rollouts_revision = std::max(m_known.rollouts_revision, update.state.rollouts_revision);
   bool const is_same_term = m_known.registry_term == update.state.registry_term;
   auto const known_revision = is_same_term ? m_known.registry_revision : 0;
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -46,16 +46,18 @@
   /// followed per tick, since two instances may refer to each other.
   [[nodiscard]] std::optional<base::instance_id>
   follow(referral const& referral, base::instance_id const& from, base::monotonic_time now);
-  /// Whether a newer state is known than this update carries. A cut link or a paused leader can
-  /// hold an update back until after later ones.
+  /// Whether newer endpoints or rollouts are known than this update carries. A slow connection, a
+  /// cut link or a paused leader can hold an update back until after later ones. Says nothing about
+  /// its document.
   [[nodiscard]] bool is_outdated(update const& update) const;
   /// Records the sender of an update as the leader.
   void note_update(update const& update, base::instance_id const& from, base::monotonic_time now);
-  /// Advances the known revisions by an update. Returns whether its registry changes connect to the
-  /// known revision; if not, they are requested again.
+  /// Advances the known revisions of endpoints and rollouts by an update. Returns whether its
+  /// registry changes connect to the known revision; if not, they are requested again.
   [[nodiscard]] bool advance(update const& update);
 
-  /// Records the revision of a document from an instance that is not the leader.
+  /// Records the revision of the document that is in force. What an update says of it is only what
+  /// its sender assumes.
   void note_document(std::uint64_t revision);
 
   [[nodiscard]] known_state const& known() const { return m_known; }
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -434,6 +434,35 @@
   EXPECT_EQ(tallies.front().statistics.first_byte.count(), 1U);
 }
 
+// Guards against an acknowledged route that is not served: the update with its document comes over
+// a connection, and a later one without it, a datagram, has overtaken it.
+TEST_F(routers, take_a_document_whose_update_was_overtaken_by_a_later_change_of_endpoints) {
+  receive_state({"a"});
+  auto later = make_update(1, 3, 0);
+  later.endpoints = {make_record(endpoint_state::gone, 3)};
+  EXPECT_TRUE(m_router.receive({"control"}, later, start).is_changed);
+  auto overtaken = make_update(1, 2, 0);
+  overtaken.endpoints = {make_record(endpoint_state::ready, 2)};
+  overtaken.document = document{.revision = 2, .services = {{.id = {"s"}}}};
+  overtaken.document->routes = {make_route("/added/", route_kind::idempotent, 2)};
+  auto const received = m_router.receive({"control"}, overtaken, start);
+  EXPECT_TRUE(received.is_changed);
+  EXPECT_TRUE(received.is_outdated);
+  EXPECT_EQ(m_router.document_revision(), 2U);
+  // The route is known, and the endpoint is still gone.
+  EXPECT_EQ(refusal_of(begin("/added/x")), refusal_kind::no_endpoint);
+}
+
+// Guards against a document that an instance says it holds and never gets: an update that its
+// sender took for unneeded names the revision, as a former process held it.
+TEST_F(routers, say_that_they_hold_the_document_in_force_and_no_other) {
+  receive_state({"a"});
+  auto without_document = make_update(1, 2, 0);
+  without_document.state.document_revision = 9;
+  std::ignore = m_router.receive({"control"}, without_document, start);
+  EXPECT_EQ(m_router.known().document_revision, 1U);
+}
+
 // Guards against requests to an endpoint that has left, after a late update of a former leader.
 TEST_F(routers, keep_the_newest_endpoint_state_when_an_older_update_arrives_late) {
   receive_state({"a"});
