proxy: Judge an order for a rollout once the one before it is committed

What operators would see: two orders for a service, sent at once with two targets, are both acknowledged, and the second one silently replaces the first. Cause: an order is judged by the applied state, and the first one is in the log by then but not applied; the state machine starts whatever comes. While an order of a service is in the leader's log a further one is answered as unavailable (sent again, it is acknowledged as a repetition or refused as a conflict). The state machine is unchanged, so builds may be mixed.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -234,12 +234,16 @@
 void control::process_request(call_number number, start_rollout const& request,
                               base::monotonic_time now, control_effects& out) {
   auto const* known = m_state.find_rollout(request.service);
-  auto const order = m_evaluator.classify_start(request.target, known, now);
+  auto const order = m_ordered_services.contains(request.service)
+                         ? rollout_order::undecided
+                         : m_evaluator.classify_start(request.target, known, now);
   out.events.push_back({control_event::rollout_requested, request.service.value,
                         m_evaluator.describe_start(order, request.target, known, now),
                         known == nullptr ? 0 : known->number});
   if (order == rollout_order::new_rollout) {
-    propose(number, request, now, out);
+    if (propose(number, request, now, out)) {
+      m_ordered_services.insert(request.service);
+    }
   } else {
     answer(number, {.kind = reply_to(order)}, out);
   }
@@ -318,14 +322,15 @@
   propose(number, record_departure{departure}, now, out);
 }
 
-void control::propose(call_number number, command const& command, base::monotonic_time now,
+bool control::propose(call_number number, command const& command, base::monotonic_time now,
                       control_effects& out) {
   auto const index = m_replica.propose(encode(command), now, out.log);
   if (!index) {
     answer(number, {.kind = reply_kind::unavailable}, out);
-    return;
+    return false;
   }
   m_calls.await_commit(*index, m_replica.term(), number, now);
+  return true;
 }
 
 void control::answer_pending_calls(base::monotonic_time now, control_effects& out) {
@@ -363,6 +368,7 @@
 }
 
 void control::change_role(base::monotonic_time now) {
+  m_ordered_services.clear();
   if (m_replica.role() != consensus::role::leader) {
     m_publisher.downstreams().clear();
     return;
@@ -384,6 +390,10 @@
   }
   auto const decoded = decode_command(entry.command);
   CATKINLANDING_VERIFY(decoded.has_value());
+  auto const* started = std::get_if<start_rollout>(&*decoded);
+  if (started != nullptr) {
+    m_ordered_services.erase(started->service);
+  }
   auto const revision = m_state.revision();
   bool const is_changed = m_state.apply(*decoded);
   CATKINLANDING_VERIFY(m_state.revision() >= revision);
@@ -401,7 +411,6 @@
   if (!pending) {
     return;
   }
-  auto const* started = std::get_if<start_rollout>(&*decoded);
   if (started != nullptr && is_changed) {
     m_evaluator.note_ordered_here(started->service);
   }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -148,7 +149,9 @@
   /// Answers the call when the departure is in the log, and the entry instances know of it.
   void acknowledge(call_number number, endpoint_departure const& departure,
                    base::monotonic_time now, control_effects& out);
-  void propose(call_number number, command const& command, base::monotonic_time now,
+  /// Proposes a log entry, and answers the call when it is committed. Returns false if the log
+  /// takes none; the call is answered then.
+  bool propose(call_number number, command const& command, base::monotonic_time now,
                control_effects& out);
 
   /// Processes the results of replica operations: role changes, committed entries and snapshots.
@@ -188,6 +191,9 @@
   pending_calls m_calls;
   voter_manager m_voters;
   announcement_relay m_relay;
+  /// The services with an order for a rollout in the log that is not committed yet. What becomes of
+  /// a further order depends on it.
+  std::set<base::service_id> m_ordered_services;
   bool m_is_stopping = false;
 };
 
--- a/libraries/proxy/rollout_order.h
+++ b/libraries/proxy/rollout_order.h
@@ -11,8 +11,8 @@
   new_rollout,
   duplicate,
   conflict,
-  /// Either a duplicate or a new rollout: this instance doesn't know how long ago the latest
-  /// rollout was ordered.
+  /// Can't be told: this instance doesn't know how long ago the latest rollout was ordered, or an
+  /// earlier order for the service is not committed yet.
   undecided,
 };
 
--- a/tests/libraries/proxy/rollout_orders_test.cpp
+++ b/tests/libraries/proxy/rollout_orders_test.cpp
@@ -164,6 +164,37 @@
   EXPECT_EQ(latest().number, 1U);
 }
 
+// Guards against an order that is acknowledged and then replaced by another operator's, which came
+// before the first one was committed.
+TEST_F(rollout_orders, are_not_judged_while_another_order_for_the_service_is_under_way) {
+  auto const leader = m_group.leader();
+  auto const start = [&](call_number number, std::string target) {
+    m_group.call(leader, number,
+                 start_rollout{.service = {"s"}, .target = {std::move(target)}, .duration = 12s});
+  };
+  for (auto const* instance : instances) {
+    if (instance != leader) {
+      m_group.hold(instance);
+    }
+  }
+  start(101, "v2");
+  start(102, "v3");
+  EXPECT_FALSE(m_group.reply(101).has_value());
+  EXPECT_EQ(m_group.reply(102).value_or(call_reply{}).kind, reply_kind::unavailable);
+  for (auto const* instance : instances) {
+    if (instance != leader) {
+      m_group.release(instance);
+    }
+  }
+  m_group.run(100ms);
+  ASSERT_TRUE(m_group.reply(101).has_value());
+  EXPECT_EQ(m_group.reply(101)->kind, reply_kind::done);
+  EXPECT_EQ(latest().target, base::version_id{"v2"});
+  // Sent again, it is judged.
+  start(103, "v3");
+  EXPECT_EQ(m_group.reply(103).value_or(call_reply{}).kind, reply_kind::conflict);
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
