daemon: Bound all frames that wait to be sent together, and drop the oldest for the newest

What operators saw: a leader ended for memory over its limit (261 MB), beside 'peers: the queue is full' 25 times a second, in storms of large changes while a zone loses packets. Cause: 64 MiB for each recipient whatever memory the machine has, and the same log entries queued again at each heartbeat that overtakes them, which are rejected as they are still missing; what waits is stale, and the newest frame is the one refused. Now a memory_budget holds for all recipients together, each may have a quarter of what is free, the oldest waiting frames give way, and missing entries are sent again every 0.2 s at most.

--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -574,9 +574,22 @@
     }
     return;
   }
-  progress.next_index =
+  auto const missing =
       std::max(progress.match_index + 1, std::min(progress.next_index, response.index + 1));
-  replicate_to(it->first, progress, now, out);
+  resend(it->first, progress, missing, now, out);
+}
+
+void replica::resend(voter const& target, progress& progress, log_index from,
+                     base::monotonic_time now, effects& out) {
+  bool const was_just_resent =
+      from >= progress.resent_from && now < progress.resent_at + m_options.resend_interval;
+  if (was_just_resent && from < progress.next_index) {
+    return;
+  }
+  progress.next_index = from;
+  progress.resent_from = from;
+  progress.resent_at = now;
+  replicate_to(target, progress, now, out);
 }
 
 void replica::handle(base::instance_id const& /*from*/, snapshot_response const& response,
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -46,6 +46,9 @@
     base::duration lease_duration = std::chrono::milliseconds(600);
     /// How long a leader that resigns waits for a voter to catch up with its log.
     base::duration leadership_transfer_timeout = std::chrono::milliseconds(500);
+    /// Shortest time between two transmissions of entries that a follower reports missing. They may
+    /// be under way all the while, as later heartbeats can overtake them.
+    base::duration resend_interval = std::chrono::milliseconds(200);
     std::size_t max_append_bytes = 256 * 1024;
     std::size_t snapshot_chunk_bytes = 256 * 1024;
     std::size_t max_uncommitted_entries = 4096;
@@ -119,6 +122,9 @@
     base::monotonic_time acknowledged_sent_at{};
     std::uint64_t snapshot_offset = 0;
     bool is_receiving_snapshot = false;
+    /// The first entry that was sent again, and when.
+    log_index resent_from = 0;
+    base::monotonic_time resent_at{};
   };
 
   struct pending_write {
@@ -178,6 +184,10 @@
   [[nodiscard]] std::optional<configuration> next_configuration(base::monotonic_time now) const;
   [[nodiscard]] bool keeps_quorum(configuration const& next, base::monotonic_time now) const;
   void replicate(base::monotonic_time now, effects& out);
+  /// Sends the entries again that a follower reports missing from this index on, unless they were
+  /// sent again just before.
+  void resend(voter const& target, progress& progress, log_index from, base::monotonic_time now,
+              effects& out);
   void replicate_to(voter const& target, progress& progress, base::monotonic_time now,
                     effects& out);
   void send_snapshot_chunk(voter const& target, progress& progress, base::monotonic_time now,
--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -22,7 +22,8 @@
 /// Fits into one IP packet at the usual MTUs, so that datagrams are not fragmented.
 constexpr std::size_t max_datagram_size = 1200;
 constexpr std::size_t max_frame_size = 64 * 1024 * 1024;
-constexpr std::size_t max_queued_bytes = 64 * 1024 * 1024;
+/// Of the memory for frames that wait to be sent, one recipient may have this part of what is free.
+constexpr std::size_t queue_memory_divisor = 4;
 constexpr std::size_t max_connections = 1024;
 /// Frames are read in chunks of this size, so that a forged length doesn't allocate memory before
 /// the data arrives.
@@ -62,7 +63,8 @@
                                  handler on_frame, std::size_t max_frame_memory)
     : m_context(context), m_on_frame(std::move(on_frame)),
       m_datagrams(std::move(sockets.datagrams)), m_acceptor(std::move(sockets.acceptor)),
-      m_frame_memory({.max_bytes = max_frame_memory, .free_memory_divisor = 1}) {
+      m_frame_memory({.max_bytes = max_frame_memory, .free_memory_divisor = 1}),
+      m_queue_memory({.max_bytes = max_frame_memory, .free_memory_divisor = queue_memory_divisor}) {
   for (auto const& [id, address] : peers) {
     boost::system::error_code error;
     auto const ip = asio::ip::make_address(address.ip, error);
@@ -158,22 +160,39 @@
 
 void frame_transport::send_over_connection(base::instance_id const& to, std::string bytes) {
   auto& entry = m_connections[to];
-  bool const is_new = entry == nullptr;
-  if (is_new) {
-    entry = std::make_shared<connection>(m_context);
+  if (entry == nullptr) {
+    entry = std::make_shared<connection>(m_context, m_queue_memory);
   }
-  if (entry->queued_bytes + bytes.size() > max_queued_bytes) {
-    spdlog::warn("peers: the queue to {} is full", to.value);
+  if (!make_room(to, *entry, bytes.size())) {
+    log_dropped(to, 1);
     return;
   }
-  entry->queued_bytes += bytes.size();
   entry->queue.push_back(add_length_prefix(std::move(bytes)));
-  bool const is_idle = entry->queue.size() == 1;
-  if (is_new || is_idle) {
+  if (!entry->is_writing) {
+    entry->is_writing = true;
     spawn(m_context, "peers", write_frames(to, entry));
   }
 }
 
+bool frame_transport::make_room(base::instance_id const& to, connection& connection,
+                                std::size_t bytes) {
+  auto& memory = connection.memory;
+  std::size_t dropped = 0;
+  bool has_room = memory.try_resize(memory.bytes() + bytes);
+  while (!has_room && !connection.queue.empty()) {
+    auto const freed = connection.queue.front().size() - length_prefix_size;
+    connection.queue.pop_front();
+    // A smaller share is always allowed.
+    static_cast<void>(memory.try_resize(memory.bytes() - freed));
+    ++dropped;
+    has_room = memory.try_resize(memory.bytes() + bytes);
+  }
+  if (dropped > 0) {
+    log_dropped(to, dropped);
+  }
+  return has_room;
+}
+
 awaitable<void> frame_transport::write_frames(base::instance_id to,
                                               std::shared_ptr<connection> connection) {
   auto& stream = connection->stream;
@@ -188,7 +207,8 @@
     set_peer_socket_options(stream.socket());
   }
   while (!connection->queue.empty()) {
-    auto const& frame = connection->queue.front();
+    auto const frame = std::move(connection->queue.front());
+    connection->queue.pop_front();
     for (std::size_t sent = 0; sent < frame.size();) {
       auto const chunk = std::min(frame.size() - sent, chunk_size);
       stream.expires_after(chunk_timeout);
@@ -201,10 +221,11 @@
       }
       sent += size;
     }
-    connection->queued_bytes -= frame.size() - length_prefix_size;
-    connection->queue.pop_front();
+    auto& memory = connection->memory;
+    static_cast<void>(memory.try_resize(memory.bytes() - (frame.size() - length_prefix_size)));
     stream.expires_never();
   }
+  connection->is_writing = false;
 }
 
 void frame_transport::set_peer_address(base::instance_id const& instance,
@@ -282,7 +303,17 @@
   }
   m_next_loss_line = now + warning_interval;
   spdlog::warn("peers connection_lost to={} reason={} frames={} bytes={} total={}", to.value,
-               reason, connection.queue.size(), connection.queued_bytes, m_lost_connections);
+               reason, connection.queue.size(), connection.memory.bytes(), m_lost_connections);
+}
+
+void frame_transport::log_dropped(base::instance_id const& to, std::size_t frames) {
+  m_dropped_frames += frames;
+  auto const now = std::chrono::steady_clock::now();
+  if (now < m_next_drop_line) {
+    return;
+  }
+  m_next_drop_line = now + warning_interval;
+  spdlog::warn("peers frames_dropped to={} total={}", to.value, m_dropped_frames);
 }
 
 } // namespace catkinlanding::daemon
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -30,7 +30,8 @@
 public:
   /// Limits the memory that forged datagrams with invented instance ids can use.
   static constexpr std::size_t max_peers = 4096;
-  /// Memory for the frames that are being received over all connections.
+  /// Memory for the frames that are being received over all connections, and for those that wait to
+  /// be sent.
   static constexpr std::size_t default_frame_memory = 256UL * 1024 * 1024;
 
   /// Must be called with the sender's id before the frame is processed, so that a reply can be
@@ -53,16 +54,22 @@
 
   /// Sets the address of an instance, and drops the connection to its previous address.
   void set_peer_address(base::instance_id const& instance, base::address const& address);
+  /// Bytes of the frames that are being sent, or wait to be, over all connections.
+  [[nodiscard]] std::size_t queued_bytes() const { return m_queue_memory.used_bytes(); }
   /// Drops the connection to the instance with its queued frames. The next frame opens a new one.
   void drop_connection(base::instance_id const& to);
 
 private:
   struct connection {
-    explicit connection(boost::asio::io_context& context) : stream(context) {}
+    connection(boost::asio::io_context& context, base::memory_budget const& budget)
+        : stream(context), memory(budget) {}
 
     tcp_stream stream;
+    /// The frames that wait behind the one that is being written.
     std::deque<std::string> queue;
-    std::size_t queued_bytes = 0;
+    /// The memory of all of them.
+    base::memory_share memory;
+    bool is_writing = false;
   };
 
   awaitable<void> receive_datagrams();
@@ -72,6 +79,9 @@
   awaitable<bool> read_frame(tcp_stream& stream);
   awaitable<void> write_frames(base::instance_id to, std::shared_ptr<connection> connection);
   void send_over_connection(base::instance_id const& to, std::string bytes);
+  /// Takes memory for a frame, from the oldest frames that wait if there is no other: what they
+  /// hold is repeated by now, or outdated. Returns false if the frame has to be dropped itself.
+  bool make_room(base::instance_id const& to, connection& connection, std::size_t bytes);
   /// Passes a frame to the handler and returns whether it could be decoded. `sender` is the source
   /// of a datagram, which becomes the address of an instance whose address isn't known yet.
   bool deliver(std::string_view bytes, boost::asio::ip::udp::endpoint const* sender);
@@ -80,6 +90,7 @@
   void log_unreadable(char const* what, std::size_t bytes);
   /// Logs that the connection to an instance failed, and which of its frames are lost.
   void log_lost(base::instance_id const& to, connection const& connection, char const* reason);
+  void log_dropped(base::instance_id const& to, std::size_t frames);
 
   boost::asio::io_context& m_context;
   std::map<base::instance_id, boost::asio::ip::tcp::endpoint> m_peers;
@@ -89,9 +100,12 @@
   std::map<base::instance_id, std::shared_ptr<connection>> m_connections;
   std::size_t m_inbound_connections = 0;
   base::memory_budget m_frame_memory;
+  base::memory_budget m_queue_memory;
   std::uint64_t m_unreadable_frames = 0;
   std::uint64_t m_lost_connections = 0;
   std::chrono::steady_clock::time_point m_next_loss_line{};
+  std::uint64_t m_dropped_frames = 0;
+  std::chrono::steady_clock::time_point m_next_drop_line{};
   std::chrono::steady_clock::time_point m_next_warning{};
 };
 
--- a/tests/libraries/consensus/replica_test.cpp
+++ b/tests/libraries/consensus/replica_test.cpp
@@ -68,6 +68,31 @@
   EXPECT_EQ(leader.commit_index(), 3);
 }
 
+// Guards against a leader that queues the same entries again at each heartbeat, while they are
+// still under way over a slow connection, until it has no memory left.
+TEST(replica, sends_missing_entries_again_once_in_a_while) {
+  auto leader = follower();
+  auto now = start + 10s;
+  elect(leader, now);
+  effects out;
+  ASSERT_TRUE(leader.propose("y", now, out).has_value());
+  append_response missing{
+      .term = 2, .voter = second, .is_success = false, .index = 1, .request_sent_at = {}};
+  int resent = 0;
+  for (int heartbeat = 0; heartbeat < 10; ++heartbeat) {
+    now += 80ms;
+    out = {};
+    leader.receive(second.instance, missing, now, out);
+    for (auto const& sent : out.messages) {
+      auto const* request = std::get_if<append_request>(&sent.message);
+      bool const is_repeat = request != nullptr && !request->entries.empty();
+      resent += is_repeat ? 1 : 0;
+    }
+  }
+  // One each 240 ms of the 800 ms.
+  EXPECT_EQ(resent, 4);
+}
+
 TEST(replica, adopts_later_term_from_snapshot_response) {
   auto leader = follower();
   auto const now = start + 5s;
--- a/tests/services/daemon/frame_transport_test.cpp
+++ b/tests/services/daemon/frame_transport_test.cpp
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <chrono>
+#include <memory>
 #include <stdexcept>
 
 namespace catkinlanding::daemon {
@@ -56,6 +58,70 @@
   EXPECT_EQ(received, (std::vector<std::string>{"first", "second"}));
 }
 
+constexpr std::size_t queue_memory = 8UL * 1024 * 1024;
+constexpr std::size_t large_frame = 256UL * 1024;
+
+/// A transport with little memory, and an instance that takes its connections.
+class frame_queues : public ::testing::Test {
+protected:
+  using tcp = boost::asio::ip::tcp;
+  using udp = boost::asio::ip::udp;
+
+  void SetUp() override {
+    frame_transport::sockets sockets{udp::socket(m_context, {m_address, 0}),
+                                     tcp::acceptor(m_context, tcp::endpoint{m_address, 0})};
+    std::map<base::instance_id, base::address> const peers{
+        {{"peer"}, {.ip = "127.0.0.1", .port = m_acceptor.local_endpoint().port()}}};
+    m_transport = std::make_unique<frame_transport>(
+        m_context, std::move(sockets), peers,
+        [](std::string_view, frame_transport::sender_callback const&) { return true; },
+        queue_memory);
+  }
+
+  /// Sends a large frame that consists of this byte, and runs what can run at once.
+  void send(char mark) {
+    m_transport->send({"peer"}, std::string(large_frame, mark));
+    m_context.restart();
+    m_context.poll();
+  }
+
+  /// Reads from the connection until a byte of this frame comes. Returns whether it came.
+  [[nodiscard]] bool reads(tcp::socket& socket, char mark) {
+    constexpr std::chrono::seconds give_up_time{10};
+    std::string buffer(large_frame, 0);
+    auto const give_up_at = std::chrono::steady_clock::now() + give_up_time;
+    socket.non_blocking(true);
+    while (std::chrono::steady_clock::now() < give_up_at) {
+      m_context.restart();
+      m_context.poll();
+      boost::system::error_code error;
+      auto const size = socket.read_some(boost::asio::buffer(buffer), error);
+      if (std::string_view(buffer).substr(0, size).find(mark) != std::string_view::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  boost::asio::io_context m_context;
+  boost::asio::ip::address m_address = boost::asio::ip::make_address("127.0.0.1");
+  tcp::acceptor m_acceptor{m_context, tcp::endpoint{m_address, 0}};
+  std::unique_ptr<frame_transport> m_transport;
+};
+
+// Guards against an instance that ends for want of memory, as a recipient reads too slowly, and
+// against news that is refused for old frames that wait.
+TEST_F(frame_queues, drop_the_oldest_frames_for_the_newest_and_stay_within_their_memory) {
+  constexpr int frames = 400;
+  for (int i = 0; i < frames; ++i) {
+    send('o');
+    EXPECT_LE(m_transport->queued_bytes(), queue_memory);
+  }
+  send('n');
+  auto socket = m_acceptor.accept();
+  EXPECT_TRUE(reads(socket, 'n'));
+}
+
 } // namespace
 
 } // namespace catkinlanding::daemon
