proxy: Give up a connection that loses what it takes

What callers saw: all entries refuse a route, and in one case a key, whose change was acknowledged more than 4 s before, while the leader and the followers hold it. Cause: large messages go over a connection that is kept for good; one that still takes bytes, and whose other end or way loses them, is never given up, and the document is sent into it each time. Datagrams arrive meanwhile, so that the instance counts as in touch. Class: a transport taken for working because it accepts bytes. Only the receiver can say what arrived: the leader compares what an instance says it holds with what it was sent (delivery_monitor, each revision by itself), an entry notices that a subscription had no reply, the log that a follower lacks entries it was sent, and the next large message uses another connection. No message or stored format changes. catkinlandingd has the part of the log; its catalogue updates are pulled, not watched.

--- a/libraries/consensus/effects.h
+++ b/libraries/consensus/effects.h
@@ -7,6 +7,9 @@
 struct outgoing {
   base::instance_id to;
   consensus::message message;
+  /// Whether what was last sent to the recipient seems to be lost. A connection that was open then
+  /// may take what is sent and deliver nothing, so this message needs another one.
+  bool needs_new_connection = false;
 };
 
 /// The effects of one event. The caller performs them in this order: queue the writes, send the
--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -586,10 +586,15 @@
   if (was_just_resent && from < progress.next_index) {
     return;
   }
+  bool const were_entries_sent = from < progress.next_index;
   progress.next_index = from;
   progress.resent_from = from;
   progress.resent_at = now;
+  auto const first = out.messages.size();
   replicate_to(target, progress, now, out);
+  for (auto i = first; i < out.messages.size(); ++i) {
+    out.messages[i].needs_new_connection = were_entries_sent;
+  }
 }
 
 void replica::handle(base::instance_id const& /*from*/, snapshot_response const& response,
--- a/libraries/instance/effect.h
+++ b/libraries/instance/effect.h
@@ -12,6 +12,8 @@
 struct send {
   base::instance_id to;
   instance::message message;
+  /// Whether a connection that is open now may have lost what was last sent to the recipient.
+  bool needs_new_connection = false;
 };
 
 struct write_log {
--- a/libraries/instance/reducer.cpp
+++ b/libraries/instance/reducer.cpp
@@ -18,7 +18,11 @@
 /// Converts the messages of one part to effects.
 void send_all(auto&& messages, effects& out) {
   for (auto& outgoing : messages) {
-    out.emplace_back(send{.to = std::move(outgoing.to), .message = std::move(outgoing.message)});
+    send effect{.to = std::move(outgoing.to), .message = std::move(outgoing.message)};
+    if constexpr (requires { outgoing.needs_new_connection; }) {
+      effect.needs_new_connection = outgoing.needs_new_connection;
+    }
+    out.emplace_back(std::move(effect));
   }
 }
 
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -8,6 +8,17 @@
 
 namespace catkinlanding::proxy {
 
+namespace {
+
+std::string describe(known_state const& known) {
+  return "document=" + std::to_string(known.document_revision) +
+         ",registry=" + std::to_string(known.registry_term) + "/" +
+         std::to_string(known.registry_revision) +
+         ",rollouts=" + std::to_string(known.rollouts_revision);
+}
+
+} // namespace
+
 control control::create(options options, consensus::recovered_state const& recovered,
                         base::monotonic_time now) {
   return control(std::move(options), recovered, now);
@@ -150,13 +161,12 @@
 }
 
 void control::send_state(outgoing state, control_effects& out) const {
-  if (state.repeats_document) {
+  if (state.needs_new_connection) {
     auto const& downstream = m_publisher.downstreams().all().at(state.to);
     // Each doubling is enough to see how long it lasts.
-    if (std::has_single_bit(downstream.document_repeats)) {
-      out.events.push_back({control_event::document_repeated, state.to.value,
-                            "held=" + std::to_string(downstream.known.document_revision),
-                            downstream.document_repeats});
+    if (std::has_single_bit(downstream.losses)) {
+      out.events.push_back({control_event::state_repeated, state.to.value,
+                            describe(downstream.known), downstream.losses});
     }
   }
   out.messages.push_back(std::move(state));
--- a/libraries/proxy/control_event.h
+++ b/libraries/proxy/control_event.h
@@ -26,9 +26,9 @@
   quorum_lost,
   instance_joined,
   instance_lost,
-  /// An entry instance lacks the document that it was sent, and gets it again; the number counts
-  /// how often. Not logged for each one.
-  document_repeated,
+  /// An instance lacks the state that it was sent, and gets it again over another connection. The
+  /// detail says what it holds, the number how often this happened; not logged for each one.
+  state_repeated,
 };
 
 /// A control event as it is logged.
--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -13,7 +13,12 @@
   downstream.last_request_at = now;
   downstream.loads = subscription.loads;
   // Each start counts its reports from 1.
-  downstream.has_restarted |= subscription.report <= downstream.report;
+  bool const has_restarted = subscription.report <= downstream.report;
+  downstream.has_restarted |= has_restarted;
+  if (has_restarted) {
+    downstream.deliveries.reset();
+  }
+  downstream.deliveries.note_known(subscription.known);
   downstream.report = subscription.report;
   m_totals.add(downstream.loads);
   m_entries += downstream.is_entry ? 1 : 0;
@@ -24,6 +29,7 @@
   auto const found = m_downstreams.find(from);
   if (found != m_downstreams.end()) {
     found->second.known = known;
+    found->second.deliveries.note_known(known);
   }
 }
 
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/proxy/delivery_monitor.h>
 #include <libraries/proxy/load_totals.h>
 #include <libraries/proxy/message.h>
 
@@ -20,8 +21,10 @@
   std::uint64_t document_sent = 0;
   /// The part of a large document that was last sent to it; nothing if none was.
   std::optional<document_request> part_sent;
-  /// How often a document, or a part of one, was sent to it again.
-  std::uint64_t document_repeats = 0;
+  /// Whether the updates that are sent to it arrive.
+  delivery_monitor deliveries{{}};
+  /// How often something that was sent to it seemed to be lost.
+  std::uint64_t losses = 0;
   /// The revision of the whole registry that was last sent to it; 0 if none was.
   std::uint64_t registry_sent = 0;
   base::monotonic_time registry_sent_at{};
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -271,16 +271,18 @@
 outgoing router::make_subscription(base::instance_id const& upstream, base::monotonic_time now) {
   m_quarantine.note_reported();
   auto const& reported = m_reports.add(m_endpoints.own_loads(now));
-  return {upstream, subscription{.known = m_subscriber.known(),
-                                 .is_entry = true,
-                                 .tallies = m_observer.tallies(),
-                                 .loads = reported.loads,
-                                 .report = reported.number,
-                                 .rate_notices = m_notices.rates().notices(now),
-                                 .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
-                                 .evidence = m_quarantine.report(now),
-                                 .is_cut_off = is_cut_off(),
-                                 .rejection_limits = m_overload.limits().all(now)}};
+  return {upstream,
+          subscription{.known = m_subscriber.known(),
+                       .is_entry = true,
+                       .tallies = m_observer.tallies(),
+                       .loads = reported.loads,
+                       .report = reported.number,
+                       .rate_notices = m_notices.rates().notices(now),
+                       .leaving_endpoints = m_notices.unknown_leaving(m_endpoints),
+                       .evidence = m_quarantine.report(now),
+                       .is_cut_off = is_cut_off(),
+                       .rejection_limits = m_overload.limits().all(now)},
+          m_subscriber.lacks_reply()};
 }
 
 router::receive_result router::receive(base::instance_id const& from, message const& message,
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -53,7 +53,7 @@
                                       source const& source, base::monotonic_time now) {
   update sent{.state = source.revisions()};
   auto const& known = downstream.known;
-  bool const repeats_document = add_document(sent, downstream, source.state.document(), now);
+  add_document(sent, downstream, source.state.document(), now);
   sent.is_registry_complete = source.is_registry_complete;
   add_registry(sent, downstream, source.registry, now);
   downstream.has_restarted = false;
@@ -65,7 +65,10 @@
     sent.rate_grants = source.rates.grants_for(to, now);
   }
   sent.control_instances = instances_of(source.replica.current_configuration().voters);
-  return {to, std::move(sent), repeats_document};
+  bool const is_lost = downstream.deliveries.try_take_loss(now);
+  downstream.losses += is_lost ? 1 : 0;
+  downstream.deliveries.note_sent(sent.state, now);
+  return {to, std::move(sent), is_lost};
 }
 
 void state_publisher::add_registry(update& sent, downstream& downstream,
@@ -128,33 +131,31 @@
   return changes->second;
 }
 
-bool state_publisher::add_document(update& sent, downstream& downstream, document const& document,
+void state_publisher::add_document(update& sent, downstream& downstream, document const& document,
                                    base::monotonic_time now) {
   auto const held = downstream.known.document_revision;
   if (held >= document.revision) {
-    return false;
+    return;
   }
   sent.state.document_revision = held;
   if (!downstream.is_entry) {
-    return false;
+    return;
   }
   m_documents.offer(document);
   if (!m_documents.is_small()) {
     sent.offered_document = document.revision;
-    return false;
+    return;
   }
-  bool const was_sent = !downstream.has_restarted && downstream.document_sent == document.revision;
-  bool const was_just_sent =
-      was_sent && now < downstream.document_sent_at + m_options.push_interval;
+  bool const was_just_sent = !downstream.has_restarted &&
+                             downstream.document_sent == document.revision &&
+                             now < downstream.document_sent_at + m_options.push_interval;
   if (was_just_sent) {
-    return false;
+    return;
   }
   sent.state.document_revision = document.revision;
   sent.document = document;
   downstream.document_sent = document.revision;
   downstream.document_sent_at = now;
-  downstream.document_repeats += was_sent ? 1 : 0;
-  return was_sent;
 }
 
 std::optional<outgoing> state_publisher::part_for(base::instance_id const& to,
@@ -171,7 +172,7 @@
   document_request const sent{.revision = part->revision, .offset = part->offset};
   bool const was_sent = downstream.part_sent == sent;
   downstream.part_sent = sent;
-  downstream.document_repeats += was_sent ? 1 : 0;
+  downstream.losses += was_sent ? 1 : 0;
   return outgoing{to, std::move(*part), was_sent};
 }
 
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -85,8 +85,8 @@
   void add_registry(update& sent, downstream& downstream, endpoint_registry const& registry,
                     base::monotonic_time now);
   /// Adds the document to an update, or the offer of one that is too large for it, if the receiver
-  /// lacks it. Control instances have it from the log. Returns whether the document is sent again.
-  bool add_document(update& sent, downstream& downstream, document const& document,
+  /// lacks it. Control instances have it from the log.
+  void add_document(update& sent, downstream& downstream, document const& document,
                     base::monotonic_time now);
 
   options m_options;
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -25,6 +25,7 @@
   } else if (is_upstream_silent(now)) {
     switch_upstream(now);
   }
+  m_lacks_reply = m_has_requested && m_last_update_at < m_last_request_at;
   m_has_requested = true;
   m_may_follow_referral = true;
   m_last_request_at = now;
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -11,9 +11,9 @@
 struct outgoing {
   base::instance_id to;
   proxy::message message;
-  /// Whether the message repeats a document, or a part of one, that the recipient was sent before
-  /// and still lacks.
-  bool repeats_document = false;
+  /// Whether what was last sent to the recipient seems to be lost. A connection that was open then
+  /// may take what is sent and deliver nothing, so this message needs another one.
+  bool needs_new_connection = false;
 };
 
 /// Synchronizes an instance with the leader of the control instances: finds the leader, sends it
@@ -42,6 +42,8 @@
   /// tells whether the leader waits for measurements.
   [[nodiscard]] std::optional<base::instance_id> tick(base::monotonic_time now,
                                                       bool is_urgent = false);
+  /// Whether the subscription before the last one had no reply.
+  [[nodiscard]] bool lacks_reply() const { return m_lacks_reply; }
   /// Handles a referral and returns the instance to contact at once, if any. Only one referral is
   /// followed per tick, since two instances may refer to each other.
   [[nodiscard]] std::optional<base::instance_id>
@@ -83,6 +85,7 @@
   base::monotonic_time m_last_update_at{};
   base::monotonic_time m_upstream_since{};
   bool m_has_requested = false;
+  bool m_lacks_reply = false;
   bool m_may_follow_referral = false;
   bool m_has_update = false;
   known_state m_known;
--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -263,7 +263,7 @@
 }
 
 void daemon::perform(instance::send& effect) {
-  m_peers->send(effect.to, std::move(effect.message));
+  m_peers->send(effect.to, std::move(effect.message), effect.needs_new_connection);
 }
 
 void daemon::perform(instance::write_log& effect) {
--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -78,12 +78,16 @@
   spawn(m_context, "peers", accept_connections());
 }
 
-void frame_transport::send(base::instance_id const& to, std::string bytes) {
+void frame_transport::send(base::instance_id const& to, std::string bytes,
+                           bool needs_new_connection) {
   auto const peer = m_peers.find(to);
   if (peer == m_peers.end()) {
     spdlog::warn("peers: no address is known for {}", to.value);
     return;
   }
+  if (needs_new_connection) {
+    replace_connection(to);
+  }
   if (bytes.size() > max_datagram_size) {
     send_over_connection(to, std::move(bytes));
     return;
@@ -158,6 +162,18 @@
   co_return deliver(bytes, nullptr);
 }
 
+void frame_transport::replace_connection(base::instance_id const& to) {
+  auto const found = m_connections.find(to);
+  if (found == m_connections.end() || !found->second->has_sent) {
+    return;
+  }
+  auto const replaced = std::move(found->second);
+  m_connections.erase(found);
+  if (!replaced->is_writing) {
+    replaced->stream.close();
+  }
+}
+
 void frame_transport::send_over_connection(base::instance_id const& to, std::string bytes) {
   auto& entry = m_connections[to];
   if (entry == nullptr) {
@@ -223,6 +239,7 @@
     }
     auto& memory = connection->memory;
     static_cast<void>(memory.try_resize(memory.bytes() - (frame.size() - length_prefix_size)));
+    connection->has_sent = true;
     stream.expires_never();
   }
   connection->is_writing = false;
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -50,7 +50,9 @@
                   std::map<base::instance_id, base::address> const& peers, handler on_frame,
                   std::size_t max_frame_memory = default_frame_memory);
 
-  void send(base::instance_id const& to, std::string bytes);
+  /// With `needs_new_connection` this frame and later ones use another connection than the earlier
+  /// ones, which may have been lost in it.
+  void send(base::instance_id const& to, std::string bytes, bool needs_new_connection = false);
 
   /// Sets the address of an instance, and drops the connection to its previous address.
   void set_peer_address(base::instance_id const& instance, base::address const& address);
@@ -70,6 +72,8 @@
     /// The memory of all of them.
     base::memory_share memory;
     bool is_writing = false;
+    /// Whether a frame was written as a whole.
+    bool has_sent = false;
   };
 
   awaitable<void> receive_datagrams();
@@ -79,6 +83,9 @@
   awaitable<bool> read_frame(tcp_stream& stream);
   awaitable<void> write_frames(base::instance_id to, std::shared_ptr<connection> connection);
   void send_over_connection(base::instance_id const& to, std::string bytes);
+  /// Makes the next larger frame open a connection, unless the current one has sent none yet. What
+  /// the current one has taken is still sent.
+  void replace_connection(base::instance_id const& to);
   /// Takes memory for a frame, from the oldest frames that wait if there is no other: what they
   /// hold is repeated by now, or outdated. Returns false if the frame has to be dropped itself.
   bool make_room(base::instance_id const& to, connection& connection, std::size_t bytes);
--- a/services/daemon/message_transport.h
+++ b/services/daemon/message_transport.h
@@ -32,7 +32,8 @@
             },
             max_frame_memory) {}
 
-  void send(base::instance_id const& to, message message) {
+  /// `needs_new_connection` says that a connection which is open may lose what it takes.
+  void send(base::instance_id const& to, message message, bool needs_new_connection = false) {
     if (to == m_identity.self) {
       boost::asio::post(m_context, [this, message = std::move(message)]() mutable {
         m_on_message(m_identity.self, std::move(message));
@@ -43,7 +44,7 @@
     envelope.from = m_identity.self;
     envelope.incarnation = m_identity.incarnation;
     envelope.message = std::move(message);
-    m_frames.send(to, Encode(envelope));
+    m_frames.send(to, Encode(envelope), needs_new_connection);
   }
 
   /// Sets the address of an instance.
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -47,10 +47,10 @@
 
 char const* name_of_event(control_event event) {
   constexpr std::array<char const*, 14> names{
-      "leadership_won",    "leadership_lost",  "document_applied", "rollout_changed",
-      "rollout_requested", "rollout_decided",  "endpoint_changed", "voters_changed",
-      "voters_proposed",   "quorum_gained",    "quorum_lost",      "instance_joined",
-      "instance_lost",     "document_repeated"};
+      "leadership_won",    "leadership_lost", "document_applied", "rollout_changed",
+      "rollout_requested", "rollout_decided", "endpoint_changed", "voters_changed",
+      "voters_proposed",   "quorum_gained",   "quorum_lost",      "instance_joined",
+      "instance_lost",     "state_repeated"};
   return names.at(static_cast<std::size_t>(event));
 }
 
@@ -212,10 +212,10 @@
     m_data_folder->write(write);
   }
   for (auto& outgoing : effects.log.messages) {
-    m_process.send(outgoing.to, std::move(outgoing.message));
+    m_process.send(outgoing.to, std::move(outgoing.message), outgoing.needs_new_connection);
   }
   for (auto& outgoing : effects.messages) {
-    m_process.send(outgoing.to, std::move(outgoing.message));
+    m_process.send(outgoing.to, std::move(outgoing.message), outgoing.needs_new_connection);
   }
   for (auto& answered : effects.answers) {
     auto const found = m_pending_calls.find(answered.number);
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -162,7 +162,8 @@
 
 void entry_process::send(std::vector<outgoing> messages) {
   for (auto& outgoing_message : messages) {
-    m_process.send(outgoing_message.to, std::move(outgoing_message.message));
+    m_process.send(outgoing_message.to, std::move(outgoing_message.message),
+                   outgoing_message.needs_new_connection);
   }
 }
 
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -81,7 +81,7 @@
   m_io.stop();
 }
 
-void process::send(base::instance_id const& to, message message) {
+void process::send(base::instance_id const& to, message message, bool needs_new_connection) {
   if (m_known_peers.insert(to).second) {
     auto const address = parse_address(to.value);
     if (!address) {
@@ -90,7 +90,7 @@
     }
     m_peers->set_peer_address(to, *address);
   }
-  m_peers->send(to, std::move(message));
+  m_peers->send(to, std::move(message), needs_new_connection);
 }
 
 void process::call_after(std::chrono::milliseconds delay, std::function<void()> callback) {
--- a/services/proxy/process.h
+++ b/services/proxy/process.h
@@ -48,7 +48,8 @@
   void run();
   void stop();
 
-  void send(base::instance_id const& to, message message);
+  /// `needs_new_connection` says that a connection which is open may lose what it takes.
+  void send(base::instance_id const& to, message message, bool needs_new_connection);
   /// Calls back once after the delay.
   void call_after(std::chrono::milliseconds delay, std::function<void()> callback);
 
--- a/tests/libraries/consensus/replica_test.cpp
+++ b/tests/libraries/consensus/replica_test.cpp
@@ -70,7 +70,7 @@
 
 // Guards against a leader that queues the same entries again at each heartbeat, while they are
 // still under way over a slow connection, until it has no memory left.
-TEST(replica, sends_missing_entries_again_once_in_a_while) {
+TEST(replica, sends_missing_entries_again_once_in_a_while_and_over_another_connection) {
   auto leader = follower();
   auto now = start + 10s;
   elect(leader, now);
@@ -87,6 +87,7 @@
       auto const* request = std::get_if<append_request>(&sent.message);
       bool const is_repeat = request != nullptr && !request->entries.empty();
       resent += is_repeat ? 1 : 0;
+      EXPECT_TRUE(!is_repeat || sent.needs_new_connection);
     }
   }
   // One each 240 ms of the 800 ms.
--- a/tests/libraries/proxy/subscriber_test.cpp
+++ b/tests/libraries/proxy/subscriber_test.cpp
@@ -50,6 +50,18 @@
   EXPECT_TRUE(one.is_connected(start + 4ms));
 }
 
+// Guards against subscriptions that are all lost in one dead connection to the leader.
+TEST(subscribers, notice_that_the_last_subscription_had_no_reply) {
+  auto one = make_subscriber();
+  ASSERT_TRUE(one.tick(start).has_value());
+  EXPECT_FALSE(one.lacks_reply());
+  one.note_update(make_update(), {"leader"}, start + 2ms);
+  ASSERT_TRUE(one.tick(start + 400ms).has_value());
+  EXPECT_FALSE(one.lacks_reply());
+  ASSERT_TRUE(one.tick(start + 800ms).has_value());
+  EXPECT_TRUE(one.lacks_reply());
+}
+
 TEST(subscribers, wait_for_the_interval_after_the_leader_answers) {
   auto one = make_subscriber();
   ASSERT_TRUE(one.tick(start).has_value());
--- a/tests/services/daemon/frame_transport_test.cpp
+++ b/tests/services/daemon/frame_transport_test.cpp
@@ -79,8 +79,8 @@
   }
 
   /// Sends a large frame that consists of this byte, and runs what can run at once.
-  void send(char mark) {
-    m_transport->send({"peer"}, std::string(large_frame, mark));
+  void send(char mark, bool needs_new_connection = false) {
+    m_transport->send({"peer"}, std::string(large_frame, mark), needs_new_connection);
     m_context.restart();
     m_context.poll();
   }
@@ -122,6 +122,16 @@
   EXPECT_TRUE(reads(socket, 'n'));
 }
 
+// Guards against frames that are sent into a connection which delivers nothing.
+TEST_F(frame_queues, use_another_connection_if_the_open_one_may_lose_frames) {
+  send('a');
+  auto first = m_acceptor.accept();
+  ASSERT_TRUE(reads(first, 'a'));
+  send('b', true);
+  auto second = m_acceptor.accept();
+  EXPECT_TRUE(reads(second, 'b'));
+}
+
 } // namespace
 
 } // namespace catkinlanding::daemon
