proxy: Take a state for lost only by the word of the instance that lacks it

A push looked at what an instance had last said, so one lost subscription and a change of an endpoint were enough to give up a sound connection; and the message that found the loss did not hold what was lost.

--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -34,6 +34,12 @@
   /// Number of the last report of loads, and of the one that the last summary contains.
   std::uint64_t report = 0;
   std::uint64_t summarized_report = 0;
+
+  /// Makes the next update hold all that the instance lacks, whatever was sent just before.
+  void forget_sent() {
+    document_sent = 0;
+    registry_sent = 0;
+  }
 };
 
 /// The instances that subscribe to the leader's state, and what they last reported.
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -22,6 +22,11 @@
 outgoing state_publisher::reply_to(base::instance_id const& from, source const& source,
                                    base::monotonic_time now) {
   auto& downstream = m_downstreams.all().at(from);
+  bool const is_lost = downstream.deliveries.try_take_loss(now);
+  if (is_lost) {
+    ++downstream.losses;
+    downstream.forget_sent();
+  }
   auto reply = make_update(from, downstream, source, now);
   if (downstream.is_entry) {
     auto& sent = std::get<update>(reply.message);
@@ -30,6 +35,7 @@
     sent.rejection_limits = source.rejection_limits.all(now);
     sent.relay_peers = m_downstreams.relay_peers_for(from, now);
   }
+  reply.needs_new_connection = is_lost;
   return reply;
 }
 
@@ -65,10 +71,8 @@
     sent.rate_grants = source.rates.grants_for(to, now);
   }
   sent.control_instances = instances_of(source.replica.current_configuration().voters);
-  bool const is_lost = downstream.deliveries.try_take_loss(now);
-  downstream.losses += is_lost ? 1 : 0;
   downstream.deliveries.note_sent(sent.state, now);
-  return {to, std::move(sent), is_lost};
+  return {to, std::move(sent)};
 }
 
 void state_publisher::add_registry(update& sent, downstream& downstream,
