--- a/libraries/instance/reducer.cpp
+++ b/libraries/instance/reducer.cpp
@@ -1,7 +1,7 @@
 #include <libraries/base/hash.h>
-#include <libraries/base/overloaded.h>
 #include <libraries/base/verify.h>
 #include <libraries/instance/reducer.h>
+#include <libraries/instance/send_all.h>
 
 #include <algorithm>
 #include <utility>
@@ -15,17 +15,6 @@
 /// How long a stop waits for another instance to become leader of the replicated log.
 constexpr base::duration leadership_transfer_timeout = std::chrono::seconds(2);
 
-/// Converts the messages of one part to effects.
-void send_all(auto&& messages, effects& out) {
-  for (auto& outgoing : messages) {
-    send effect{.to = std::move(outgoing.to), .message = std::move(outgoing.message)};
-    if constexpr (requires { outgoing.needs_new_connection; }) {
-      effect.needs_new_connection = outgoing.needs_new_connection;
-    }
-    out.emplace_back(std::move(effect));
-  }
-}
-
 /// The instances to poll before a leader is known. An instance with the control role polls nobody
 /// until then, a relay polls the control instances, and others try the relays of their zone first.
 std::vector<base::instance_id> initial_publishers(reducer::options const& options) {
@@ -247,49 +236,6 @@
   }
 }
 
-void reducer::handle(operators::command const& event, base::monotonic_time now, effects& out) {
-  if (std::holds_alternative<operators::show_status>(event.request)) {
-    out.emplace_back(operators::answer{event.number, status(now)});
-    return;
-  }
-  if (std::holds_alternative<operators::drain>(event.request)) {
-    out.emplace_back(operators::answer{event.number, operators::done_reply{}});
-    handle(stop_requested{}, now, out);
-    return;
-  }
-  if (std::holds_alternative<operators::export_bills>(event.request)) {
-    operators::bills_reply reply;
-    if (!m_ledger) {
-      out.emplace_back(operators::answer{
-          event.number, operators::refusal{operators::refusal_kind::not_a_control_instance}});
-      return;
-    }
-    for (auto const& [request, bill] : m_ledger->bills()) {
-      reply.bills.push_back(bill);
-    }
-    out.emplace_back(operators::answer{event.number, std::move(reply)});
-    return;
-  }
-  if (std::holds_alternative<operators::found_deployment>(event.request)) {
-    // A deployment is founded on the instance that was asked, so the request is never forwarded.
-    if (!m_control) {
-      out.emplace_back(operators::answer{
-          event.number, operators::refusal{operators::refusal_kind::not_a_control_instance}});
-      return;
-    }
-    std::vector<operators::outgoing> ignored;
-    m_gateway.submit(event, now, ignored);
-    receive(m_options.self,
-            operators::message{operators::forwarded_request{
-                .origin = m_options.self, .number = event.number, .request = event.request}},
-            now, out);
-    return;
-  }
-  std::vector<operators::outgoing> commands;
-  m_gateway.submit(event, now, commands);
-  send_all(commands, out);
-}
-
 void reducer::handle(requests::event const& event, base::monotonic_time now, effects& out) {
   requests::effects requests;
   m_requests.reduce(event, request_environment(now), now, requests);
@@ -302,47 +248,6 @@
   emit(std::move(rated), now, out);
 }
 
-void reducer::receive(base::instance_id const& from, consensus::message const& message,
-                      base::monotonic_time now, effects& out) {
-  if (m_control) {
-    control_effects control;
-    m_control->receive(from, message, now, control);
-    emit(std::move(control), now, out);
-  }
-}
-
-void reducer::receive(base::instance_id const& from, distribution::message const& message,
-                      base::monotonic_time now, effects& out) {
-  distribution::effects replies;
-  if (auto const* poll = std::get_if<distribution::poll>(&message)) {
-    if (m_control) {
-      // The subscriber of a leader that has just obtained its lease may lag behind the log.
-      update_catalogue_from_log(now, out);
-    }
-    auto const own = m_subscriber.document().revision();
-    auto const before = m_publisher.summary(own, now).in_force;
-    m_publisher.receive(from, *poll, m_subscriber, grant_until(now), now, replies);
-    if (m_publisher.summary(own, now).in_force > before) {
-      m_subscriber.poll_on_next_tick();
-    }
-    send_all(replies, out);
-    return;
-  }
-  if (m_subscriber.receive(from, std::get<distribution::update>(message), now)) {
-    publish(now, out);
-  }
-}
-
-void reducer::receive(base::instance_id const& /*from*/, routing::message const& message,
-                      base::monotonic_time now, effects& /*out*/) {
-  m_chooser.receive(message, now);
-}
-
-void reducer::receive(base::instance_id const& from, rollouts::message const& message,
-                      base::monotonic_time now, effects& /*out*/) {
-  m_rollout_exchange.receive(from, message, now);
-}
-
 void reducer::tick_rollouts(base::monotonic_time now, effects& out) {
   rollouts::exchange::receivers receivers;
   if (m_control) {
@@ -390,149 +295,6 @@
   }
 }
 
-void reducer::receive(base::instance_id const& from, limits::message const& message,
-                      base::monotonic_time now, effects& out) {
-  if (auto const* grant = std::get_if<limits::share_grant>(&message)) {
-    if (m_share_relay && from != m_options.self) {
-      m_relay_source.note_answer();
-      m_share_relay->receive(*grant, now);
-      return;
-    }
-    m_share_source.note_answer();
-    m_limiter.receive(*grant, now);
-    return;
-  }
-  if (m_share_relay) {
-    auto grant = m_share_relay->receive(from, std::get<limits::share_request>(message),
-                                        limits::limits_in(m_subscriber.document()), now);
-    out.emplace_back(send{.to = from, .message = limits::message{std::move(grant)}});
-    return;
-  }
-  // The lease is checked again, because this may be the first event after the process was
-  // suspended.
-  if (m_share_allocator && m_control->replica().holds_lease(now)) {
-    auto grant = m_share_allocator->receive(from, std::get<limits::share_request>(message),
-                                            limits::limits_in(m_subscriber.document()), now);
-    out.emplace_back(send{.to = from, .message = limits::message{std::move(grant)}});
-  }
-}
-
-void reducer::receive(base::instance_id const& from, endpoints::message const& message,
-                      base::monotonic_time now, effects& /*out*/) {
-  m_directory.receive(from, message, now);
-}
-
-void reducer::receive(base::instance_id const& from, billing::message const& message,
-                      base::monotonic_time now, effects& out) {
-  std::vector<billing::outgoing> replies;
-  std::vector<base::request_id> replicated_bills;
-  std::visit(
-      base::overloaded{
-          [&](billing::bill_batch const& batch) {
-            if (!m_ledger) {
-              return;
-            }
-            if (auto write = m_ledger->receive(from, batch, replies)) {
-              out.emplace_back(write_ledger{std::move(*write)});
-            }
-          },
-          [&](billing::bill_receipt const& receipt) {
-            m_outbox.receive(from, receipt, replicated_bills);
-          },
-          [&](billing::bill_copy const& copy) { m_bill_copies.receive(from, copy, now, replies); },
-          [&](billing::copy_receipt const& receipt) {
-            m_outbox.receive(from, receipt, replicated_bills);
-          },
-          [&](billing::bills_settled const& settled) { m_bill_copies.receive(settled); },
-      },
-      message);
-  send_all(replies, out);
-  notify_replicated_bills(replicated_bills, now, out);
-}
-
-void reducer::receive(base::instance_id const& /*from*/, operators::message const& message,
-                      base::monotonic_time now, effects& out) {
-  if (auto const* reply = std::get_if<operators::forwarded_reply>(&message)) {
-    std::vector<operators::answer> answers;
-    m_gateway.receive(*reply, answers);
-    std::ranges::move(answers, std::back_inserter(out));
-    return;
-  }
-  if (!m_control) {
-    return;
-  }
-  auto const& request = std::get<operators::forwarded_request>(message);
-  if (adds_relay_as_voter(request.request)) {
-    operators::refusal const refusal{operators::refusal_kind::not_a_control_instance};
-    out.emplace_back(send{.to = request.origin,
-                          .message = operators::message{operators::forwarded_reply{
-                              .number = request.number, .reply = refusal}}});
-    return;
-  }
-  control_effects control;
-  m_control->receive(request, m_publisher, now, control);
-  emit(std::move(control), now, out);
-}
-
-bool reducer::adds_relay_as_voter(operators::request const& request) const {
-  auto const is_relay = [this](base::instance_id const& id) {
-    auto const* member = m_members.find(id);
-    return member != nullptr && member->is_relay;
-  };
-  if (auto const* found = std::get_if<operators::found_deployment>(&request)) {
-    return std::ranges::any_of(found->voters, is_relay);
-  }
-  auto const* set = std::get_if<operators::set_voters>(&request);
-  return set != nullptr && std::ranges::any_of(set->voters, is_relay);
-}
-
-void reducer::receive(base::instance_id const& from, claims::message const& message,
-                      base::monotonic_time now, effects& out) {
-  if (auto const* decision = std::get_if<claims::decision>(&message)) {
-    if (m_claim_client.receive(from, *decision)) {
-      handle(requests::event{requests::claim_decided{*decision}}, now, out);
-    }
-    return;
-  }
-  if (m_control) {
-    control_effects control;
-    m_control->receive(std::get<claims::forwarded_action>(message), now, control);
-    emit(std::move(control), now, out);
-  }
-}
-
-void reducer::receive(base::instance_id const& from, sessions::message const& message,
-                      base::monotonic_time now, effects& out) {
-  if (auto const* decision = std::get_if<sessions::decision>(&message)) {
-    auto const requested_at = m_pin_client.receive(from, *decision);
-    if (!requested_at) {
-      return;
-    }
-    if (decision->verdict.kind == sessions::verdict_kind::pinned) {
-      m_pins.store(decision->key, {.pin = decision->verdict.pin,
-                                   .revision = decision->verdict.revision,
-                                   .requested_at = *requested_at});
-    }
-    handle(requests::event{requests::session_decided{.key = decision->key,
-                                                     .verdict = decision->verdict.kind}},
-           now, out);
-    return;
-  }
-  if (m_control) {
-    control_effects control;
-    m_control->receive(std::get<sessions::forwarded_proposal>(message), now, control);
-    emit(std::move(control), now, out);
-  }
-}
-
-void reducer::receive(base::instance_id const& from, membership::message const& message,
-                      base::monotonic_time now, effects& out) {
-  membership::effects answers;
-  m_members.receive(from, message, now, answers);
-  send_all(answers, out);
-  update_members(now, out);
-}
-
 void reducer::update_members(base::monotonic_time now, effects& out) {
   m_subscriber.follow_zone(m_members.zone_peers(now));
   auto const peers = m_members.entry_peers(now);
@@ -698,29 +460,4 @@
   std::ranges::move(m_state_changes.observe(deployment), std::back_inserter(out));
 }
 
-operators::status_reply reducer::status(base::monotonic_time now) const {
-  operators::status_reply reply;
-  reply.instance = m_options.self;
-  reply.zone = m_options.zone;
-  reply.revision = m_subscriber.document().revision();
-  reply.has_lease = m_subscriber.has_lease(now);
-  reply.lease_left = std::max<base::duration>(m_subscriber.lease_until().value_or(now) - now,
-                                              base::duration::zero());
-  reply.endpoints = static_cast<std::uint32_t>(m_directory.size());
-  reply.requests = static_cast<std::uint32_t>(m_requests.size());
-  reply.unsettled_bills = static_cast<std::uint32_t>(m_outbox.size());
-  reply.zones = m_publisher.zones(m_subscriber.document().revision(), now);
-  if (m_control) {
-    auto const& replica = m_control->replica();
-    reply.role = replica.role();
-    reply.term = replica.term();
-    reply.commit_index = replica.commit_index();
-    reply.configuration = replica.current_configuration();
-    if (replica.leader()) {
-      reply.leader = replica.leader()->instance;
-    }
-  }
-  return reply;
-}
-
 } // namespace catkinlanding::instance
