--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -46,8 +46,9 @@
     base::duration lease_duration = std::chrono::milliseconds(600);
     /// How long a leader that resigns waits for a voter to catch up with its log.
     base::duration leadership_transfer_timeout = std::chrono::milliseconds(500);
-    /// Shortest time between two transmissions of entries that a follower reports missing. They may
-    /// be under way all the while, as later heartbeats can overtake them.
+    /// Shortest time between two transmissions of entries that a follower reports missing, or of
+    /// the same part of a snapshot. They may be under way all the while, as later heartbeats can
+    /// overtake them.
     base::duration resend_interval = std::chrono::milliseconds(200);
     std::size_t max_append_bytes = 256 * 1024;
     std::size_t snapshot_chunk_bytes = 256 * 1024;
@@ -113,6 +114,12 @@
   [[nodiscard]] bool is_safe_to_stop() const;
 
 private:
+  struct sent_part {
+    log_index index = 0;
+    std::uint64_t offset = 0;
+    base::monotonic_time at{};
+  };
+
   struct progress {
     log_index next_index = 1;
     log_index match_index = 0;
@@ -122,6 +129,8 @@
     base::monotonic_time acknowledged_sent_at{};
     std::uint64_t snapshot_offset = 0;
     bool is_receiving_snapshot = false;
+    /// The part of a snapshot that was last sent; nothing if none was.
+    std::optional<sent_part> last_part;
     /// The first entry that was sent again, and when.
     log_index resent_from = 0;
     base::monotonic_time resent_at{};
@@ -190,6 +199,10 @@
               effects& out);
   void replicate_to(voter const& target, progress& progress, base::monotonic_time now,
                     effects& out);
+  /// Whether the part of the snapshot that the follower needs next was sent just before.
+  [[nodiscard]] bool is_part_under_way(progress const& progress, base::monotonic_time now) const;
+  /// Sends the next part of the snapshot. While that is under way, only the heartbeat that keeps
+  /// the follower from an election.
   void send_snapshot_chunk(voter const& target, progress& progress, base::monotonic_time now,
                            effects& out);
   void advance_commit(effects& out);
--- a/libraries/consensus/replica_replication.cpp
+++ b/libraries/consensus/replica_replication.cpp
@@ -74,25 +74,40 @@
   out.messages.push_back({target.instance, std::move(request)});
 }
 
+bool replica::is_part_under_way(progress const& progress, base::monotonic_time now) const {
+  auto const& last = progress.last_part;
+  return last && last->index == m_snapshot.index && last->offset == progress.snapshot_offset &&
+         now < last->at + m_options.resend_interval;
+}
+
 void replica::send_snapshot_chunk(voter const& target, progress& progress, base::monotonic_time now,
                                   effects& out) {
   progress.is_receiving_snapshot = true;
   auto const& state = m_snapshot.state;
   auto const offset = std::min<std::uint64_t>(progress.snapshot_offset, state.size());
-  auto chunk = state.substr(offset, m_options.snapshot_chunk_bytes);
-  bool const is_last = offset + chunk.size() == state.size();
-  out.messages.push_back({target.instance, snapshot_request{
-                                               .term = m_hard_state.term,
-                                               .leader = m_options.self,
-                                               .target = target,
-                                               .index = m_snapshot.index,
-                                               .index_term = m_snapshot.term,
-                                               .configuration = m_snapshot.configuration,
-                                               .offset = offset,
-                                               .bytes = std::move(chunk),
-                                               .is_last = is_last,
-                                               .sent_at = now.time_since_epoch(),
-                                           }});
+  bool const is_under_way = is_part_under_way(progress, now);
+  auto part = is_under_way ? std::string{} : state.substr(offset, m_options.snapshot_chunk_bytes);
+  bool const is_last = !is_under_way && offset + part.size() == state.size();
+  auto const& last = progress.last_part;
+  bool const was_lost =
+      !is_under_way && last && last->index == m_snapshot.index && last->offset == offset;
+  if (!is_under_way) {
+    progress.last_part = sent_part{.index = m_snapshot.index, .offset = offset, .at = now};
+  }
+  out.messages.push_back({target.instance,
+                          snapshot_request{
+                              .term = m_hard_state.term,
+                              .leader = m_options.self,
+                              .target = target,
+                              .index = m_snapshot.index,
+                              .index_term = m_snapshot.term,
+                              .configuration = m_snapshot.configuration,
+                              .offset = offset,
+                              .bytes = std::move(part),
+                              .is_last = is_last,
+                              .sent_at = now.time_since_epoch(),
+                          },
+                          was_lost});
 }
 
 void replica::handle(base::instance_id const& /*from*/, append_response const& response,
@@ -166,6 +181,9 @@
   } else {
     progress.snapshot_offset = response.received;
   }
+  if (!response.is_installed && is_part_under_way(progress, now)) {
+    return;
+  }
   replicate_to(it->first, progress, now, out);
 }
 
--- a/tests/libraries/consensus/replica_test.cpp
+++ b/tests/libraries/consensus/replica_test.cpp
@@ -111,6 +111,42 @@
   EXPECT_EQ(std::get<snapshot_response>(answer.messages[0].message).term, 1);
 }
 
+// Guards against a follower that never gets the snapshot it needs, as each of its parts is sent
+// into a connection that delivers nothing, and against a leader that queues the same part at each
+// heartbeat.
+TEST(replica, sends_a_part_of_a_snapshot_again_once_in_a_while_and_over_another_connection) {
+  auto leader = follower();
+  auto now = start + 10s;
+  elect(leader, now);
+  effects out;
+  leader.receive(second.instance, append_acknowledgement(3), now, out);
+  ASSERT_EQ(leader.commit_index(), 3);
+  leader.compact(3, "state", out);
+  append_response const missing{
+      .term = 2, .voter = third, .is_success = false, .index = 0, .request_sent_at = {}};
+  leader.receive(third.instance, missing, now, out);
+  int sent_parts = 0;
+  int heartbeats = 0;
+  for (auto const end = now + 800ms; now < end; now += 80ms) {
+    leader.tick(now, out);
+    for (auto const& sent : std::exchange(out.messages, {})) {
+      auto const* part = std::get_if<snapshot_request>(&sent.message);
+      if (part == nullptr) {
+        continue;
+      }
+      ++heartbeats;
+      bool const has_content = !part->bytes.empty();
+      EXPECT_EQ(part->is_last, has_content);
+      // The first part follows entries that the follower reported missing.
+      EXPECT_EQ(sent.needs_new_connection, has_content);
+      sent_parts += has_content ? 1 : 0;
+    }
+  }
+  // A heartbeat each 160 ms of the 800 ms, and with every second one the part.
+  EXPECT_EQ(heartbeats, 5);
+  EXPECT_EQ(sent_parts, 3);
+}
+
 TEST(replica, keeps_entries_after_a_delayed_snapshot) {
   auto replica = follower();
   effects out;
