distribution: Give up a connection that lost an update of the catalogue

A subscriber that still lacks a revision 0.5 s after it was sent gets it over another one. Evidence: change_of_publisher.gives_up_a_connection_that_lost_an_update fails without the change of the publisher.

--- a/libraries/distribution/message.h
+++ b/libraries/distribution/message.h
@@ -91,6 +91,8 @@
 struct outgoing {
   base::instance_id to;
   distribution::message message;
+  /// Whether a connection that is open now may have lost what was last sent to the recipient.
+  bool needs_new_connection = false;
 };
 
 using effects = std::vector<outgoing>;
--- a/libraries/distribution/publisher.cpp
+++ b/libraries/distribution/publisher.cpp
@@ -64,9 +64,12 @@
     // A later poll has already been received, possibly from a later start of the instance.
     return;
   }
-  if (poll.stamp.incarnation != own.stamp.incarnation) {
+  bool const has_restarted = poll.stamp.incarnation != own.stamp.incarnation;
+  if (has_restarted) {
     own.alive_at.reset();
   }
+  bool const is_lost = !has_restarted && poll.revision < lessee.sent_revision &&
+                       now >= lessee.sent_at + m_options.delivery_timeout;
   own = {.instance = from,
          .zone = poll.zone,
          .in_force = poll.revision,
@@ -84,7 +87,10 @@
   }
   lessee.last_poll = now;
   auto update = make_update(poll.revision, source);
-  lessee.sent_revision = update.revision;
+  if (is_lost || has_restarted) {
+    lessee.sent_revision = 0;
+  }
+  note_sent(lessee, update.revision, now);
   update.poll_stamp = poll.stamp;
   update.leader = source.leader();
   update.stamp = {.incarnation = m_options.incarnation, .time = now.time_since_epoch()};
@@ -94,7 +100,14 @@
     // this.
     lessee.lease_until = std::max(lessee.lease_until, now + *update.lease);
   }
-  out.push_back({from, std::move(update)});
+  out.push_back({from, std::move(update), is_lost});
+}
+
+void publisher::note_sent(lessee& lessee, catalogue::revision revision, base::monotonic_time now) {
+  if (revision != lessee.sent_revision) {
+    lessee.sent_revision = revision;
+    lessee.sent_at = now;
+  }
 }
 
 std::optional<base::monotonic_time> publisher::acknowledged_at(poll const& poll,
@@ -113,7 +126,7 @@
     bool const is_active = now < lessee.lease_until || is_live(lessee.own.alive_at, now);
     if (is_active && lessee.sent_revision < source.document().revision()) {
       auto update = make_update(lessee.sent_revision, source);
-      lessee.sent_revision = update.revision;
+      note_sent(lessee, update.revision, now);
       out.push_back({instance, std::move(update)});
     }
   }
--- a/libraries/distribution/publisher.h
+++ b/libraries/distribution/publisher.h
@@ -32,6 +32,8 @@
     base::duration liveness_timeout = std::chrono::seconds(6);
     /// An instance that has not polled for this long is removed.
     base::duration removal_timeout = std::chrono::minutes(10);
+    /// A revision that a subscriber still lacks this long after it was sent is taken for lost.
+    base::duration delivery_timeout = std::chrono::milliseconds(500);
   };
 
   explicit publisher(options options);
@@ -78,6 +80,8 @@
     std::vector<report> descendants;
     /// The latest revision that was sent, in an answer or a push. The message may have been lost.
     catalogue::revision sent_revision = 0;
+    /// When it was sent first, or again after it had been lost.
+    base::monotonic_time sent_at{};
     base::monotonic_time lease_until{};
     base::monotonic_time last_poll{};
   };
@@ -90,6 +94,7 @@
   };
   using zone_map = std::map<base::availability_zone_id, zone_status>;
 
+  static void note_sent(lessee& lessee, catalogue::revision revision, base::monotonic_time now);
   /// When this publisher sent the answer that the poll acknowledges.
   [[nodiscard]] std::optional<base::monotonic_time> acknowledged_at(poll const& poll,
                                                                     base::monotonic_time now) const;
--- a/tests/libraries/distribution/publisher_test.cpp
+++ b/tests/libraries/distribution/publisher_test.cpp
@@ -124,6 +124,29 @@
   EXPECT_EQ(zone_at_leader().known_by_all, 1U);
 }
 
+// Guards against a catalogue that is sent into a connection which delivers nothing, with each
+// answer to a poll.
+TEST_F(change_of_publisher, gives_up_a_connection_that_lost_an_update) {
+  poll_with(m_entry, m_leader);
+  change_catalogue();
+  auto const answer_to = [&](catalogue::revision held) {
+    m_now += milliseconds(500);
+    poll const sent{.zone = {"south"},
+                    .revision = held,
+                    .stamp = {.incarnation = 1, .time = m_now.time_since_epoch()}};
+    effects answers;
+    m_leader.catalogue_publisher.receive(m_entry.id, sent, m_leader.catalogue_subscriber,
+                                         m_now + seconds(2), m_now, answers);
+    return answers.front().needs_new_connection;
+  };
+  auto const before = m_document.revision() - 1;
+  EXPECT_FALSE(answer_to(before));
+  EXPECT_TRUE(answer_to(before));
+  EXPECT_TRUE(answer_to(before));
+  EXPECT_FALSE(answer_to(m_document.revision()));
+  EXPECT_FALSE(answer_to(m_document.revision()));
+}
+
 } // namespace
 
 } // namespace catkinlanding::distribution
