proxy: Pass announcements of endpoints on in datagrams

A follower answers endpoints for the leader and passes their announcements on without any confirmation. More than eight at once went over a connection; one that loses what it takes loses them all, and endpoints that were told all is well fall silent at the leader. What a datagram loses is announced again within an interval. Not seen outside the test.

--- a/libraries/proxy/announcement_relay.cpp
+++ b/libraries/proxy/announcement_relay.cpp
@@ -1,3 +1,4 @@
+#include <libraries/base/codec.h>
 #include <libraries/proxy/announcement_relay.h>
 
 #include <utility>
@@ -20,11 +21,16 @@
 
 std::vector<relayed_announcements> announcement_relay::take() {
   std::vector<relayed_announcements> messages;
+  std::size_t bytes = 0;
   for (auto& [id, announcement] : std::exchange(m_waiting, {})) {
+    auto const size = base::encode(announcement).size();
+    bytes += size;
     bool const is_full =
-        !messages.empty() && messages.back().announcements.size() >= m_options.max_per_message;
+        !messages.empty() && (messages.back().announcements.size() >= m_options.max_per_message ||
+                              bytes > m_options.max_bytes_per_message);
     if (messages.empty() || is_full) {
       messages.emplace_back();
+      bytes = size;
     }
     messages.back().announcements.push_back(std::move(announcement));
   }
--- a/libraries/proxy/announcement_relay.h
+++ b/libraries/proxy/announcement_relay.h
@@ -17,6 +17,9 @@
     std::size_t max_waiting = 10'000;
     /// Keeps one message from delaying others on the same link.
     std::size_t max_per_message = 256;
+    /// With the rest of a message they fit into a datagram. Nobody confirms announcements, and a
+    /// connection may lose all of them; what a datagram loses is announced again.
+    std::size_t max_bytes_per_message = 1000;
   };
 
   explicit announcement_relay(options options) : m_options(options) {}
--- a/tests/libraries/proxy/announcement_relay_test.cpp
+++ b/tests/libraries/proxy/announcement_relay_test.cpp
@@ -121,6 +121,30 @@
   EXPECT_EQ(record->state, endpoint_state::ready);
 }
 
+// Guards against announcements that were acknowledged and are lost, all of them, in a connection to
+// the leader that delivers nothing: what is lost in a datagram is announced again.
+TEST(announcement_relays, pass_announcements_on_in_datagrams) {
+  constexpr int endpoints = 100;
+  constexpr std::size_t max_datagram_size = 1200;
+  announcement_relay relay({});
+  for (int i = 0; i < endpoints; ++i) {
+    auto named = announcement(i).announcement;
+    named.id = {"i-7f3a91c2" + std::to_string(i)};
+    named.service = {"field-application"};
+    named.zone = {"availability-zone-1"};
+    named.version = {"v12"};
+    EXPECT_TRUE(relay.add(named));
+  }
+  std::size_t passed_on = 0;
+  for (auto& one : relay.take()) {
+    passed_on += one.announcements.size();
+    envelope sent{.from = {"10.1.0.29:7400"}};
+    sent.message = std::move(one);
+    EXPECT_LE(encode(sent).size(), max_datagram_size);
+  }
+  EXPECT_EQ(passed_on, static_cast<std::size_t>(endpoints));
+}
+
 TEST(announcement_relays, bound_what_waits_and_what_one_message_holds) {
   announcement_relay relay({.max_waiting = 3, .max_per_message = 2});
   for (int i = 0; i < 3; ++i) {
