proxy: Number the subscriptions of control instances

The leader took each subscription of a follower for that of a new process, as none had a number, and so never noticed that the endpoints it had sent were lost; the follower may lead next and then knows none of them. Followers count their subscriptions like entry instances do, and say when one had no reply. The format is unchanged; a build before sends 0, and is treated as before.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -91,7 +91,7 @@
     }
   } else if (auto const upstream = m_subscriber.tick(now)) {
     if (*upstream != m_replica.self().instance) {
-      out.messages.push_back({*upstream, subscription{.known = m_subscriber.known()}});
+      out.messages.push_back(make_subscription(*upstream));
     }
   }
   relay_announcements(now, out);
@@ -225,10 +225,15 @@
 void control::handle(base::instance_id const& from, referral const& referral,
                      base::monotonic_time now, control_effects& out) {
   if (auto const upstream = m_subscriber.follow(referral, from, now)) {
-    out.messages.push_back({*upstream, subscription{.known = m_subscriber.known()}});
+    out.messages.push_back(make_subscription(*upstream));
   }
 }
 
+outgoing control::make_subscription(base::instance_id const& upstream) {
+  return {upstream, subscription{.known = m_subscriber.known(), .report = ++m_last_subscription},
+          m_subscriber.lacks_reply()};
+}
+
 // The replicated log.
 
 void control::process_replica_output(base::monotonic_time now, control_effects& out) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -112,7 +112,9 @@
   void handle(base::instance_id const& from, relayed_announcements const& relayed,
               base::monotonic_time now, control_effects& out);
 
-  /// Sends an update or a part of a document to an entry instance.
+  /// Creates a subscription that requests missing state from `upstream`.
+  [[nodiscard]] outgoing make_subscription(base::instance_id const& upstream);
+  /// Sends an update or a part of a document to an instance that is subscribed.
   void send_state(outgoing state, control_effects& out) const;
   /// Answers a subscription while not leading, naming the leader if it is known. An entry instance
   /// without a document also receives the last known state if there is no leader.
@@ -177,6 +179,8 @@
   replicated_state m_state;
   endpoint_registry m_registry;
   subscriber m_subscriber;
+  /// Number of the last subscription since the start.
+  std::uint64_t m_last_subscription = 0;
   rollout_evaluator m_evaluator;
   rate_coordinator m_rates;
   /// The evidence of all entry instances.
--- a/libraries/proxy/message.h
+++ b/libraries/proxy/message.h
@@ -74,7 +74,8 @@
   bool is_entry = false;
   std::vector<version_tally> tallies;
   std::vector<endpoint_load> loads;
-  /// Number of this report of loads, counted from 1 at each start of the sender.
+  /// Number of this subscription, and of its report of loads, counted from 1 at each start of the
+  /// sender.
   std::uint64_t report = 0;
   /// Rates of requests that endpoints stated to the sender.
   std::vector<rate_notice> rate_notices;
