--- a/tests/libraries/proxy/delivery_monitor_test.cpp
+++ b/tests/libraries/proxy/delivery_monitor_test.cpp
@@ -50,6 +50,7 @@
   EXPECT_TRUE(monitor.try_take_loss(start + 600ms));
 }
 
+// Guards against a connection that is given up although nothing went over it.
 TEST(delivery_monitors, watch_only_what_is_new_to_the_instance) {
   delivery_monitor monitor({.timeout = 500ms});
   monitor.note_known(state(2, 5));
@@ -57,6 +58,7 @@
   EXPECT_FALSE(monitor.try_take_loss(start + 10s));
 }
 
+// Guards against a loss that a new leader sees in the numbers of the one before.
 TEST(delivery_monitors, do_not_compare_registries_of_two_terms) {
   delivery_monitor monitor({.timeout = 500ms});
   monitor.note_sent(state(2, 5), start);
@@ -64,6 +66,7 @@
   EXPECT_FALSE(monitor.try_take_loss(start + 10s));
 }
 
+// Guards against a connection that is given up because an instance has started anew.
 TEST(delivery_monitors, forget_what_a_former_process_was_sent) {
   delivery_monitor monitor({.timeout = 500ms});
   monitor.note_sent(state(2, 5), start);
--- a/tests/services/proxy/document_delivery_process.cpp
+++ b/tests/services/proxy/document_delivery_process.cpp
@@ -28,8 +28,8 @@
   document_delivery()
       : m_relay({.control_ip = proxy_deployment::control_ip,
                  .entry_ip = m_deployment.ip_of(relayed_entry),
-                 .control_face_ip = "127.0.1.2",
-                 .entry_face_ip = "127.0.1.3",
+                 .control_alias_ip = "127.0.1.2",
+                 .entry_alias_ip = "127.0.1.3",
                  .peer_port = m_deployment.peer_port()}) {}
 
   void SetUp() override {
@@ -74,7 +74,7 @@
                             {"state", "ready"},
                             {"cold_left_ms", 0},
                             {"seq", m_announcements}};
-    auto const path = "/api/Instances.Heartbeat/restless";
+    auto const path = "/api/Instances.Heartbeat/changing";
     EXPECT_EQ(m_deployment.call("POST", path, heartbeat.dump()).status, 200);
   }
 
@@ -101,20 +101,21 @@
 TEST_F(document_delivery, gives_up_a_connection_that_loses_the_document) {
   apply(2, some_routes);
   ASSERT_TRUE(eventually([&] { return serves(2); }));
-  m_relay.swallow_open_connections();
+  m_relay.blackhole_open_connections();
   apply(3, some_routes);
   EXPECT_TRUE(eventually([&] { return serves(3); })) << m_deployment.log("control");
-  EXPECT_GT(m_relay.swallowed_frames(), 0);
+  EXPECT_GT(m_relay.lost_frames(), 0);
 }
 
-// The same for a document that is transferred in parts.
+// Guards against a document in parts that is never complete, since the connection takes one of its
+// parts and loses it, each time it is sent (CONFIG).
 TEST_F(document_delivery, gives_up_a_connection_that_loses_a_part_of_the_document) {
   apply(2, many_routes);
   ASSERT_TRUE(eventually([&] { return serves(2); }));
-  m_relay.swallow_open_connections();
+  m_relay.blackhole_open_connections();
   apply(3, many_routes);
   EXPECT_TRUE(eventually([&] { return serves(3); })) << m_deployment.log("control");
-  EXPECT_GT(m_relay.swallowed_frames(), 0);
+  EXPECT_GT(m_relay.lost_frames(), 0);
 }
 
 } // namespace
--- a/tests/support/peer_relay.cpp
+++ b/tests/support/peer_relay.cpp
@@ -28,14 +28,14 @@
 
 peer_relay::peer_relay(options options)
     : m_options(std::move(options)),
-      m_to_control(
-          make_face(m_options.control_face_ip, m_options.entry_face_ip, m_options.control_ip)),
-      m_to_entry(
-          make_face(m_options.entry_face_ip, m_options.control_face_ip, m_options.entry_ip)) {
+      m_to_control(make_direction(m_options.control_alias_ip, m_options.entry_alias_ip,
+                                  m_options.control_ip)),
+      m_to_entry(make_direction(m_options.entry_alias_ip, m_options.control_alias_ip,
+                                m_options.entry_ip)) {
   m_to_entry.is_towards_entry = true;
-  for (auto* face : {&m_to_control, &m_to_entry}) {
-    daemon::spawn(m_context, "relay", carry_datagrams(*face));
-    daemon::spawn(m_context, "relay", accept_connections(*face));
+  for (auto* direction : {&m_to_control, &m_to_entry}) {
+    daemon::spawn(m_context, "relay", carry_datagrams(*direction));
+    daemon::spawn(m_context, "relay", accept_connections(*direction));
   }
   m_thread = std::thread([this] { m_context.run(); });
 }
@@ -45,8 +45,9 @@
   m_thread.join();
 }
 
-peer_relay::face peer_relay::make_face(std::string const& ip, std::string const& sender_ip,
-                                       std::string const& target_ip) {
+peer_relay::direction peer_relay::make_direction(std::string const& ip,
+                                                 std::string const& sender_ip,
+                                                 std::string const& target_ip) {
   auto const port = static_cast<unsigned short>(m_options.peer_port);
   return {.sender = instance(sender_ip),
           .recipient = instance(target_ip),
@@ -59,11 +60,11 @@
   return proxy::instance_at({.ip = ip, .port = static_cast<std::uint16_t>(m_options.peer_port)});
 }
 
-std::string peer_relay::rewrite(std::string_view bytes, face const& face) const {
+std::string peer_relay::rewrite(std::string_view bytes, direction const& direction) const {
   auto envelope = proxy::decode(bytes);
   CATKINLANDING_VERIFY(envelope.has_value());
-  envelope->from = face.sender;
-  auto const known_control = instance(m_options.control_face_ip);
+  envelope->from = direction.sender;
+  auto const known_control = instance(m_options.control_alias_ip);
   if (auto* update = std::get_if<proxy::update>(&envelope->message)) {
     update->control_instances = {known_control};
   }
@@ -73,36 +74,37 @@
   return proxy::encode(*envelope);
 }
 
-awaitable<void> peer_relay::carry_datagrams(face& face) {
+awaitable<void> peer_relay::carry_datagrams(direction& direction) {
   std::array<char, 64 * 1024> buffer{};
   udp::endpoint sender;
-  udp::endpoint const target{face.target, static_cast<unsigned short>(m_options.peer_port)};
+  udp::endpoint const target{direction.target, static_cast<unsigned short>(m_options.peer_port)};
   while (true) {
     auto const [error, size] =
-        co_await face.datagrams.async_receive_from(asio::buffer(buffer), sender, completion);
+        co_await direction.datagrams.async_receive_from(asio::buffer(buffer), sender, completion);
     if (error) {
       co_return;
     }
-    auto const text = rewrite({buffer.data(), size}, face);
+    auto const text = rewrite({buffer.data(), size}, direction);
     boost::system::error_code ignored;
-    face.datagrams.send_to(asio::buffer(text), target, 0, ignored);
+    direction.datagrams.send_to(asio::buffer(text), target, 0, ignored);
   }
 }
 
-awaitable<void> peer_relay::accept_connections(face& face) {
+awaitable<void> peer_relay::accept_connections(direction& direction) {
   while (true) {
-    auto [error, socket] = co_await face.acceptor.async_accept(completion);
+    auto [error, socket] = co_await direction.acceptor.async_accept(completion);
     if (error) {
       co_return;
     }
-    daemon::spawn(m_context, "relay", carry_frames(face, daemon::tcp_stream(std::move(socket))));
+    daemon::spawn(m_context, "relay",
+                  carry_frames(direction, daemon::tcp_stream(std::move(socket))));
   }
 }
 
-awaitable<void> peer_relay::carry_frames(face& face, daemon::tcp_stream from) {
+awaitable<void> peer_relay::carry_frames(direction& direction, daemon::tcp_stream from) {
   auto const generation = m_generation.load();
   daemon::tcp_stream to(m_context);
-  tcp::endpoint const target{face.target, static_cast<unsigned short>(m_options.peer_port)};
+  tcp::endpoint const target{direction.target, static_cast<unsigned short>(m_options.peer_port)};
   if (auto const [error] = co_await to.async_connect(target, completion); error) {
     co_return;
   }
@@ -119,14 +121,14 @@
       co_return;
     }
     if (generation != m_generation) {
-      ++m_swallowed;
+      ++m_lost_frames;
       continue;
     }
-    if (face.is_towards_entry) {
+    if (direction.is_towards_entry) {
       daemon::steady_timer timer(m_context, m_delay.load());
       co_await timer.async_wait(completion);
     }
-    auto const text = rewrite(bytes, face);
+    auto const text = rewrite(bytes, direction);
     boost::endian::store_little_u32(length.data(), static_cast<std::uint32_t>(text.size()));
     std::array<asio::const_buffer, 2> const parts{asio::buffer(length), asio::buffer(text)};
     if (auto const [error, size] = co_await asio::async_write(to, parts, completion); error) {
--- a/tests/support/peer_relay.h
+++ b/tests/support/peer_relay.h
@@ -23,8 +23,8 @@
     std::string entry_ip;
     /// The addresses under which the entry instance knows the control instance, and the control
     /// instance the entry instance.
-    std::string control_face_ip;
-    std::string entry_face_ip;
+    std::string control_alias_ip;
+    std::string entry_alias_ip;
     int peer_port = 0;
   };
 
@@ -37,13 +37,13 @@
   void delay_frames(std::chrono::milliseconds delay) { m_delay = delay; }
   /// Takes what comes over the connections that are open now, in both directions, and loses it.
   /// Later ones work.
-  void swallow_open_connections() { ++m_generation; }
+  void blackhole_open_connections() { ++m_generation; }
 
-  [[nodiscard]] int swallowed_frames() const { return m_swallowed; }
+  [[nodiscard]] int lost_frames() const { return m_lost_frames; }
 
 private:
   /// One direction of the traffic.
-  struct face {
+  struct direction {
     base::instance_id sender;
     base::instance_id recipient;
     boost::asio::ip::address target;
@@ -52,22 +52,22 @@
     bool is_towards_entry = false;
   };
 
-  [[nodiscard]] face make_face(std::string const& ip, std::string const& sender_ip,
-                               std::string const& target_ip);
+  [[nodiscard]] direction make_direction(std::string const& ip, std::string const& sender_ip,
+                                         std::string const& target_ip);
   [[nodiscard]] base::instance_id instance(std::string const& ip) const;
   /// The message as the recipient gets it, with the relay's addresses in place of the true ones.
-  [[nodiscard]] std::string rewrite(std::string_view bytes, face const& face) const;
-  daemon::awaitable<void> carry_datagrams(face& face);
-  daemon::awaitable<void> accept_connections(face& face);
-  daemon::awaitable<void> carry_frames(face& face, daemon::tcp_stream from);
+  [[nodiscard]] std::string rewrite(std::string_view bytes, direction const& direction) const;
+  daemon::awaitable<void> carry_datagrams(direction& direction);
+  daemon::awaitable<void> accept_connections(direction& direction);
+  daemon::awaitable<void> carry_frames(direction& direction, daemon::tcp_stream from);
 
   options m_options;
   boost::asio::io_context m_context;
-  face m_to_control;
-  face m_to_entry;
+  direction m_to_control;
+  direction m_to_entry;
   std::atomic<std::chrono::milliseconds> m_delay{};
   std::atomic<int> m_generation = 0;
-  std::atomic<int> m_swallowed = 0;
+  std::atomic<int> m_lost_frames = 0;
   std::thread m_thread;
 };
 
