request_log: Say what an attempt had come to when it failed, and what its request had left

After a case of LOST the log said failure=stalled and reason=outcome_unknown. Neither told the limit that was passed, what it was learned from, nor the pause; nor whether attempts or time had run out, nor that the last endpoint rejected the request. The line of a failed attempt now has the endpoint, its silence, the limit, the age of the latest answer behind it, and the time and attempts left; the line of an ended request has how its last attempt failed, and the same two. One number or word each, so a line's cost stays bounded.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -67,8 +67,9 @@
          std::ranges::find(unreached, id) != unreached.end();
 }
 
-bool active_request::has_attempts_left() const {
-  return facts.attempts_before + tried.size() < route->max_attempts;
+std::uint32_t active_request::attempts_left() const {
+  auto const sent = facts.attempts_before + static_cast<std::uint32_t>(tried.size());
+  return route->max_attempts - std::min(route->max_attempts, sent);
 }
 
 std::uint32_t active_request::slots() const {
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -71,8 +71,9 @@
   [[nodiscard]] bool has_been_sent_to(base::endpoint_id const& id) const;
   /// Number of requests that an endpoint of the service runs concurrently; 0 if unknown.
   [[nodiscard]] std::uint32_t slots() const;
-  /// Whether its route allows another endpoint.
-  [[nodiscard]] bool has_attempts_left() const;
+  /// How many further endpoints its route allows.
+  [[nodiscard]] std::uint32_t attempts_left() const;
+  [[nodiscard]] bool has_attempts_left() const { return attempts_left() > 0; }
   /// The work of processing this many prompt tokens, weighted by the request's model.
   [[nodiscard]] std::uint64_t work_of(std::uint64_t tokens) const;
   /// The tokens of the prompt without the part that belongs to the request alone.
--- a/libraries/proxy/attempt_monitor.cpp
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -50,6 +50,24 @@
                                    m_times.of(request), endpoint);
 }
 
+attempt_report attempt_monitor::report(active_request const& request,
+                                       known_endpoint const* endpoint,
+                                       base::monotonic_time now) const {
+  attempt_report made{.endpoint = request.endpoint,
+                      .has_answer = request.has_answer,
+                      .silence = now - request.progress_at,
+                      .time_left = request.deadline - now,
+                      .attempts_left = request.attempts_left()};
+  if (auto const due = stall_deadline(request, endpoint)) {
+    made.max_silence = *due - request.progress_at;
+  }
+  auto const learned_at = m_times.of(request).updated_at;
+  if (learned_at != base::monotonic_time{}) {
+    made.learned_age = now - learned_at;
+  }
+  return made;
+}
+
 bool attempt_monitor::try_retry(active_request const& request, base::monotonic_time now) {
   return m_retries.of(request.service).try_spend(now);
 }
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/proxy/answer_times.h>
+#include <libraries/proxy/attempt_report.h>
 #include <libraries/proxy/escalation_policy.h>
 #include <libraries/proxy/retry_limiter_table.h>
 #include <libraries/proxy/stall_policy.h>
@@ -46,6 +47,10 @@
   [[nodiscard]] std::optional<base::monotonic_time>
   stall_deadline(active_request const& request, known_endpoint const* endpoint) const;
 
+  /// What the current attempt has come to.
+  [[nodiscard]] attempt_report report(active_request const& request, known_endpoint const* endpoint,
+                                      base::monotonic_time now) const;
+
   /// Takes a retry for the request. Returns false if none is left.
   [[nodiscard]] bool try_retry(active_request const& request, base::monotonic_time now);
   /// Whether the current attempt has stalled and another one is expected to be answered in time.
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -142,6 +142,16 @@
              : m_attempts.stall_deadline(found->second, m_endpoints.find(found->second.endpoint));
 }
 
+std::optional<attempt_report> router::report_attempt(request_number number,
+                                                     base::monotonic_time now) const {
+  auto const found = m_requests.find(number);
+  if (found == m_requests.end() || found->second.endpoint.value.empty()) {
+    return std::nullopt;
+  }
+  auto const& request = found->second;
+  return m_attempts.report(request, m_endpoints.find(request.endpoint), now);
+}
+
 bool router::try_abandon_stalled(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end()) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -99,6 +99,9 @@
   /// nothing if no other attempt could follow it, or while a request without a response may be
   /// queued on a fully loaded endpoint.
   [[nodiscard]] std::optional<base::monotonic_time> stall_deadline(request_number number) const;
+  /// What the current attempt has come to, for the log; nothing if none was begun.
+  [[nodiscard]] std::optional<attempt_report> report_attempt(request_number number,
+                                                             base::monotonic_time now) const;
   /// Returns whether the current attempt must be aborted as stalled. If so, a retry has already
   /// been taken from the retry limit for its replacement.
   [[nodiscard]] bool try_abandon_stalled(request_number number, base::monotonic_time now);
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -87,8 +87,13 @@
       finish(request_end::answered, relayed != nullptr ? "relayed" : "whole");
       co_return m_keep_alive && !m_context.is_stopping;
     }
-    request_log::attempt_failed(m_id, m_attempts, *failure, m_answer_status,
-                                m_forwarder.events().events());
+    m_last_failure = failure;
+    request_log::attempt_failed({.id = m_id,
+                                 .number = m_attempts,
+                                 .failure = *failure,
+                                 .status = m_answer_status,
+                                 .events = m_forwarder.events().events(),
+                                 .report = m_context.router.report_attempt(m_number, now())});
     decision = m_context.router.fail(m_number, *failure, m_forwarder.has_begun(), now());
   }
 }
@@ -450,6 +455,7 @@
   boost::system::error_code ignored;
   // Cancels the disconnect watch, the only operation still pending on the caller's socket.
   m_caller.socket().cancel(ignored);
+  auto const last_attempt = m_context.router.report_attempt(m_number, now());
   m_context.router.end(m_number, now());
   auto const took = now() - m_started_at;
   m_context.metrics.observe_request(m_customer, m_route, end, reason, took);
@@ -467,6 +473,8 @@
                       .first_event = m_forwarder.timing().first_event(),
                       .longest_pause = m_forwarder.timing().longest_pause(),
                       .took = took,
+                      .last_failure = m_last_failure,
+                      .last_attempt = last_attempt,
                       .document = m_context.router.status_of_document(now())});
 }
 
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -6,29 +6,35 @@
 
 namespace {
 
-/// Logged as the age of what no leader has sent.
-constexpr std::int64_t unknown_age = -1;
+/// Logged for a time that is not known, and for the age of what no leader has sent.
+constexpr std::int64_t unknown_time = -1;
 
 std::int64_t to_milliseconds(base::duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
 std::int64_t to_age(std::optional<base::duration> age) {
-  return age ? to_milliseconds(*age) : unknown_age;
+  return age ? to_milliseconds(*age) : unknown_time;
+}
+
+std::string_view name_of_failure(std::optional<attempt_failure> failure) {
+  return failure ? name_of(*failure) : "none";
 }
 
 } // namespace
 
 void ended(ended_request const& request) {
+  auto const last = request.last_attempt.value_or(attempt_report{});
   spdlog::info("entry ended request={} outcome={} reason={} route={} customer={} attempts={} "
-               "events={} first_event_ms={} longest_pause_ms={} took_ms={} revision={} "
-               "content={:x} revision_age_ms={} "
+               "events={} first_event_ms={} longest_pause_ms={} took_ms={} last_failure={} "
+               "left_ms={} attempts_left={} revision={} content={:x} revision_age_ms={} "
                "leader_age_ms={}",
                request.id.value, name_of(request.end), request.reason, request.route,
                request.customer, request.attempts, request.events,
                to_milliseconds(request.first_event.value_or(base::duration::zero())),
                to_milliseconds(request.longest_pause), to_milliseconds(request.took),
-               request.document.revision, request.document.fingerprint,
+               name_of_failure(request.last_failure), to_milliseconds(last.time_left),
+               last.attempts_left, request.document.revision, request.document.fingerprint,
                to_age(request.document.age), to_age(request.document.leader_age));
 }
 
@@ -55,10 +61,14 @@
                id.value, relay.peer.value, relay.route, relay.attempts_before, relay.may_have_run);
 }
 
-void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
-                    unsigned status, std::size_t events) {
-  spdlog::warn("entry attempt_failed request={} number={} failure={} status={} events={}", id.value,
-               number, name_of(failure), status, events);
+void attempt_failed(failed_attempt const& attempt) {
+  auto const report = attempt.report.value_or(attempt_report{});
+  spdlog::warn("entry attempt_failed request={} number={} failure={} status={} events={} "
+               "endpoint={} silent_ms={} limit_ms={} learned_age_ms={} left_ms={} attempts_left={}",
+               attempt.id.value, attempt.number, name_of(attempt.failure), attempt.status,
+               attempt.events, report.endpoint.value, to_milliseconds(report.silence),
+               to_age(report.max_silence), to_age(report.learned_age),
+               to_milliseconds(report.time_left), report.attempts_left);
 }
 
 void notice_taken(base::request_id const& id, attempt const& attempt, notice_change const& change) {
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -23,6 +23,9 @@
   std::optional<base::duration> first_event;
   base::duration longest_pause{};
   base::duration took{};
+  /// How the last attempt failed, and what it had come to; nothing if none did.
+  std::optional<attempt_failure> last_failure;
+  std::optional<attempt_report> last_attempt;
   /// The document in force at the end, by which a refusal was decided.
   document_status document;
 };
@@ -34,9 +37,20 @@
                      base::monotonic_time now);
 /// The request was passed on to another entry instance, as this one can't reach the endpoints.
 void relayed(base::request_id const& id, relay const& relay);
-/// `status` is that of the endpoint's answer; 0 if none came.
-void attempt_failed(base::request_id const& id, std::uint32_t number, attempt_failure failure,
-                    unsigned status, std::size_t events);
+/// A failed attempt of a request.
+struct failed_attempt {
+  base::request_id const& id;
+  std::uint32_t number = 0;
+  attempt_failure failure = attempt_failure::broken;
+  /// The status of the endpoint's answer; 0 if none came.
+  unsigned status = 0;
+  /// Events of a stream that the caller received.
+  std::size_t events = 0;
+  /// Nothing if the request was passed on to another entry instance.
+  std::optional<attempt_report> report;
+};
+
+void attempt_failed(failed_attempt const& attempt);
 /// An endpoint stated something new about itself in its answer to the attempt.
 void notice_taken(base::request_id const& id, attempt const& attempt, notice_change const& change);
 /// What an endpoint states about itself could not be read.
