--- /dev/null
+++ b/tests/services/proxy/replaced_streams_process.cpp
@@ -0,0 +1,82 @@
+#include <tests/support/deployment.h>
+#include <tests/support/proxy_deployment.h>
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace catkinlanding::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto deadline_ms = "30000";
+
+/// A stream pauses after its first event for so long that another endpoint is asked to continue it.
+class paused_streams : public ::testing::Test {
+protected:
+  void SetUp() override { ASSERT_TRUE(m_deployment.start()); }
+
+  std::future<http_response> begin(std::string path) {
+    return std::async(std::launch::async, [this, path = std::move(path)] {
+      return m_deployment.send_to_entry(
+          "entry-1",
+          {.path = path, .headers = {{"Attempt-Id", "id-1"}, {"Deadline-Ms", deadline_ms}}});
+    });
+  }
+
+  /// Waits until both endpoints have received the request.
+  [[nodiscard]] bool await_second_attempt() {
+    return eventually([&] {
+      return !m_deployment.endpoint(0).arrivals().empty() &&
+             !m_deployment.endpoint(1).arrivals().empty();
+    });
+  }
+
+  void release() {
+    m_deployment.endpoint(0).release();
+    m_deployment.endpoint(1).release();
+  }
+
+  static void expect_whole(http_response const& answer) {
+    EXPECT_EQ(answer.status, 200);
+    for (int number = 1; number <= 5; ++number) {
+      auto const event = "data: event-" + std::to_string(number) + "\n\n";
+      auto const found = answer.body.find(event);
+      EXPECT_NE(found, std::string::npos) << answer.body;
+      EXPECT_EQ(answer.body.find(event, found + 1), std::string::npos) << answer.body;
+    }
+  }
+
+  proxy_deployment m_deployment;
+};
+
+// A stream was cut with time left: its endpoint, which was at work, had been given up for one that
+// then rejected the request.
+TEST_F(paused_streams, go_on_if_the_endpoint_that_should_continue_them_rejects_the_request) {
+  auto answer = begin("/brisk/slow-stream-shed");
+  ASSERT_TRUE(await_second_attempt());
+  ASSERT_TRUE(eventually([&] {
+    return m_deployment.log("entry-1").find("failure=not_executed") != std::string::npos;
+  }));
+  release();
+  expect_whole(answer.get());
+}
+
+// A stream was cut with time left: its endpoint had been given up for one that never answered.
+TEST_F(paused_streams, go_on_if_the_endpoint_that_should_continue_them_does_not_answer) {
+  auto answer = begin("/brisk/slow-stream-hang");
+  ASSERT_TRUE(await_second_attempt());
+  release();
+  expect_whole(answer.get());
+  // The endpoint that did not answer in time doesn't work on.
+  EXPECT_TRUE(eventually([&] {
+    return m_deployment.endpoint(0).saw_cancellation() ||
+           m_deployment.endpoint(1).saw_cancellation();
+  }));
+}
+
+} // namespace
+
+} // namespace catkinlanding::testing
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -205,7 +205,8 @@
   if (behaviour == "shed-twice") {
     return send_all(socket, rejection);
   }
-  if (behaviour == "shed") {
+  bool const is_continuation = !header(request, "Last-Event-Id").empty();
+  if (behaviour == "shed" || (behaviour == "slow-stream-shed" && is_continuation)) {
     return send_all(
         socket,
         with_body("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + added_lines(), ""));
@@ -241,7 +242,7 @@
         socket,
         with_body("HTTP/1.1 200 OK\r\nAttempt-Id: someone\r\nResponse-Seal: s\r\n", "theirs"));
   }
-  if (behaviour == "hang") {
+  if (behaviour == "hang" || (behaviour == "slow-stream-hang" && is_continuation)) {
     while (!m_is_stopping && !is_closed(socket)) {
       std::this_thread::sleep_for(poll_interval);
     }
@@ -327,7 +328,7 @@
       send_all(socket, chunk(event(number).substr(0, 9)));
       return false;
     }
-    while (behaviour == "slow-stream" && number > 1 && !m_is_released) {
+    while (behaviour.starts_with("slow-stream") && number > 1 && !m_is_released) {
       std::this_thread::sleep_for(poll_interval);
     }
     if (!send_all(socket, chunk(event(number)))) {
--- a/tests/stand_ins/platform_endpoint.h
+++ b/tests/stand_ins/platform_endpoint.h
@@ -39,6 +39,8 @@
 /// - trickling-stream: sends bytes of the second event without end, unless the request has a
 ///   `Last-Event-Id`;
 /// - slow-stream: waits after the first event until `release`;
+/// - slow-stream-shed, slow-stream-hang: the same, but a request with a `Last-Event-Id` is rejected
+///   without being executed, or never answered;
 /// - hang: never answers;
 /// - endless-interim, endless-header, endless-failure, endless-body, endless-chunk, endless-event,
 ///   endless-stale: sends bytes that are no answer until the connection is closed.
