consensus: Let the seeds found the group by an election

The seeds now elect the first leader. Its first entry names all of them as voters; one whose disk isn't known yet counts for the majority, never votes, and is filled in one step when its disk has joined. The parity of a disk id, kept with the folder, tells a first disk from one that may follow a lost disk, so that an empty disk makes up no majority by what it forgot. While places are free, all instances together may form the group anew around the disks that are left. A leader without a quorum gives way to that.

Stored and sent formats are as before. A founding is protected only if all founders run this build. Two instances need each other from the first entry on. Seeds that were all killed before their folders were made found no group.

--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -21,7 +21,7 @@
       m_hard_state(std::move(recovered.hard_state)), m_snapshot(std::move(recovered.snapshot)),
       m_log(std::make_move_iterator(recovered.entries.begin()),
             std::make_move_iterator(recovered.entries.end())),
-      m_commit_index(m_snapshot.index), m_join_due(now) {
+      m_commit_index(m_snapshot.index), m_join_due(now), m_started_at(now), m_founding_due(now) {
   CATKINLANDING_VERIFY(m_log.empty() || m_log.front().index == m_snapshot.index + 1);
   CATKINLANDING_VERIFY(m_options.lease_duration < m_options.election_timeout);
   // A term is synced before, or together with, its first entry.
@@ -40,6 +40,7 @@
   m_hard_state = {.term = 1, .voted_for = m_options.self};
   m_role = role::leader;
   m_leader = m_options.self;
+  m_last_lease = now;
   configuration first{
       .voters = {m_options.self}, .learners = {}, .desired_voters = std::move(desired_voters)};
   m_log.push_back({.term = 1,
@@ -60,6 +61,7 @@
 
 void replica::receive(base::instance_id const& from, message const& message,
                       base::monotonic_time now, effects& out) {
+  note_sender(from, message);
   std::visit([&](auto const& alternative) { handle(from, alternative, now, out); }, message);
 }
 
@@ -69,9 +71,10 @@
     return;
   }
   bool const is_voter = m_configuration.is_voter(m_options.self);
-  if (is_voter && now >= m_election_due) {
+  if (can_campaign() && now >= m_election_due) {
     start_pre_vote(now, out);
   }
+  tick_founding(now, out);
   // A voter without a leader may have been removed while it was partitioned, without learning of
   // it.
   if ((!is_voter || !m_leader) && now >= m_join_due) {
@@ -98,6 +101,10 @@
     transfer_leadership(now, out);
     return;
   }
+  step_down_without_quorum(now);
+  if (m_role != role::leader) {
+    return;
+  }
   reconcile_configuration(now, out);
   replicate(now, out);
   // A leader that should no longer vote hands leadership to a successor, which then removes it.
@@ -119,8 +126,8 @@
       out.messages.push_back(std::move(message));
     }
     if (write.is_self_vote && m_role == role::candidate && write.term == m_hard_state.term) {
-      m_votes.insert(m_options.self);
-      if (m_votes.size() >= m_configuration.quorum()) {
+      count_vote(m_options.self);
+      if (has_won_election()) {
         become_leader(now, out);
       }
     }
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -36,6 +36,9 @@
     voter self;
     /// Control instances to which join requests are sent.
     std::vector<base::instance_id> peers;
+    /// The instances that form the first group by an election, the preferred leader first. Empty if
+    /// an operator founds it (`initialise`).
+    std::vector<base::instance_id> founders;
     std::uint64_t seed = 0;
     base::duration heartbeat_interval = std::chrono::milliseconds(150);
     /// A voter that heard from a leader within this time denies its vote to other candidates.
@@ -58,8 +61,8 @@
   [[nodiscard]] static replica create(options options, recovered_state recovered,
                                       base::monotonic_time now);
 
-  /// Bootstraps a deployment with this instance as its only voter. The other desired voters join
-  /// later, one at a time.
+  /// Founds a deployment, on an operator's order, with this instance as its only voter. The other
+  /// desired voters join later, one at a time.
   [[nodiscard]] tl::expected<void, propose_error>
   initialise(std::vector<base::instance_id> desired_voters, base::monotonic_time now, effects& out);
 
@@ -181,6 +184,38 @@
   void become_leader(base::monotonic_time now, effects& out);
   [[nodiscard]] bool can_vote_for(vote_request const& request, base::monotonic_time now) const;
 
+  // Forming the first group, and forming a group anew that can't reach a majority again.
+
+  /// Whether this instance takes part in founding the first group: its log is empty.
+  [[nodiscard]] bool is_founding() const;
+  /// Starts an election for the first group when it is due.
+  void tick_founding(base::monotonic_time now, effects& out);
+  /// Whether this instance may vote in the founding of a group. One that may have lost a disk waits
+  /// first for signs of an existing group.
+  [[nodiscard]] bool can_vote_in_founding(base::monotonic_time now) const;
+  void note_sender(base::instance_id const& from, message const& message);
+  /// The instances that take part in an election.
+  [[nodiscard]] std::set<base::instance_id> electors() const;
+  void count_vote(voter const& v);
+  [[nodiscard]] bool has_won_election() const;
+  [[nodiscard]] bool has_won_founding() const;
+  /// Whether the group is one of two voters and is to have no more.
+  [[nodiscard]] bool is_pair() const;
+  /// Whether this instance may become leader: as a voter, or with the votes of all instances.
+  [[nodiscard]] bool can_campaign() const;
+  [[nodiscard]] std::size_t max_lost_disks_to_form_anew() const;
+  /// Whether all instances of the group together may elect a leader that forms it anew, with the
+  /// disks that they have now. A group that all founders have joined never needs it, as it has a
+  /// quorum whatever disks may be lost.
+  [[nodiscard]] bool may_form_anew() const;
+  [[nodiscard]] bool have_all_voted_to_form_anew() const;
+  /// How many of the voters of the configuration have voted.
+  [[nodiscard]] std::size_t votes_of_voters() const;
+  /// The first entry of a term: a new configuration if the group was founded or formed anew.
+  [[nodiscard]] log_entry first_entry_of_term() const;
+  /// A leader without a lease gives way if only all instances together can elect one.
+  void step_down_without_quorum(base::monotonic_time now);
+
   [[nodiscard]] std::set<base::instance_id> join_targets() const;
   void tick_as_leader(base::monotonic_time now, effects& out);
   void transfer_leadership(base::monotonic_time now, effects& out);
@@ -246,6 +281,12 @@
   base::monotonic_time m_last_leader_contact{};
   base::monotonic_time m_election_due{};
   base::monotonic_time m_join_due{};
+  base::monotonic_time m_started_at{};
+  base::monotonic_time m_founding_due{};
+  /// When this leader last held a lease, or when it was elected.
+  base::monotonic_time m_last_lease{};
+  /// Whether an instance other than the founders has sent a message of an existing group.
+  bool m_has_heard_group = false;
   /// A restarted voter doesn't know which leader's lease it supported, so it denies votes until
   /// this time.
   base::monotonic_time m_vote_not_before{};
--- a/libraries/consensus/replica_elections.cpp
+++ b/libraries/consensus/replica_elections.cpp
@@ -43,7 +43,7 @@
   m_leader.reset();
   restart_election_timer(now);
   m_votes = {m_options.self};
-  if (m_votes.size() >= m_configuration.quorum()) {
+  if (has_won_election()) {
     start_election(false, now, out);
     return;
   }
@@ -72,20 +72,26 @@
       .is_pre_vote = is_pre_vote,
       .is_leadership_transfer = is_leadership_transfer,
   };
-  for (auto const& v : m_configuration.voters) {
-    if (v != m_options.self) {
-      messages.push_back({v.instance, request});
+  for (auto const& elector : electors()) {
+    if (elector != m_options.self.instance) {
+      messages.push_back({elector, request});
     }
   }
 }
 
 bool replica::can_vote_for(vote_request const& request, base::monotonic_time now) const {
+  bool const is_founding_request = request.last_index == 0;
+  if (is_founding_request && !can_vote_in_founding(now)) {
+    return false;
+  }
   bool const has_live_leader = m_role == role::leader
                                    ? holds_lease(now)
                                    : now < m_last_leader_contact + m_options.election_timeout &&
                                          m_last_leader_contact != base::monotonic_time{};
   // A leader that transferred leadership has given up its lease, so voters need not protect it.
-  if (!request.is_leadership_transfer && (now < m_vote_not_before || has_live_leader)) {
+  // An instance that may vote in a founding has supported no lease.
+  bool const must_wait = !is_founding_request && now < m_vote_not_before;
+  if (!request.is_leadership_transfer && (must_wait || has_live_leader)) {
     return false;
   }
   bool const is_log_current = request.last_term != last_term() ? request.last_term > last_term()
@@ -139,11 +145,11 @@
   auto const expected_role = response.is_pre_vote ? role::pre_candidate : role::candidate;
   bool const is_current = response.is_pre_vote || response.term == m_hard_state.term;
   if (m_role != expected_role || !is_current || !response.is_granted ||
-      !m_configuration.is_voter(response.voter)) {
+      !electors().contains(response.voter.instance)) {
     return;
   }
-  m_votes.insert(response.voter);
-  if (m_votes.size() < m_configuration.quorum()) {
+  count_vote(response.voter);
+  if (!has_won_election()) {
     return;
   }
   if (response.is_pre_vote) {
@@ -169,15 +175,11 @@
   m_role = role::leader;
   m_leader = m_options.self;
   m_term_leader = {m_hard_state.term, m_options.self};
+  m_last_lease = now;
   m_progress.clear();
   m_join_requests.clear();
   track_members(now);
-  append_as_leader({.term = m_hard_state.term,
-                    .index = 0,
-                    .kind = entry_kind::no_op,
-                    .command = {},
-                    .configuration = {}},
-                   now, out);
+  append_as_leader(first_entry_of_term(), now, out);
 }
 
 } // namespace catkinlanding::consensus
--- a/libraries/consensus/replica_membership.cpp
+++ b/libraries/consensus/replica_membership.cpp
@@ -61,7 +61,14 @@
                               now < it->second.last_contact + m_options.election_timeout;
     if (is_caught_up) {
       std::erase(next.learners, learner);
-      next.voters.push_back(learner);
+      // The place of a voter without a disk is filled in one step: as it has never voted, each
+      // majority before the change shares a disk with each majority after it.
+      voter const place{.instance = learner.instance, .disk_id = 0};
+      if (next.is_voter(place)) {
+        std::ranges::replace(next.voters, place, learner);
+      } else {
+        next.voters.push_back(learner);
+      }
       return next;
     }
   }
--- a/libraries/consensus/replica_replication.cpp
+++ b/libraries/consensus/replica_replication.cpp
@@ -23,7 +23,8 @@
 
 void replica::track_members(base::monotonic_time now) {
   auto const is_member = [this](voter const& v) {
-    return v != m_options.self && (m_configuration.is_voter(v) || m_configuration.is_learner(v));
+    return v != m_options.self && v.has_disk() &&
+           (m_configuration.is_voter(v) || m_configuration.is_learner(v));
   };
   std::erase_if(m_progress, [&](auto const& item) { return !is_member(item.first); });
   auto const track = [&](voter const& v) {
--- a/libraries/consensus/types.h
+++ b/libraries/consensus/types.h
@@ -19,18 +19,33 @@
 
 /// A control instance together with the disk it writes to. An instance that lost its disk returns
 /// with a new disk id and therefore counts as a different voter.
+///
+/// A voter without a disk id holds the place of an instance whose disk is not known yet. It counts
+/// for the size of a majority but never votes or stores anything.
 struct voter {
   base::instance_id instance;
   std::uint64_t disk_id = 0;
 
   auto operator<=>(voter const&) const = default;
 
+  [[nodiscard]] bool has_disk() const { return disk_id != 0; }
+  /// Whether the disk is the first one of its instance, so that no disk was lost before it. Holds
+  /// for ids made by `make_disk_id`.
+  [[nodiscard]] bool has_first_disk() const { return disk_id % 2 == 1; }
+
   template<class Archive>
   void serialize(Archive& archive) {
     archive(instance, disk_id);
   }
 };
 
+/// The id of a new disk, from a random number. Odd ids belong to disks that were empty when all
+/// instances started for the first time. The id is kept on the disk, so a restart preserves this.
+[[nodiscard]] constexpr std::uint64_t make_disk_id(std::uint64_t random, bool is_first_start) {
+  auto const even = random < 2 ? std::uint64_t{2} : random - random % 2;
+  return is_first_start ? even + 1 : even;
+}
+
 /// The membership: voters, learners (which receive the log but don't vote), and the instances that
 /// the operators want as voters.
 struct configuration {
@@ -50,6 +65,9 @@
     return std::ranges::find(desired_voters, instance) != desired_voters.end();
   }
   [[nodiscard]] std::size_t quorum() const { return voters.size() / 2 + 1; }
+  [[nodiscard]] bool has_voter_without_disk() const {
+    return std::ranges::any_of(voters, [](voter const& v) { return !v.has_disk(); });
+  }
 
   template<class Archive>
   void serialize(Archive& archive) {
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -70,14 +70,6 @@
 }
 
 void control::tick(base::monotonic_time now, control_effects& out) {
-  bool const is_new_group = m_options.is_founder && m_replica.last_index() == 0 &&
-                            !m_replica.leader() && m_replica.current_configuration().voters.empty();
-  if (is_new_group) {
-    auto desired_voters = m_options.replica.peers;
-    desired_voters.push_back(m_replica.self().instance);
-    // Fails only if the log is not empty, in which case there is no group to create.
-    static_cast<void>(m_replica.initialise(std::move(desired_voters), now, out.log));
-  }
   m_replica.tick(now, out.log);
   process_replica_output(now, out);
   if (m_replica.role() == consensus::role::leader) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -46,8 +46,6 @@
                                         .election_timeout = election_timeout,
                                         .election_jitter = election_jitter,
                                         .lease_duration = std::chrono::milliseconds(280)};
-    /// Whether this instance creates the initial group if its disk is empty and no leader is known.
-    bool is_founder = false;
     endpoint_registry::options registry;
     rollout_evaluator::options evaluator;
     rate_coordinator::options rates;
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -25,16 +25,19 @@
 /// Time for queued replies to be written before the process stops.
 constexpr std::chrono::milliseconds reply_flush_time{100};
 
-/// The seeds without this instance. All instances use the same ports, so the peer port is this
-/// instance's own.
-std::vector<base::instance_id> other_seed_instances(process_settings const& settings) {
-  std::vector<base::instance_id> others;
+/// The seeds. All instances use the same ports, so the peer port is this instance's own.
+std::vector<base::instance_id> seed_instances(process_settings const& settings) {
+  std::vector<base::instance_id> seeds;
   for (auto const& seed : settings.seeds) {
-    auto const peer = instance_at({.ip = seed.ip, .port = settings.peers.port});
-    if (peer != settings.id()) {
-      others.push_back(peer);
-    }
+    seeds.push_back(instance_at({.ip = seed.ip, .port = settings.peers.port}));
   }
+  return seeds;
+}
+
+/// The seeds without this instance.
+std::vector<base::instance_id> other_seed_instances(process_settings const& settings) {
+  auto others = seed_instances(settings);
+  std::erase(others, settings.id());
   return others;
 }
 
@@ -89,19 +92,21 @@
   };
   auto const moved = settings.has_stable_inodes ? daemon::moved_file_policy::treat_as_copy
                                                 : daemon::moved_file_policy::treat_as_original;
-  m_data_folder = CATKINLANDING_TRY(daemon::data_folder::open(
-      settings.data_folder.value_or(""), random_number(), std::move(callbacks), moved));
+  m_data_folder = CATKINLANDING_TRY(
+      daemon::data_folder::open(settings.data_folder.value_or(""),
+                                consensus::make_disk_id(random_number(), settings.is_first_start),
+                                std::move(callbacks), moved));
   control::options options;
   options.replica.self = {.instance = settings.id(), .disk_id = m_data_folder->disk_id()};
   options.replica.seed = random_number();
   options.replica.peers = other_seed_instances(settings);
   options.evaluator.resend_timeout = settings.resend_timeout;
-  // All instances have the same first seed, so only one of them founds the group.
-  options.is_founder = settings.is_first_start && settings.seeds.front().ip == settings.peers.ip;
+  options.replica.founders = seed_instances(settings);
   auto const recovered = m_data_folder->take_recovered();
-  spdlog::info("process recovered entries={} snapshot={} term={} disk_id={:x} founder={}",
+  spdlog::info("process recovered entries={} snapshot={} term={} disk_id={:x} first_disk={}",
                recovered.log.entries.size(), recovered.log.snapshot.index,
-               recovered.log.hard_state.term, m_data_folder->disk_id(), options.is_founder);
+               recovered.log.hard_state.term, m_data_folder->disk_id(),
+               options.replica.self.has_first_disk());
   m_control = std::make_unique<control>(control::create(std::move(options), recovered.log, now()));
   return {};
 }
--- a/tests/libraries/proxy/control_subscription_test.cpp
+++ b/tests/libraries/proxy/control_subscription_test.cpp
@@ -16,7 +16,9 @@
   if (!is_founder) {
     options.replica.peers = {{"leader"}};
   }
-  options.is_founder = is_founder;
+  if (is_founder) {
+    options.replica.founders = {{"self"}};
+  }
   return control::create(std::move(options), {}, start);
 }
 
--- a/tests/libraries/proxy/document_delivery_property.cpp
+++ b/tests/libraries/proxy/document_delivery_property.cpp
@@ -83,7 +83,7 @@
   [[nodiscard]] control make_control() const {
     control::options options;
     options.replica.self = {.instance = {"control"}, .disk_id = 1};
-    options.is_founder = true;
+    options.replica.founders = {{"control"}};
     return control::create(std::move(options), {}, m_now);
   }
 
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -26,18 +26,18 @@
 control_group::control_group(std::vector<std::string> const& seeds)
     : m_seeds(instances_of(seeds)) {}
 
-void control_group::start(std::string const& id, std::uint64_t disk_id, bool is_founder) {
-  m_disks[{id}] = {.id = disk_id, .records = {}};
+void control_group::start(std::string const& id, std::uint64_t disk_id, bool is_first_start) {
+  m_disks[{id}] = {.id = consensus::make_disk_id(2 * disk_id, is_first_start), .records = {}};
   m_nodes.erase({id});
-  m_nodes.emplace(base::instance_id{id}, recover({id}, is_founder));
+  m_nodes.emplace(base::instance_id{id}, recover({id}));
 }
 
 void control_group::restart(std::string const& id) {
   m_nodes.erase({id});
-  m_nodes.emplace(base::instance_id{id}, recover({id}, false));
+  m_nodes.emplace(base::instance_id{id}, recover({id}));
 }
 
-proxy::control control_group::recover(base::instance_id const& id, bool is_founder) const {
+proxy::control control_group::recover(base::instance_id const& id) const {
   auto const& disk = m_disks.at(id);
   proxy::control::options options;
   options.replica.self = {.instance = id, .disk_id = disk.id};
@@ -47,7 +47,7 @@
       options.replica.peers.push_back(seed);
     }
   }
-  options.is_founder = is_founder;
+  options.replica.founders = m_seeds;
   auto const recovered = storage::recover_log(disk.records);
   CATKINLANDING_VERIFY(recovered.has_value());
   return proxy::control::create(std::move(options), *recovered, m_now);
@@ -151,7 +151,7 @@
 std::set<std::uint64_t> control_group::voter_disks() const {
   std::set<std::uint64_t> disks;
   for (auto const& voter : node(leader()).replica().current_configuration().voters) {
-    disks.insert(voter.disk_id);
+    disks.insert(voter.disk_id / 2);
   }
   return disks;
 }
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -18,8 +18,8 @@
 public:
   explicit control_group(std::vector<std::string> const& seeds);
 
-  /// Starts an instance with an empty disk.
-  void start(std::string const& id, std::uint64_t disk_id, bool is_founder = false);
+  /// Starts an instance with an empty disk, at the first start of the whole group or later.
+  void start(std::string const& id, std::uint64_t disk_id, bool is_first_start = false);
   /// Starts a stopped instance with the disk it had.
   void restart(std::string const& id);
   void stop(std::string const& id);
@@ -72,7 +72,7 @@
     proxy::message message;
   };
 
-  [[nodiscard]] proxy::control recover(base::instance_id const& id, bool is_founder) const;
+  [[nodiscard]] proxy::control recover(base::instance_id const& id) const;
   void carry_out(base::instance_id const& id, proxy::control_effects& effects);
   void send(base::instance_id const& from, std::vector<proxy::outgoing> messages);
   void deliver();
--- a/tests/support/replica_group.cpp
+++ b/tests/support/replica_group.cpp
@@ -37,6 +37,9 @@
 }
 
 void replica_group::bootstrap() {
+  if (!m_founders.empty()) {
+    return;
+  }
   // If the first write is lost, the node starts empty and the bootstrap is repeated.
   auto& first = m_nodes.front();
   effects out;
@@ -51,7 +54,7 @@
     all.push_back(node.id);
   }
   std::ranges::shuffle(all, m_random);
-  all.resize(3 + random_below(3));
+  all.resize(std::min<std::size_t>(all.size(), 3 + random_below(3)));
   return all;
 }
 
@@ -66,7 +69,7 @@
 void replica_group::step() {
   auto const kind = random_below(100);
   if (random_below(100) < m_fault_percent) {
-    inject_fault();
+    m_founders.empty() ? inject_fault() : inject_founding_fault();
   } else if (kind < 62) {
     deliver();
   } else if (kind < 69) {
@@ -77,7 +80,7 @@
     std::ranges::for_each(m_nodes, [this](auto& node) { propose(node); });
   } else if (kind < 99) {
     compact(random_node());
-  } else if (random_below(4) == 0) {
+  } else if (m_nodes.size() > m_founders.size() && random_below(4) == 0) {
     propose_random_voters(random_node());
   }
   verify_invariants();
@@ -112,6 +115,7 @@
   bool const is_long = random_below(60) == 0;
   m_now += is_long ? base::duration(100ms) * (1 + random_below(9))
                    : m_max_tick_interval * random_below(100) / 100;
+  start_due_nodes();
   for (auto& node : m_nodes) {
     if (random_below(4) != 0) {
       tick(node);
@@ -191,7 +195,7 @@
 
 void replica_group::recover(node& node) {
   node.is_frozen = false;
-  if (!node.replica) {
+  if (!node.replica && !node.starts_at) {
     restart(node);
   }
 }
@@ -237,6 +241,7 @@
   consensus::replica::options options;
   options.self = {.instance = node.id, .disk_id = node.storage.id};
   options.seed = m_random();
+  options.founders = m_founders;
   options.max_append_bytes = random_below(2) == 0 ? 1 : 600;
   options.snapshot_chunk_bytes = 64;
   for (auto const& other : m_nodes) {
@@ -270,12 +275,12 @@
   crash(node);
   m_lost_disks.insert({.instance = node.id, .disk_id = node.storage.id});
   node.storage = {};
-  node.storage.id = ++m_last_disk;
+  node.storage.id = consensus::make_disk_id(2 * ++m_last_disk, false);
 }
 
 void replica_group::perform(node& node, effects effects, bool can_crash) {
   auto const crashes = [&] {
-    bool const now = can_crash && !m_is_fault_free && random_below(6000) == 0;
+    bool const now = can_crash && !m_is_fault_free && random_below(m_effects_per_crash) == 0;
     if (now) {
       crash(node);
     }
@@ -377,6 +382,12 @@
   m_is_fault_free = true;
   for (auto& node : m_nodes) {
     node.partition = 0;
+    // Only the one that is late is no longer started as at the first start of all.
+    bool const is_late = node.starts_at && *node.starts_at > m_now + 1s;
+    if (is_late) {
+      abort_first_start(node);
+    }
+    node.starts_at.reset();
     recover(node);
   }
   bootstrap();
--- a/tests/support/replica_group.h
+++ b/tests/support/replica_group.h
@@ -17,6 +17,9 @@
 class replica_group {
 public:
   explicit replica_group(std::uint64_t seed);
+  /// A group that isn't founded yet: its instances start for the first time during the steps, up to
+  /// 0.3 s apart, and faults come from the first step on.
+  [[nodiscard]] static replica_group unfounded(std::uint64_t seed);
 
   /// Simulates one random event: a message, a tick, a sync, a proposal or a fault.
   void step();
@@ -39,6 +42,8 @@
     std::optional<consensus::replica> replica;
     consensus::log_index applied = 0;
     std::string state;
+    /// The first start, if it is still to come.
+    std::optional<base::monotonic_time> starts_at;
     bool is_frozen = false;
     /// Nodes reach only nodes in the same partition.
     int partition = 0;
@@ -50,12 +55,24 @@
     consensus::message message;
   };
 
+  explicit replica_group(base::random_generator random) : m_random(random) {}
+
   [[nodiscard]] std::uint64_t random_below(std::uint64_t count) { return m_random() % count; }
   [[nodiscard]] node& random_node() { return m_nodes[random_below(m_nodes.size())]; }
   [[nodiscard]] node& node_of(base::instance_id const& id);
   [[nodiscard]] base::monotonic_time clock_of(node const& node) const;
 
   void bootstrap();
+  /// Adds instances that start for the first time at a random moment soon.
+  void add_unstarted(std::size_t count);
+  /// Draws what the group will have to bear, for this number of founders.
+  void draw_founding_faults(std::size_t count);
+  void start_due_nodes();
+  void inject_founding_fault();
+  /// Kills all nodes at once, with or without what they hold in memory only.
+  void lose_power();
+  /// Ends a node's first start before anything was written.
+  void abort_first_start(node& node);
   void deliver();
   void deliver(in_flight_message const& in_flight_message);
   void advance_time();
@@ -83,8 +100,15 @@
   [[nodiscard]] std::vector<base::instance_id> random_instances();
 
   base::random_generator m_random;
-  std::uint64_t m_fault_percent;
-  std::chrono::milliseconds m_max_tick_interval;
+  std::uint64_t m_fault_percent = 0;
+  /// A node crashes between two effects once in this many times.
+  std::uint64_t m_effects_per_crash = 6000;
+  std::chrono::milliseconds m_max_tick_interval{};
+  /// The instances that found the group by an election; empty if an operator founds it.
+  std::vector<base::instance_id> m_founders;
+  /// How many more disks may be lost, and first starts aborted, while the group is founded.
+  std::size_t m_disks_to_lose = 0;
+  std::size_t m_starts_to_abort = 0;
   base::monotonic_time m_now{std::chrono::hours(1)};
   std::vector<node> m_nodes;
   std::vector<in_flight_message> m_in_flight;
