--- a/tests/libraries/consensus/replica_test.cpp
+++ b/tests/libraries/consensus/replica_test.cpp
@@ -192,6 +192,34 @@
   EXPECT_TRUE(std::get<vote_response>(out.messages[0].message).is_granted);
 }
 
+/// The role of a replica after all instances of its group granted it a pre-vote, with these disks.
+/// Its configuration is of three disks and an instance that has not joined yet.
+role role_after_votes_of(std::vector<voter> const& granted) {
+  auto state = recovered();
+  state.entries.front().configuration->voters.push_back({.instance = {"d"}, .disk_id = 0});
+  replica::options options;
+  options.self = self;
+  auto candidate = replica::create(std::move(options), std::move(state), start);
+  effects out;
+  candidate.tick(start + 5s, out);
+  for (auto const& v : granted) {
+    vote_response const vote{.term = 1, .voter = v, .is_granted = true, .is_pre_vote = true};
+    candidate.receive(v.instance, vote, start + 5s, out);
+  }
+  return candidate.role();
+}
+
+// Guards against a second group: with two disks lost, a fifth voter may have been added, and have
+// stored acknowledged entries, without this instance.
+TEST(replica, forms_a_group_anew_only_if_it_would_know_of_a_larger_one) {
+  voter const other_second{.instance = second.instance, .disk_id = 12};
+  voter const other_third{.instance = third.instance, .disk_id = 13};
+  voter const fourth{.instance = {"d"}, .disk_id = 4};
+  EXPECT_EQ(role_after_votes_of({other_second, third, fourth}), role::candidate);
+  EXPECT_EQ(role_after_votes_of({other_second, third}), role::pre_candidate);
+  EXPECT_EQ(role_after_votes_of({other_second, other_third, fourth}), role::pre_candidate);
+}
+
 TEST(replica, denies_votes_for_an_election_timeout_after_restart) {
   auto voter = follower();
   effects out;
