routing: Use a version that is only slow when no other takes the request

What callers saw: 503 no_version, "not run", for all requests of a model whose versions all became slower at once, although their answers came whole and in time. It did not end while they stayed slow.

Cause: the time per token that judges an answer as slow is learned from answers that are not slow. When all machines become slower, every answer counts as bad, the breakers of all versions open, and the limit stays the one of quick times. A suspended version got probes only, also when no other was left.

Evidence: slowness_test, of_all_versions_at_once_refuses_nobody: 200 answers at 20 ms a token, then ten times as slow.

Why it works: a breaker keeps which signals opened it. If slowness alone did, the version is asked last, after all that are not held back, and a busy quick version still makes the request wait. Failures, empty answers and poor ratings suspend as before.

--- a/libraries/routing/breaker.cpp
+++ b/libraries/routing/breaker.cpp
@@ -75,6 +75,12 @@
   return std::uniform_real_distribution<double>(0.0, 1.0)(random) < share;
 }
 
+bool breaker::is_only_slow() const {
+  constexpr auto slowness = static_cast<std::size_t>(health_signal::slowness);
+  auto const triggered = std::ranges::count(m_has_triggered, true);
+  return m_has_triggered.at(slowness) && triggered == 1;
+}
+
 void breaker::open(std::size_t signal, base::monotonic_time now) {
   m_is_open = true;
   m_opened_at = now;
--- a/libraries/routing/breaker.h
+++ b/libraries/routing/breaker.h
@@ -59,6 +59,10 @@
 
   [[nodiscard]] bool is_open() const { return m_is_open; }
 
+  /// Whether slowness alone opened the breaker when it last opened, and no other signal has
+  /// triggered since: the version's answers are slow, but they are answers.
+  [[nodiscard]] bool is_only_slow() const;
+
 private:
   void observe_while_open(std::size_t signal, outcome_batch outcomes, double recovery,
                           base::monotonic_time now);
--- a/libraries/routing/chooser.cpp
+++ b/libraries/routing/chooser.cpp
@@ -69,37 +69,81 @@
   if (usable.empty()) {
     return tl::unexpected(choice_error::no_version);
   }
+  auto const candidates = ranked_candidates(query, usable, now);
+  auto chosen = choose_unsuspended(query, candidates, routing_context, now);
+  if (!chosen && chosen.error() != choice_error::busy) {
+    // A slow answer is better than none: all machines may have become slower at once.
+    auto slow = choose_slow(query, candidates, routing_context, now);
+    if (slow || slow.error() == choice_error::busy) {
+      return slow;
+    }
+  }
+  return chosen;
+}
+
+tl::expected<choice, choice_error>
+chooser::choose_unsuspended(version_query const& query, std::vector<candidate> const& candidates,
+                            routing_context const& routing_context, base::monotonic_time now) {
   auto last_error = choice_error::version_suspended;
-  for (auto const& candidate : ranked_candidates(query, usable, now)) {
-    endpoints::served_version const served{query.model, candidate.arm.first};
-    auto& state = state_of({query.model, candidate.arm.first});
-    bool const is_probe = state.breaker.is_open();
-    if (is_probe && query.binds_session) {
+  for (auto const& candidate : candidates) {
+    auto& breaker = state_of({query.model, candidate.arm.first}).breaker;
+    bool const is_probe = breaker.is_open();
+    bool const is_allowed =
+        !(is_probe && query.binds_session) && breaker.allow_request(now, m_random);
+    if (!is_allowed) {
       continue;
     }
-    if (!state.breaker.allow_request(now, m_random)) {
-      continue;
+    auto chosen = choose_endpoint(query, candidate, routing_context, now);
+    if (chosen && is_probe) {
+      chosen->escalates_to = {};
+      chosen->wants_rating = true;
     }
-    auto const endpoint =
-        m_windows.pick(served, {.session = query.session, .excluded = query.excluded},
-                       routing_context.directory, now, m_random);
-    if (endpoint) {
-      return choice{.model = query.model,
-                    .version = candidate.arm.first,
-                    .endpoint = *endpoint,
-                    .escalates_to = is_probe ? base::version_id{} : candidate.arm.second,
-                    .wants_rating = candidate.is_explored || is_probe ||
-                                    uniform() < m_options.rating_sample_rate};
+    // Falling back from a busy version to a more expensive one would take capacity that its own
+    // requests need.
+    if (chosen || chosen.error() == choice_error::busy) {
+      return chosen;
     }
-    last_error = error_of(endpoint.error());
-    if (last_error == choice_error::busy) {
-      // Falling back to a more expensive version would take capacity that its own requests need.
-      break;
+    last_error = chosen.error();
+  }
+  return tl::unexpected(last_error);
+}
+
+tl::expected<choice, choice_error> chooser::choose_slow(version_query const& query,
+                                                        std::vector<candidate> const& candidates,
+                                                        routing_context const& routing_context,
+                                                        base::monotonic_time now) {
+  auto last_error = choice_error::version_suspended;
+  for (auto const& candidate : candidates) {
+    if (!state_of({query.model, candidate.arm.first}).breaker.is_only_slow()) {
+      continue;
     }
+    auto chosen = choose_endpoint(query, candidate, routing_context, now);
+    if (chosen || chosen.error() == choice_error::busy) {
+      return chosen;
+    }
+    last_error = chosen.error();
   }
   return tl::unexpected(last_error);
 }
 
+tl::expected<choice, choice_error> chooser::choose_endpoint(version_query const& query,
+                                                            candidate const& candidate,
+                                                            routing_context const& routing_context,
+                                                            base::monotonic_time now) {
+  endpoints::served_version const served{query.model, candidate.arm.first};
+  auto const endpoint =
+      m_windows.pick(served, {.session = query.session, .excluded = query.excluded},
+                     routing_context.directory, now, m_random);
+  if (!endpoint) {
+    return tl::unexpected(error_of(endpoint.error()));
+  }
+  return choice{.model = query.model,
+                .version = candidate.arm.first,
+                .endpoint = *endpoint,
+                .escalates_to = candidate.arm.second,
+                .wants_rating = candidate.is_explored || uniform() < m_options.rating_sample_rate};
+}
+
 tl::expected<base::endpoint_id, choice_error>
 chooser::choose_service_endpoint(base::service_id const& service,
                                  std::set<base::endpoint_id> const& excluded,
--- a/libraries/routing/chooser.h
+++ b/libraries/routing/chooser.h
@@ -98,6 +98,18 @@
 
   using versions = std::vector<catalogue::version const*>;
 
+  /// Chooses among the arms that no breaker holds back, or makes a probe.
+  [[nodiscard]] tl::expected<choice, choice_error>
+  choose_unsuspended(version_query const& query, std::vector<candidate> const& candidates,
+                     routing_context const& routing_context, base::monotonic_time now);
+  /// Chooses among the arms that are held back for their slowness alone.
+  [[nodiscard]] tl::expected<choice, choice_error>
+  choose_slow(version_query const& query, std::vector<candidate> const& candidates,
+              routing_context const& routing_context, base::monotonic_time now);
+  /// Chooses an endpoint for the first version of the arm.
+  [[nodiscard]] tl::expected<choice, choice_error>
+  choose_endpoint(version_query const& query, candidate const& candidate,
+                  routing_context const& routing_context, base::monotonic_time now);
   [[nodiscard]] versions usable_versions(version_query const& query,
                                          routing_context const& routing_context,
                                          base::monotonic_time now);
