requests: Keep a held answer when the better version rejects the request

What callers saw: the status 400, 413 or 429 of a second version's endpoint in place of the whole answer of the first, which was there already and held back only to be replaced by a better one.

Cause: an answer with a status below 500 counts as an answer, whatever it says. The second one was delivered, and the held one dropped.

Evidence: waiting_requests_test, get_their_held_answer_when_the_better_version_rejects_them: on the code before, 400, 413 and 429 delivered under the name of the better version, each where 200 was held.

Why it works: a status of 400 and more is a rejection, and the held answer goes out as it does when the attempt fails. A first answer with such a status is passed on, or judged, as before.

--- a/libraries/requests/active_request.cpp
+++ b/libraries/requests/active_request.cpp
@@ -50,6 +50,11 @@
   return is_claim_granted && now < claimed_at + claim_validity;
 }
 
+bool active_request::is_rejected() const {
+  constexpr std::uint32_t first_error_status = 400;
+  return status >= first_error_status;
+}
+
 billing::bill_line active_request::bill_line(token_usage const& usage,
                                              catalogue::document const& document) const {
   billing::bill_line line{.model = model,
--- a/libraries/requests/active_request.h
+++ b/libraries/requests/active_request.h
@@ -100,6 +100,9 @@
   [[nodiscard]] limits::admission::work work() const;
   /// Whether an attempt may be started that the log would have granted `claim_validity` before.
   [[nodiscard]] bool is_claim_valid(base::duration claim_validity, base::monotonic_time now) const;
+  /// Whether the endpoint rejected the request: its answer tells an error of the request or a
+  /// limit.
+  [[nodiscard]] bool is_rejected() const;
   /// What the current attempt is charged, with the usage that its endpoint reported.
   [[nodiscard]] billing::bill_line bill_line(token_usage const& usage,
                                              catalogue::document const& document) const;
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -477,7 +477,7 @@
                                 request->buffered.size() <= m_options.max_rated_answer_bytes;
   if (needs_evaluation && !request->is_answer_started) {
     hold_for_evaluation(*request, out);
-  } else {
+  } else if (!request->is_rejected() || !deliver_held(*request, now, out)) {
     deliver(*request, now, out);
   }
   start_queued(environment, now, out);
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -102,8 +102,8 @@
     reduce(request);
   }
 
-  void answer(attempt_number attempt) {
-    reduce(attempt_head{attempt});
+  void answer(attempt_number attempt, std::uint32_t status = 200) {
+    reduce(attempt_head{.attempt = attempt, .status = status});
     reduce(attempt_finished{attempt});
   }
 
@@ -272,6 +272,24 @@
   EXPECT_EQ(all<reply_end>().size(), 1U);
 }
 
+// Guards against a whole answer that is dropped for the rejection of a better version: its endpoint
+// was asked for more than it takes, or could not read the request.
+TEST_F(waiting_requests, get_their_held_answer_when_the_better_version_rejects_them) {
+  for (std::uint32_t const status : {400U, 413U, 429U}) {
+    m_effects.clear();
+    m_policy.free_slots = 2;
+    send(status);
+    answer(m_attempts.back());
+    reduce(answer_evaluated{.number = status, .judgement = routing::judgement::poor});
+    ASSERT_EQ(all<dispatch>().size(), 2U);
+    answer(m_attempts.back(), status);
+    ASSERT_EQ(all<reply_head>().size(), 1U);
+    EXPECT_EQ(all<reply_head>().front().status, 200U);
+    EXPECT_EQ(all<reply_head>().front().version.value, "small");
+    EXPECT_EQ(all<reply_end>().size(), 1U);
+  }
+}
+
 // A caller whose time is over was told to come back in a second.
 TEST_F(waiting_requests, are_told_no_time_when_theirs_is_over) {
   m_policy.free_slots = 1;
