requests: Deliver a held answer in time for its caller

What callers saw: no answer by their deadline, though a whole one had been there for seconds. It was held back for a better version's answer, which did not come, and went out at the deadline and up to 0.5 s later.

Cause: an attempt under way was given until the deadline itself. The held answer was delivered then, and its end waited for its bill.

Evidence: waiting_requests_test, get_their_held_answer_before_their_deadline_while_a_better_one_is_under_way: no end by the deadline on the code before (0 of 1), one after the change. waiting_requests_test (15) and requests_property (3, 200 cases) pass.

Why it works: with an answer in hand a request ends finalize_timeout before its deadline, the longest time that the end of an answer waits for its bill. What is certain goes before what may still come.

--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -54,7 +54,7 @@
     give_up_waiting(request, environment, now, out);
     return;
   }
-  if (now < request.expires_at && !is_claim_late && !is_pin_late) {
+  if (now < ends_at(request) && !is_claim_late && !is_pin_late) {
     return;
   }
   bool const was_sent = request.attempt != 0;
@@ -517,6 +517,11 @@
   start_in_turn(request, environment, now, out);
 }
 
+base::monotonic_time table::ends_at(request const& request) const {
+  // The end of an answer may wait for its bill, and its caller waits no longer than its deadline.
+  return request.held ? request.expires_at - m_options.finalize_timeout : request.expires_at;
+}
+
 bool table::deliver_held(request& request, base::monotonic_time now, effects& out) {
   if (!request.held) {
     return false;
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -93,6 +93,8 @@
   /// Holds the answer back and asks the rating service to evaluate it.
   void hold_for_evaluation(request& request, effects& out);
   void deliver(request& request, base::monotonic_time now, effects& out);
+  /// When the request ends with what it has: at its deadline, or in time for a held answer.
+  [[nodiscard]] base::monotonic_time ends_at(request const& request) const;
   /// Delivers the answer that is held back, or returns false if there is none.
   [[nodiscard]] bool deliver_held(request& request, base::monotonic_time now, effects& out);
   /// Charges the request to the rate limits, or returns when to retry if they are reached.
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -290,6 +290,27 @@
   }
 }
 
+// Guards against a whole answer that its caller never sees: it was held back until the deadline,
+// for a better version that did not answer, and its end then waited for its bill.
+TEST_F(waiting_requests,
+       get_their_held_answer_before_their_deadline_while_a_better_one_is_under_way) {
+  m_policy.free_slots = 2;
+  send(3);
+  m_now += work;
+  answer(m_attempts.back());
+  reduce(answer_evaluated{.number = 3, .judgement = routing::judgement::poor});
+  ASSERT_EQ(all<dispatch>().size(), 2U);
+  m_are_bills_replicated = false;
+  auto const deadline = m_now - work + class_deadline;
+  pass(class_deadline - 2 * work);
+  EXPECT_TRUE(all<reply_end>().empty());
+  while (m_now < deadline) {
+    pass(20ms);
+  }
+  EXPECT_EQ(all<reply_end>().size(), 1U);
+  EXPECT_EQ(all<cancel_attempt>().size(), 1U);
+}
+
 // A caller whose time is over was told to come back in a second.
 TEST_F(waiting_requests, are_told_no_time_when_theirs_is_over) {
   m_policy.free_slots = 1;
