daemon: End with the last answer that is written, not after read_timeout

What callers saw: an answer that ended in the middle when its instance was stopped, for a caller that reads slowly. The answer was whole and billed; its rest waited in this process.

Cause: once no request was under way any more, the process ended after read_timeout (15 s) at the latest. That bounds the body of a request, but an answer may be written for write_timeout (30 s).

Why it works: new requests are refused by then and answers close their connections, so each connection ends by its own timeouts, those that the operators set. A common deadline only cut them shorter.

--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -350,17 +350,17 @@
   }
   m_is_stopped = true;
   m_callers->stop_accepting();
-  stop_when_idle(now() + m_settings.callers.read_timeout);
+  stop_when_idle();
 }
 
-void daemon::stop_when_idle(base::monotonic_time deadline) {
+void daemon::stop_when_idle() {
   m_tick.expires_after(reply_flush_interval);
-  m_tick.async_wait([this, deadline](boost::system::error_code /*error*/) {
-    if (m_callers->is_idle() || now() >= deadline) {
+  m_tick.async_wait([this](boost::system::error_code /*error*/) {
+    if (m_callers->is_idle()) {
       m_context.stop();
       return;
     }
-    stop_when_idle(deadline);
+    stop_when_idle();
   });
 }
 
--- a/services/daemon/daemon.h
+++ b/services/daemon/daemon.h
@@ -49,8 +49,9 @@
   [[nodiscard]] tl::expected<listeners, listener_error> open_listeners();
   void start_servers(listeners listeners);
   void schedule_tick();
-  /// Ends the event loop once no request is in flight, or at the deadline.
-  void stop_when_idle(base::monotonic_time deadline);
+  /// Ends the event loop once no request is received or answered. New ones are refused by now, and
+  /// each connection ends by its own timeouts.
+  void stop_when_idle();
   void await_signal();
   /// Passes an event to the reducer and performs its effects. Is noexcept, so that an exception of
   /// the reducer ends the process; `spawn` would take it for the failure of one connection.
--- a/tests/services/daemon/stop_process.cpp
+++ b/tests/services/daemon/stop_process.cpp
@@ -1,6 +1,7 @@
 #include <tests/support/catalogue_builder.h>
 #include <tests/support/deployment.h>
 #include <tests/support/http_client.h>
+#include <tests/support/raw_connection.h>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -142,6 +143,57 @@
   }));
 }
 
+/// One instance with an engine of short and one of very long answers, which a test stops while a
+/// caller holds a connection.
+class planned_stop : public ::testing::Test {
+protected:
+  void SetUp() override {
+    m_deployment.start_instance("a1");
+    m_deployment.found();
+    auto const catalogue = catalogue_builder().add_model("hat", "1").add_model("felt", "1").text();
+    ASSERT_EQ(m_deployment.apply("a1", catalogue).exit_code, 0);
+    m_deployment.start_endpoint({.id = "engine", .zone = "a", .arguments = {"--versions=hat/1"}});
+    m_deployment.start_endpoint(
+        {.id = "long-engine",
+         .zone = "a",
+         .arguments = {"--versions=felt/1", "--tokens=" + std::to_string(long_answer_tokens)}});
+    ASSERT_TRUE(eventually([&] { return m_deployment.status("a1")["endpoints"] == 2; }));
+  }
+
+  void stop() { m_deployment.instance("a1").send_signal(SIGTERM); }
+
+  /// A request as it is sent over a connection.
+  [[nodiscard]] static std::string request(std::string const& body) {
+    return std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a1\r\nAuthorization: Bearer "
+                       "guild-key\r\n"
+                       "Content-Type: application/json\r\nContent-Length: ") +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  /// Their answer takes more memory than the sockets have for a caller that does not read.
+  static constexpr int long_answer_tokens = 2'000'000;
+  static constexpr std::chrono::seconds read_timeout{1};
+  static constexpr std::chrono::seconds stop_notice{2};
+  static constexpr std::chrono::seconds patience{20};
+  deployment m_deployment{
+      {{.id = "a1", .zone = "a", .is_control = true, .read_timeout = read_timeout}}};
+};
+
+// Guards against whole answers that a stop cuts in the middle: the process ended while a caller
+// that reads slowly, but within write_timeout, still received one.
+TEST_F(planned_stop, delivers_answers_to_callers_that_read_slowly) {
+  raw_connection const caller(m_deployment.caller_port("a1"));
+  ASSERT_TRUE(caller.send(request(R"({"model": "felt", "messages": []})")));
+  auto received = caller.read_until("\r\n\r\n", patience);
+  ASSERT_NE(received.find("200 OK"), std::string::npos);
+  stop();
+  std::this_thread::sleep_for(stop_notice + read_timeout + std::chrono::seconds(1));
+  received += caller.read_until("", patience);
+  EXPECT_NE(received.find(R"("completion_tokens":)"), std::string::npos)
+      << received.size() << " bytes";
+  EXPECT_EQ(m_deployment.instance("a1").wait(), 0);
+}
+
 } // namespace
 
 } // namespace catkinlanding::testing
