daemon: Say on streams too that their connection closes

What callers saw: a request that was sent over a connection whose last answer, a stream, had not said that the connection closes, and that was not answered. docs/operations/upgrade.md says that each answer of a stopping instance has Connection: close.

Cause: the head of a stream was sent without looking at the stop; its connection was closed after it.

Evidence: stop_process, planned_stop.says_on_streams_too_that_their_connection_closes: a stream of a kept connection, begun after SIGTERM, has no Connection: close on the code before, and has it after.

Why it works: one function says for all answers whether the connection is kept. A stream that began before the stop can't say so; a request that crosses that close is not read.

--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -327,7 +327,9 @@
       stream.expires_after(m_options.write_timeout);
       if (auto const* started = std::get_if<requests::reply_head>(&next)) {
         head = *started;
-        if (started->is_stream && !co_await send_stream_head(stream, *started)) {
+        bool const is_sent =
+            !started->is_stream || co_await send_stream_head(stream, message, *started);
+        if (!is_sent) {
           co_return false;
         }
       } else if (auto const* data = std::get_if<requests::reply_data>(&next)) {
@@ -349,17 +351,24 @@
       } else if (head->is_stream) {
         auto const [error, size] =
             co_await asio::async_write(stream, http::make_chunk_last(), completion);
-        co_return !error && message.keep_alive() && m_handlers.is_ready();
+        co_return !error && keeps_connection(message);
       } else {
         co_return co_await send_buffered_answer(stream, message, *head, std::move(body));
       }
     }
   }
 
-  static awaitable<bool> send_stream_head(tcp_stream& stream, requests::reply_head const& head) {
+  /// Whether the caller may send another request over its connection after this one.
+  [[nodiscard]] bool keeps_connection(caller_message const& message) const {
+    return message.keep_alive() && !m_is_stopping && m_handlers.is_ready();
+  }
+
+  awaitable<bool> send_stream_head(tcp_stream& stream, caller_message const& message,
+                                   requests::reply_head const& head) {
     http::response<http::empty_body> response;
     response.result(head.status);
     set_reply_headers(response, head);
+    response.keep_alive(keeps_connection(message));
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer{response};
     auto const [error, size] = co_await http::async_write_header(stream, serializer, completion);
@@ -408,7 +417,7 @@
 
   awaitable<bool> send(tcp_stream& stream, caller_message const& message,
                        http::response<http::string_body>& response) {
-    response.keep_alive(message.keep_alive() && !m_is_stopping && m_handlers.is_ready());
+    response.keep_alive(keeps_connection(message));
     response.prepare_payload();
     if (message.method() == http::verb::head) {
       // The Content-Length stays that of the response to a GET.
--- a/tests/services/daemon/stop_process.cpp
+++ b/tests/services/daemon/stop_process.cpp
@@ -162,6 +162,11 @@
 
   void stop() { m_deployment.instance("a1").send_signal(SIGTERM); }
 
+  [[nodiscard]] bool is_ready() const {
+    return exchange(m_deployment.caller_port("a1"), {.method = "GET", .path = "/healthz"}).status ==
+           200;
+  }
+
   /// A request as it is sent over a connection.
   [[nodiscard]] static std::string request(std::string const& body) {
     return std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a1\r\nAuthorization: Bearer "
@@ -194,6 +199,20 @@
   EXPECT_EQ(m_deployment.instance("a1").wait(), 0);
 }
 
+// Guards against requests that are sent over a connection that closes: a stream that began after
+// the stop did not say so, unlike other answers.
+TEST_F(planned_stop, says_on_streams_too_that_their_connection_closes) {
+  raw_connection const caller(m_deployment.caller_port("a1"));
+  ASSERT_TRUE(eventually([&] { return is_ready(); }));
+  stop();
+  ASSERT_TRUE(eventually([&] { return !is_ready(); }));
+  ASSERT_TRUE(caller.send(request(R"({"model": "hat", "stream": true, "messages": []})")));
+  auto const received = caller.read_until("", patience);
+  EXPECT_NE(received.find("200 OK"), std::string::npos);
+  EXPECT_NE(received.find("data: [DONE]"), std::string::npos);
+  EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
 } // namespace
 
 } // namespace catkinlanding::testing
