daemon: Log what ended a lost request, and which requests a stop waits for

What operators saw: a counter of failures by customer and class. Nothing led from the id of a request that ended without its answer to what ended it, and of a process that was killed during its stop nothing told which requests it had cut.

Change: a line `requests lost` for each request that an endpoint may have run and that got no whole answer, at most 20 a second, with the number left out; each second of a stop a line `daemon stopping` with the number of requests that it waits for, and one for each of the first 20.

Evidence: request_log_process, both cases fail on the code before (neither line within 60 s) and pass after; request_log_test (2) asks for the bound: 20 lines of 5,000 in a second, and 4,980 told by the next one. requests_property, waiting_requests_test and metrics_process pass.

A process that ends itself over a failed disk still names no requests.

--- a/libraries/instance/effect.h
+++ b/libraries/instance/effect.h
@@ -5,6 +5,7 @@
 #include <libraries/instance/state_change.h>
 #include <libraries/operators/gateway.h>
 #include <libraries/requests/effect.h>
+#include <libraries/requests/running_request.h>
 #include <libraries/routing/rating_message.h>
 
 namespace catkinlanding::instance {
@@ -30,11 +31,20 @@
   base::address address;
 };
 
+/// Which requests a planned stop waits for, told to operators from time to time.
+struct stop_report {
+  /// The number of requests that have not ended.
+  std::size_t requests = 0;
+  /// The first of them to arrive.
+  std::vector<requests::running_request> first;
+};
+
 /// All work is finished or handed over, so the process can exit.
 struct stop {};
 
-using effect = std::variant<send, write_log, write_ledger, operators::answer, requests::effect,
-                            update_address, state_change, stop, routing::rating_request>;
+using effect =
+    std::variant<send, write_log, write_ledger, operators::answer, requests::effect, update_address,
+                 state_change, stop_report, stop, routing::rating_request>;
 using effects = std::vector<effect>;
 
 } // namespace catkinlanding::instance
--- a/libraries/instance/reducer.cpp
+++ b/libraries/instance/reducer.cpp
@@ -12,6 +12,9 @@
 
 /// Interval of the checks for changes in the deployment. Their cost grows with its size.
 constexpr base::duration deployment_check_interval = std::chrono::seconds(1);
+/// How often a stop tells which requests it waits for, and how many of them at most.
+constexpr base::duration stop_report_interval = std::chrono::seconds(1);
+constexpr std::size_t max_reported_requests = 20;
 /// How long a stop waits for another instance to become leader of the replicated log.
 constexpr base::duration leadership_transfer_timeout = std::chrono::seconds(2);
 
@@ -428,6 +431,7 @@
   if (!m_is_draining) {
     drain(now, out);
   }
+  report_stop(now, out);
   bool const has_left_leadership =
       !m_control || m_control->replica().is_safe_to_stop() || now >= m_leadership_transfer_deadline;
   if (has_left_leadership && m_requests.size() == 0 && m_outbox.size() == 0 &&
@@ -436,6 +440,15 @@
   }
 }
 
+void reducer::report_stop(base::monotonic_time now, effects& out) {
+  if (m_requests.size() == 0 || now < m_stop_report_due) {
+    return;
+  }
+  m_stop_report_due = now + stop_report_interval;
+  out.emplace_back(stop_report{.requests = m_requests.size(),
+                               .first = m_requests.running(max_reported_requests, now)});
+}
+
 bool reducer::is_ready(base::monotonic_time now) const {
   return m_lifecycle.is_ready(m_subscriber.document().revision(), now);
 }
--- a/libraries/instance/reducer.h
+++ b/libraries/instance/reducer.h
@@ -131,6 +131,8 @@
   /// Stops accepting new requests and announces to the other instances that this one leaves.
   void drain(base::monotonic_time now, effects& out);
   void stop_when_idle(base::monotonic_time now, effects& out);
+  /// Reports which requests the stop waits for, at intervals.
+  void report_stop(base::monotonic_time now, effects& out);
   /// Emits the state changes that are logged for operators.
   void log_state_changes(base::monotonic_time now, effects& out);
 
@@ -165,6 +167,7 @@
   base::monotonic_time m_deployment_check_due{};
   lifecycle m_lifecycle;
   bool m_is_draining = false;
+  base::monotonic_time m_stop_report_due{};
   base::monotonic_time m_leadership_transfer_deadline{};
 };
 
--- a/libraries/requests/active_request.h
+++ b/libraries/requests/active_request.h
@@ -86,6 +86,8 @@
   /// Whether the log has answered since the last attempt.
   bool is_pin_decided = false;
   base::version_id session_moved_from;
+  /// How the last attempt that failed did so.
+  std::optional<attempt_failure_kind> last_failure;
   /// Whether an endpoint may have executed a failed attempt.
   bool may_have_run = false;
   bool awaits_bill_replication = false;
--- a/libraries/requests/effect.h
+++ b/libraries/requests/effect.h
@@ -56,9 +56,18 @@
   requests::failure failure;
   /// Whether part of the response was already sent, so that the connection must be closed.
   bool is_answer_started = false;
-  /// The customer and class are empty if the request was rejected before they were known.
+  /// The customer, class and id are empty if the request was rejected before they were known.
   base::customer_id customer;
   base::class_id request_class;
+  base::request_id request;
+  int attempts = 0;
+  /// The endpoint that was asked last; empty if none was.
+  base::endpoint_id endpoint;
+  /// How the last attempt that failed did so; absent if none failed.
+  std::optional<attempt_failure_kind> last_failure;
+  /// Since its arrival, and until its deadline.
+  base::duration took{};
+  base::duration left{};
 };
 
 /// Records the bill of an answered request.
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -30,6 +30,17 @@
   close_event(environment, now);
 }
 
+std::vector<running_request> table::running(std::size_t max_count, base::monotonic_time now) const {
+  std::vector<running_request> running;
+  for (auto const& [number, request] : m_requests) {
+    if (running.size() == max_count) {
+      break;
+    }
+    running.push_back(summarize(request, now));
+  }
+  return running;
+}
+
 void table::tick(environment const& environment, base::monotonic_time now, effects& out) {
   for (auto it = m_requests.begin(); it != m_requests.end();) {
     // Advance first: the request may be erased by this call.
@@ -664,6 +675,7 @@
   request->excluded.insert(request->endpoint);
   end_attempt(*request, environment);
   request->buffered.clear();
+  request->last_failure = failed.kind;
   request->may_have_run |= !is_safe_to_retry(failed.kind);
   if (may_retry(*request, now)) {
     auto const refused = refuse_to_queue(*request, environment, now);
@@ -756,7 +768,13 @@
                                  .failure = reported,
                                  .is_answer_started = request.is_answer_started,
                                  .customer = request.customer,
-                                 .request_class = request.request_class});
+                                 .request_class = request.request_class,
+                                 .request = request.id,
+                                 .attempts = request.attempts,
+                                 .endpoint = request.endpoint,
+                                 .last_failure = request.last_failure,
+                                 .took = now - request.arrived_at,
+                                 .left = request.expires_at - now});
   erase(request);
 }
 
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -4,6 +4,7 @@
 #include <libraries/requests/environment.h>
 #include <libraries/requests/intake.h>
 #include <libraries/requests/retry_budget.h>
+#include <libraries/requests/running_request.h>
 
 #include <map>
 #include <unordered_map>
@@ -59,6 +60,9 @@
   void drain() { m_intake.drain(); }
 
   [[nodiscard]] std::size_t size() const { return m_requests.size(); }
+  /// The requests that have not ended, in the order of their arrival, up to this number.
+  [[nodiscard]] std::vector<running_request> running(std::size_t max_count,
+                                                     base::monotonic_time now) const;
   [[nodiscard]] table_counters const& counters() const { return m_counters; }
 
 private:
--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -288,6 +288,7 @@
                  [this](requests::observe_queueing& value) { m_metrics.observe(value); },
                  [this](requests::reply_failure& value) {
                    m_metrics.count(value);
+                   m_request_log.lost(value, now());
                    m_callers->reply(value);
                  },
                  [](requests::charge& /*value*/) { CATKINLANDING_VERIFY(false); },
@@ -344,6 +345,10 @@
   m_ratings->start(effect);
 }
 
+void daemon::perform(instance::stop_report& effect) {
+  request_log::stopping(effect);
+}
+
 void daemon::perform(instance::stop& /*effect*/) {
   if (m_is_stopped) {
     return;
--- a/services/daemon/daemon.h
+++ b/services/daemon/daemon.h
@@ -10,6 +10,7 @@
 #include <services/daemon/metrics.h>
 #include <services/daemon/operator_server.h>
 #include <services/daemon/rating_client.h>
+#include <services/daemon/request_log.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -64,6 +65,7 @@
   void perform(requests::effect& effect);
   void perform(instance::update_address& effect);
   void perform(instance::state_change& effect);
+  void perform(instance::stop_report& effect);
   void perform(instance::stop& effect);
   void perform(routing::rating_request& effect);
 
@@ -72,6 +74,7 @@
   boost::asio::steady_timer m_tick{m_context};
   boost::asio::signal_set m_signals{m_context};
   metrics m_metrics;
+  request_log m_request_log;
   std::unique_ptr<data_folder> m_data_folder;
   std::unique_ptr<instance::reducer> m_reducer;
   std::unique_ptr<peer_transport> m_peers;
