requests: Count no rejection as an attempt

What callers saw: 503, not run, with most of their time left and endpoints with room, while endpoints were replaced: three in turn had said that they leave or are full.

Cause: each dispatch counted as one of three attempts, also one that its endpoint said it did not run. After a failure that may have run, one or two rejections ended a request that may be repeated as outcome unknown.

Why it works: a rejection causes no work, the endpoint that made it is not asked again by this request, and by no other before it announces itself anew, so the attempts end with the endpoints that are known. Attempts that may have run, and endpoints that can't be reached, are counted as before (run_no_more_often_for_rejections_in_between).

--- a/libraries/requests/active_request.h
+++ b/libraries/requests/active_request.h
@@ -47,6 +47,8 @@
   /// Whether any part of an answer was sent to the caller.
   bool is_answer_started = false;
   int attempts = 0;
+  /// Attempts that their endpoint said it did not run.
+  int rejections = 0;
   attempt_number attempt = 0;
   base::endpoint_id endpoint;
   base::model_id model;
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -666,6 +666,7 @@
   }
   if (failed.kind == attempt_failure_kind::refused) {
     environment.directory.mark_leaving(request->endpoint);
+    ++request->rejections;
   }
   report(*request,
          failed.kind == attempt_failure_kind::error_status
@@ -708,8 +709,9 @@
 
 bool table::may_retry(request const& request, base::monotonic_time now) const {
   bool const can_run_again = request.is_idempotent || !request.may_have_run;
+  // A rejection costs next to nothing, and its endpoint is not asked again.
   bool const is_attempt_allowed =
-      request.attempts < m_options.max_attempts && now < request.expires_at;
+      request.attempts - request.rejections < m_options.max_attempts && now < request.expires_at;
   bool const is_granted = !request.holder || request.is_claim_valid(m_options.claim_validity, now);
   return can_run_again && is_attempt_allowed && is_granted && !request.is_answer_started;
 }
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -31,6 +31,7 @@
     base::instance_id self;
     /// Increases with each start of this instance, so that request ids never repeat.
     std::uint64_t incarnation = 0;
+    /// Without those that their endpoints rejected unrun.
     int max_attempts = 3;
     /// A request whose claim is not decided within this time fails, and one whose session is not
     /// pinned. An election of the log's leader is over by then; if the log is away for longer,
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -311,6 +311,30 @@
   EXPECT_EQ(all<cancel_attempt>().size(), 1U);
 }
 
+// Guards against requests that are refused with time left while an endpoint has room, because three
+// others were leaving or full: a rejection used up an attempt.
+TEST_F(waiting_requests, are_sent_on_until_an_endpoint_takes_them) {
+  constexpr std::uint32_t endpoints = 20;
+  m_policy.free_slots = endpoints;
+  send(3);
+  for (std::uint32_t i = 1; i < endpoints; ++i) {
+    reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::refused});
+  }
+  EXPECT_EQ(all<dispatch>().size(), endpoints);
+  EXPECT_TRUE(all<reply_failure>().empty());
+}
+
+// Work that may have run is bounded by attempts, whatever was rejected in between.
+TEST_F(waiting_requests, run_no_more_often_for_rejections_in_between) {
+  m_policy.free_slots = 20;
+  send(3);
+  for (int i = 0; i < 3; ++i) {
+    reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::refused});
+    reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::broken});
+  }
+  EXPECT_EQ(all<reply_failure>().size(), 1U);
+}
+
 // A caller whose time is over was told to come back in a second.
 TEST_F(waiting_requests, are_told_no_time_when_theirs_is_over) {
   m_policy.free_slots = 1;
