daemon: Take a stream for whole when its last event has come

What callers saw: a stream that was cut before its end, though the endpoint had sent all of it with [DONE]: at once if the endpoint's connection broke then, at the deadline if it stayed open without a last chunk.

Cause: the piece with [DONE] is held back until the bill is safe, which needs the end of the endpoint's response. If that failed or did not come, the answer counted as broken, and what was held was dropped.

Why it works: the last event is the end of a stream for its reader, and the token counts come before it. The line of the event can't stand in a token's text, where line breaks are escaped. A connection without its last chunk is not used again.

--- a/services/daemon/endpoint_client.cpp
+++ b/services/daemon/endpoint_client.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t read_buffer_size = 16 * 1024;
 constexpr std::string_view not_run_header = "Catkinlanding-Not-Run";
 constexpr std::string_view stream_end_marker = "[DONE]";
+/// After the last event of a stream, for the end of the response. The answer is whole without it,
+/// but the connection can't be used again.
+constexpr std::chrono::seconds stream_end_timeout{1};
 
 requests::token_usage parse_usage(std::string_view tail) {
   auto const at = tail.rfind("\"usage\"");
@@ -47,6 +50,17 @@
           .completion_tokens = tokens("completion_tokens")};
 }
 
+/// Whether the last bytes of a stream are its last event. Its line can't be part of a token's text,
+/// in which line breaks are escaped.
+bool ends_with_last_event(std::string_view tail) {
+  auto const end = tail.find_last_not_of("\r\n");
+  auto const text = end == std::string_view::npos ? std::string_view() : tail.substr(0, end + 1);
+  auto const line = text.substr(text.find_last_of("\r\n") + 1);
+  return line.starts_with("data:") && line.ends_with(stream_end_marker) &&
+         line.find_first_not_of(' ', std::string_view("data:").size()) ==
+             line.size() - stream_end_marker.size();
+}
+
 struct exchange {
   explicit exchange(tcp_stream s) : stream(std::move(s)) {}
 
@@ -146,13 +160,20 @@
     std::string tail;
     std::size_t received = 0;
     auto& read_buffer = exchange.read_buffer;
+    bool const is_event_stream =
+        parser.get()[http::field::content_type].starts_with("text/event-stream");
     while (!parser.is_done()) {
+      bool const is_whole = is_event_stream && ends_with_last_event(tail);
       auto& body = parser.get().body();
       body.data = read_buffer.data();
       body.size = read_buffer.size();
-      exchange.stream.expires_after(m_options.silence_timeout);
+      exchange.stream.expires_after(is_whole ? stream_end_timeout : m_options.silence_timeout);
       auto const [error, size] =
           co_await http::async_read_some(exchange.stream, exchange.buffer, parser, completion);
+      if (is_whole && error && error != http::error::need_buffer) {
+        exchange.stream.close();
+        break;
+      }
       received += read_buffer.size() - body.size;
       // Answers that aren't streamed are buffered in memory, so their size is limited.
       bool const is_too_large =
@@ -175,8 +196,6 @@
       }
       m_on_event(requests::attempt_data{.attempt = dispatch.attempt, .bytes = std::string(bytes)});
     }
-    bool const is_event_stream =
-        parser.get()[http::field::content_type].starts_with("text/event-stream");
     if (is_event_stream && tail.find(stream_end_marker) == std::string::npos) {
       exchange.stream.close();
       co_return requests::attempt_failed{.attempt = dispatch.attempt,
