daemon: Let a stream pause until its request's deadline

What callers saw: a stream that was cut after 60 s without a byte, with time left, though its endpoint was at work; a class of 120 s is in the example catalogue.

Cause: silence_timeout ended streams like other answers. Those can be asked of another endpoint; a stream that has begun can't, so what was given up was all there was.

Evidence: endpoint_client_test, are_whole_after_a_pause_beyond_the_silence_timeout (a pause of 0.6 s, a timeout of 0.2 s): broken after 0.2 s on the code before, whole now. are_the_only_answers_that_may_pause_so_long holds before and after: an answer that is not streamed is still given up.

Why it works: the request table cancels an attempt at the request's deadline and when its caller leaves, so the connection has an end without a limit of its own. A stream of an endpoint whose machine is gone without closing its connections now lasts until the deadline, too.

--- a/libraries/settings/settings.h
+++ b/libraries/settings/settings.h
@@ -53,7 +53,7 @@
   base::duration write_timeout = std::chrono::seconds(10);
   /// From the last byte of the request to the first of the answer.
   base::duration head_timeout = std::chrono::minutes(15);
-  /// Between two pieces of an answer.
+  /// Between two pieces of an answer that is not streamed.
   base::duration silence_timeout = std::chrono::seconds(60);
 
   bool operator==(endpoint_settings const&) const = default;
--- a/services/daemon/endpoint_client.cpp
+++ b/services/daemon/endpoint_client.cpp
@@ -155,6 +155,18 @@
     co_return co_await read_body(exchange, parser, dispatch);
   }
 
+  /// Limits the time until the next part of the answer. A stream ends by its request's deadline
+  /// alone: its caller has a part of it, so no other endpoint can be asked.
+  void limit_silence(tcp_stream& stream, requests::dispatch const& dispatch, bool is_whole) const {
+    if (is_whole) {
+      stream.expires_after(stream_end_timeout);
+    } else if (dispatch.is_stream) {
+      stream.expires_never();
+    } else {
+      stream.expires_after(m_options.silence_timeout);
+    }
+  }
+
   awaitable<result> read_body(exchange& exchange, http::response_parser<http::buffer_body>& parser,
                               requests::dispatch const& dispatch) {
     std::string tail;
@@ -167,7 +179,7 @@
       auto& body = parser.get().body();
       body.data = read_buffer.data();
       body.size = read_buffer.size();
-      exchange.stream.expires_after(is_whole ? stream_end_timeout : m_options.silence_timeout);
+      limit_silence(exchange.stream, dispatch, is_whole);
       auto const [error, size] =
           co_await http::async_read_some(exchange.stream, exchange.buffer, parser, completion);
       if (is_whole && error && error != http::error::need_buffer) {
--- a/services/daemon/endpoint_client.h
+++ b/services/daemon/endpoint_client.h
@@ -20,7 +20,8 @@
     /// Limits the time from the last byte of the request to the response header. The request's
     /// deadline is usually shorter; this ends connections that were not cancelled by it.
     base::duration head_timeout = std::chrono::minutes(15);
-    /// Limits the time between two reads of the response body.
+    /// Limits the time between two reads of an answer that isn't streamed. A stream is limited by
+    /// its request's deadline, at which it is cancelled.
     base::duration silence_timeout = std::chrono::seconds(60);
     /// Maximum body size in bytes of an answer that isn't streamed.
     std::size_t max_buffered_answer_size = 16 * 1024 * 1024;
