--- a/libraries/requests/active_request.h
+++ b/libraries/requests/active_request.h
@@ -47,6 +47,8 @@
   /// Whether any part of an answer was sent to the caller.
   bool is_answer_started = false;
   int attempts = 0;
+  /// Attempts that their endpoint said it did not run.
+  int rejections = 0;
   attempt_number attempt = 0;
   base::endpoint_id endpoint;
   base::model_id model;
@@ -86,6 +88,8 @@
   /// Whether the log has answered since the last attempt.
   bool is_pin_decided = false;
   base::version_id session_moved_from;
+  /// How the last attempt that failed did so.
+  std::optional<attempt_failure_kind> last_failure;
   /// Whether an endpoint may have executed a failed attempt.
   bool may_have_run = false;
   bool awaits_bill_replication = false;
@@ -100,6 +104,9 @@
   [[nodiscard]] limits::admission::work work() const;
   /// Whether an attempt may be started that the log would have granted `claim_validity` before.
   [[nodiscard]] bool is_claim_valid(base::duration claim_validity, base::monotonic_time now) const;
+  /// Whether the endpoint rejected the request: its answer tells an error of the request or a
+  /// limit.
+  [[nodiscard]] bool is_rejected() const;
   /// What the current attempt is charged, with the usage that its endpoint reported.
   [[nodiscard]] billing::bill_line bill_line(token_usage const& usage,
                                              catalogue::document const& document) const;
--- a/libraries/requests/table.cpp
+++ b/libraries/requests/table.cpp
@@ -30,6 +30,17 @@
   close_event(environment, now);
 }
 
+std::vector<running_request> table::running(std::size_t max_count, base::monotonic_time now) const {
+  std::vector<running_request> running;
+  for (auto const& [number, request] : m_requests) {
+    if (running.size() == max_count) {
+      break;
+    }
+    running.push_back(summarize(request, now));
+  }
+  return running;
+}
+
 void table::tick(environment const& environment, base::monotonic_time now, effects& out) {
   for (auto it = m_requests.begin(); it != m_requests.end();) {
     // Advance first: the request may be erased by this call.
@@ -54,7 +65,7 @@
     give_up_waiting(request, environment, now, out);
     return;
   }
-  if (now < request.expires_at && !is_claim_late && !is_pin_late) {
+  if (now < ends_at(request) && !is_claim_late && !is_pin_late) {
     return;
   }
   bool const was_sent = request.attempt != 0;
@@ -477,7 +488,7 @@
                                 request->buffered.size() <= m_options.max_rated_answer_bytes;
   if (needs_evaluation && !request->is_answer_started) {
     hold_for_evaluation(*request, out);
-  } else {
+  } else if (!request->is_rejected() || !deliver_held(*request, now, out)) {
     deliver(*request, now, out);
   }
   start_queued(environment, now, out);
@@ -517,6 +528,11 @@
   start_in_turn(request, environment, now, out);
 }
 
+base::monotonic_time table::ends_at(request const& request) const {
+  // The end of an answer may wait for its bill, and its caller waits no longer than its deadline.
+  return request.held ? request.expires_at - m_options.finalize_timeout : request.expires_at;
+}
+
 bool table::deliver_held(request& request, base::monotonic_time now, effects& out) {
   if (!request.held) {
     return false;
@@ -650,6 +666,7 @@
   }
   if (failed.kind == attempt_failure_kind::refused) {
     environment.directory.mark_leaving(request->endpoint);
+    ++request->rejections;
   }
   report(*request,
          failed.kind == attempt_failure_kind::error_status
@@ -659,6 +676,7 @@
   request->excluded.insert(request->endpoint);
   end_attempt(*request, environment);
   request->buffered.clear();
+  request->last_failure = failed.kind;
   request->may_have_run |= !is_safe_to_retry(failed.kind);
   if (may_retry(*request, now)) {
     auto const refused = refuse_to_queue(*request, environment, now);
@@ -691,8 +709,9 @@
 
 bool table::may_retry(request const& request, base::monotonic_time now) const {
   bool const can_run_again = request.is_idempotent || !request.may_have_run;
+  // A rejection costs next to nothing, and its endpoint is not asked again.
   bool const is_attempt_allowed =
-      request.attempts < m_options.max_attempts && now < request.expires_at;
+      request.attempts - request.rejections < m_options.max_attempts && now < request.expires_at;
   bool const is_granted = !request.holder || request.is_claim_valid(m_options.claim_validity, now);
   return can_run_again && is_attempt_allowed && is_granted && !request.is_answer_started;
 }
@@ -751,7 +770,13 @@
                                  .failure = reported,
                                  .is_answer_started = request.is_answer_started,
                                  .customer = request.customer,
-                                 .request_class = request.request_class});
+                                 .request_class = request.request_class,
+                                 .request = request.id,
+                                 .attempts = request.attempts,
+                                 .endpoint = request.endpoint,
+                                 .last_failure = request.last_failure,
+                                 .took = now - request.arrived_at,
+                                 .left = request.expires_at - now});
   erase(request);
 }
 
--- a/libraries/requests/table.h
+++ b/libraries/requests/table.h
@@ -4,6 +4,7 @@
 #include <libraries/requests/environment.h>
 #include <libraries/requests/intake.h>
 #include <libraries/requests/retry_budget.h>
+#include <libraries/requests/running_request.h>
 
 #include <map>
 #include <unordered_map>
@@ -30,6 +31,7 @@
     base::instance_id self;
     /// Increases with each start of this instance, so that request ids never repeat.
     std::uint64_t incarnation = 0;
+    /// Without those that their endpoints rejected unrun.
     int max_attempts = 3;
     /// A request whose claim is not decided within this time fails, and one whose session is not
     /// pinned. An election of the log's leader is over by then; if the log is away for longer,
@@ -59,6 +61,9 @@
   void drain() { m_intake.drain(); }
 
   [[nodiscard]] std::size_t size() const { return m_requests.size(); }
+  /// The requests that have not ended, in the order of their arrival, up to this number.
+  [[nodiscard]] std::vector<running_request> running(std::size_t max_count,
+                                                     base::monotonic_time now) const;
   [[nodiscard]] table_counters const& counters() const { return m_counters; }
 
 private:
@@ -93,6 +98,8 @@
   /// Holds the answer back and asks the rating service to evaluate it.
   void hold_for_evaluation(request& request, effects& out);
   void deliver(request& request, base::monotonic_time now, effects& out);
+  /// When the request ends with what it has: at its deadline, or in time for a held answer.
+  [[nodiscard]] base::monotonic_time ends_at(request const& request) const;
   /// Delivers the answer that is held back, or returns false if there is none.
   [[nodiscard]] bool deliver_held(request& request, base::monotonic_time now, effects& out);
   /// Charges the request to the rate limits, or returns when to retry if they are reached.
--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -288,6 +288,7 @@
                  [this](requests::observe_queueing& value) { m_metrics.observe(value); },
                  [this](requests::reply_failure& value) {
                    m_metrics.count(value);
+                   m_request_log.lost(value, now());
                    m_callers->reply(value);
                  },
                  [](requests::charge& /*value*/) { CATKINLANDING_VERIFY(false); },
@@ -344,23 +345,27 @@
   m_ratings->start(effect);
 }
 
+void daemon::perform(instance::stop_report& effect) {
+  request_log::stopping(effect);
+}
+
 void daemon::perform(instance::stop& /*effect*/) {
   if (m_is_stopped) {
     return;
   }
   m_is_stopped = true;
   m_callers->stop_accepting();
-  stop_when_idle(now() + m_settings.callers.read_timeout);
+  stop_when_idle();
 }
 
-void daemon::stop_when_idle(base::monotonic_time deadline) {
+void daemon::stop_when_idle() {
   m_tick.expires_after(reply_flush_interval);
-  m_tick.async_wait([this, deadline](boost::system::error_code /*error*/) {
-    if (m_callers->is_idle() || now() >= deadline) {
+  m_tick.async_wait([this](boost::system::error_code /*error*/) {
+    if (m_callers->is_idle()) {
       m_context.stop();
       return;
     }
-    stop_when_idle(deadline);
+    stop_when_idle();
   });
 }
 
--- a/services/daemon/daemon.h
+++ b/services/daemon/daemon.h
@@ -10,6 +10,7 @@
 #include <services/daemon/metrics.h>
 #include <services/daemon/operator_server.h>
 #include <services/daemon/rating_client.h>
+#include <services/daemon/request_log.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -49,8 +50,9 @@
   [[nodiscard]] tl::expected<listeners, listener_error> open_listeners();
   void start_servers(listeners listeners);
   void schedule_tick();
-  /// Ends the event loop once no request is in flight, or at the deadline.
-  void stop_when_idle(base::monotonic_time deadline);
+  /// Ends the event loop once no request is received or answered. New ones are refused by now, and
+  /// each connection ends by its own timeouts.
+  void stop_when_idle();
   void await_signal();
   /// Passes an event to the reducer and performs its effects. Is noexcept, so that an exception of
   /// the reducer ends the process; `spawn` would take it for the failure of one connection.
@@ -63,6 +65,7 @@
   void perform(requests::effect& effect);
   void perform(instance::update_address& effect);
   void perform(instance::state_change& effect);
+  void perform(instance::stop_report& effect);
   void perform(instance::stop& effect);
   void perform(routing::rating_request& effect);
 
@@ -71,6 +74,7 @@
   boost::asio::steady_timer m_tick{m_context};
   boost::asio::signal_set m_signals{m_context};
   metrics m_metrics;
+  request_log m_request_log;
   std::unique_ptr<data_folder> m_data_folder;
   std::unique_ptr<instance::reducer> m_reducer;
   std::unique_ptr<peer_transport> m_peers;
--- a/tests/libraries/requests/waiting_requests_test.cpp
+++ b/tests/libraries/requests/waiting_requests_test.cpp
@@ -102,8 +102,8 @@
     reduce(request);
   }
 
-  void answer(attempt_number attempt) {
-    reduce(attempt_head{attempt});
+  void answer(attempt_number attempt, std::uint32_t status = 200) {
+    reduce(attempt_head{.attempt = attempt, .status = status});
     reduce(attempt_finished{attempt});
   }
 
@@ -272,6 +272,69 @@
   EXPECT_EQ(all<reply_end>().size(), 1U);
 }
 
+// Guards against a whole answer that is dropped for the rejection of a better version: its endpoint
+// was asked for more than it takes, or could not read the request.
+TEST_F(waiting_requests, get_their_held_answer_when_the_better_version_rejects_them) {
+  for (std::uint32_t const status : {400U, 413U, 429U}) {
+    m_effects.clear();
+    m_policy.free_slots = 2;
+    send(status);
+    answer(m_attempts.back());
+    reduce(answer_evaluated{.number = status, .judgement = routing::judgement::poor});
+    ASSERT_EQ(all<dispatch>().size(), 2U);
+    answer(m_attempts.back(), status);
+    ASSERT_EQ(all<reply_head>().size(), 1U);
+    EXPECT_EQ(all<reply_head>().front().status, 200U);
+    EXPECT_EQ(all<reply_head>().front().version.value, "small");
+    EXPECT_EQ(all<reply_end>().size(), 1U);
+  }
+}
+
+// Guards against a whole answer that its caller never sees: it was held back until the deadline,
+// for a better version that did not answer, and its end then waited for its bill.
+TEST_F(waiting_requests,
+       get_their_held_answer_before_their_deadline_while_a_better_one_is_under_way) {
+  m_policy.free_slots = 2;
+  send(3);
+  m_now += work;
+  answer(m_attempts.back());
+  reduce(answer_evaluated{.number = 3, .judgement = routing::judgement::poor});
+  ASSERT_EQ(all<dispatch>().size(), 2U);
+  m_are_bills_replicated = false;
+  auto const deadline = m_now - work + class_deadline;
+  pass(class_deadline - 2 * work);
+  EXPECT_TRUE(all<reply_end>().empty());
+  while (m_now < deadline) {
+    pass(20ms);
+  }
+  EXPECT_EQ(all<reply_end>().size(), 1U);
+  EXPECT_EQ(all<cancel_attempt>().size(), 1U);
+}
+
+// Guards against requests that are refused with time left while an endpoint has room, because three
+// others were leaving or full: a rejection used up an attempt.
+TEST_F(waiting_requests, are_sent_on_until_an_endpoint_takes_them) {
+  constexpr std::uint32_t endpoints = 20;
+  m_policy.free_slots = endpoints;
+  send(3);
+  for (std::uint32_t i = 1; i < endpoints; ++i) {
+    reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::refused});
+  }
+  EXPECT_EQ(all<dispatch>().size(), endpoints);
+  EXPECT_TRUE(all<reply_failure>().empty());
+}
+
+// Work that may have run is bounded by attempts, whatever was rejected in between.
+TEST_F(waiting_requests, run_no_more_often_for_rejections_in_between) {
+  m_policy.free_slots = 20;
+  send(3);
+  for (int i = 0; i < 3; ++i) {
+    reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::refused});
+    reduce(attempt_failed{m_attempts.back(), attempt_failure_kind::broken});
+  }
+  EXPECT_EQ(all<reply_failure>().size(), 1U);
+}
+
 // A caller whose time is over was told to come back in a second.
 TEST_F(waiting_requests, are_told_no_time_when_theirs_is_over) {
   m_policy.free_slots = 1;
