proxy: Name each request that the end of a process cuts

Callers saw: nothing new. An operator saw "process stopped requests_cut=17" and could find neither the requests nor how far they had come, nor whether they arrived before or after the signal.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -206,6 +206,16 @@
   return next ? decision(std::move(*next)) : final_refusal(request, now);
 }
 
+active_request const* router::find(request_number number) const {
+  auto const found = m_requests.find(number);
+  return found == m_requests.end() ? nullptr : &found->second;
+}
+
+std::string router::route_name(request_facts const& facts) const {
+  auto const* route = m_routes->find(facts.host, facts.path);
+  return route == nullptr ? "" : route->name;
+}
+
 void router::note_reached() {
   if (m_relays.reachability().note_reached()) {
     m_endpoints.forget_failures();
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -145,6 +145,10 @@
   [[nodiscard]] document_status status_of_document(base::monotonic_time now) const;
   [[nodiscard]] known_state const& known() const { return m_subscriber.known(); }
   [[nodiscard]] std::size_t endpoint_count() const { return m_endpoints.size(); }
+  /// A request that has begun; nullptr once it has ended.
+  [[nodiscard]] active_request const* find(request_number number) const;
+  /// The name of a request's route; empty if it has none.
+  [[nodiscard]] std::string route_name(request_facts const& facts) const;
   [[nodiscard]] std::size_t active_requests() const { return m_requests.size(); }
   [[nodiscard]] bool is_connected(base::monotonic_time now) const {
     return m_subscriber.is_connected(now);
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -120,7 +120,7 @@
             m_control->tick(now(), effects);
             apply_effects(std::move(effects));
           },
-      .on_stop = [this] { on_stop(); },
+      .on_stop = [this](int signal) { on_stop(signal); },
       .on_settings =
           [this](process_settings const& changed) {
             m_control->use_seeds(other_seed_instances(changed));
@@ -182,7 +182,8 @@
   co_return pending->reply.value_or(unknown);
 }
 
-void control_process::on_stop() {
+void control_process::on_stop(int signal) {
+  spdlog::info("process stopping signal={}", signal);
   m_stop_deadline = now() + m_process.settings().shutdown_timeout - stop_margin;
   control_effects effects;
   m_control->resign(now(), effects);
--- a/services/proxy/control_process.h
+++ b/services/proxy/control_process.h
@@ -35,7 +35,7 @@
   [[nodiscard]] tl::expected<void, daemon::listener_error> open_listeners();
   daemon::awaitable<http_response> handle_call(http_request request);
   daemon::awaitable<call_reply> wait_for_reply(call_request const& call);
-  void on_stop();
+  void on_stop(int signal);
   void stop_after_handover();
   void apply_effects(control_effects effects);
   void log(control_event_details const& note) const;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -1,9 +1,12 @@
 #include <libraries/base/try.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/entry_process.h>
+#include <services/proxy/stop_log.h>
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -77,7 +80,7 @@
   CATKINLANDING_TRY_VOID(m_process.open({
       .on_message = [this](auto const& from, message const& message) { on_message(from, message); },
       .on_tick = [this] { on_tick(); },
-      .on_stop = [this] { on_stop(); },
+      .on_stop = [this](int signal) { on_stop(signal); },
       .on_settings =
           [this](process_settings const& changed) { m_router.use_seeds(seed_instances(changed)); },
       .on_metrics =
@@ -236,9 +239,13 @@
   }
 }
 
-void entry_process::on_stop() {
+void entry_process::on_stop(int signal) {
+  auto const half_read = std::ranges::count(m_entry_server->open_requests(),
+                                            open_request_state::half_read, &open_request::state);
+  stop_log::stopping(signal, m_router.active_requests(), static_cast<std::size_t>(half_read));
   m_context.is_stopping = true;
-  m_stop_deadline = now() + m_process.settings().shutdown_timeout - stop_margin;
+  m_stop_signal_at = now();
+  m_stop_deadline = m_stop_signal_at + m_process.settings().shutdown_timeout - stop_margin;
   m_context.stop_deadline = m_stop_deadline - answer_margin;
   m_process.call_after(balancer_removal_time, [this] {
     m_entry_server->stop_accepting();
@@ -251,10 +258,19 @@
   bool const is_past_deadline = now() >= m_stop_deadline;
   if (is_past_deadline || (m_entry_server->is_idle() && m_entry_server->connection_count() == 0)) {
     spdlog::info("process stopped requests_cut={}", m_router.active_requests());
+    note_cut_requests();
     m_process.stop();
     return;
   }
   m_process.call_after(stop_check_interval, [this] { stop_when_idle(); });
 }
 
+void entry_process::note_cut_requests() {
+  auto const requests = m_entry_server->open_requests();
+  stop_log::cut(requests, {.signal_at = m_stop_signal_at, .end_at = now()});
+  for (auto const& request : requests) {
+    m_process.metrics().count_cut_by_stop(name_of(request.state));
+  }
+}
+
 } // namespace catkinlanding::proxy
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -30,8 +30,10 @@
   /// Logs what an ignored update holds, and what is known instead, at most once in a while.
   void log_outdated(update const& received, base::instance_id const& from);
   static void log_rollouts(update const& received, base::instance_id const& from);
-  void on_stop();
+  void on_stop(int signal);
   void stop_when_idle();
+  /// Logs and counts the requests that the end of the process cuts.
+  void note_cut_requests();
 
   process m_process;
   proxy::protocol_adapter const& m_protocol_adapter;
@@ -42,6 +44,7 @@
   std::unique_ptr<entry_server> m_entry_server;
   std::unique_ptr<http_server> m_readiness_server;
   base::monotonic_time m_last_sweep{};
+  base::monotonic_time m_stop_signal_at{};
   base::monotonic_time m_stop_deadline{};
   std::uint64_t m_outdated_updates = 0;
   base::monotonic_time m_next_outdated_line{};
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -35,6 +35,39 @@
   daemon::spawn(m_context.io, "entry", accept());
 }
 
+bool entry_server::connection::is_empty() const {
+  boost::system::error_code error;
+  return buffer.size() == 0 && stream.socket().available(error) == 0;
+}
+
+std::vector<open_request> entry_server::open_requests() const {
+  std::vector<open_request> found;
+  for (auto const& connection : m_connections) {
+    if (auto request = open_request_of(*connection)) {
+      found.push_back(std::move(*request));
+    }
+  }
+  return found;
+}
+
+std::optional<open_request> entry_server::open_request_of(connection const& connection) const {
+  if (auto const current = connection.current_exchange.lock()) {
+    return current->progress();
+  }
+  if (connection.parser == nullptr) {
+    bool const has_begun = connection.is_awaiting_request && !connection.is_empty();
+    return has_begun ? std::optional(open_request{}) : std::nullopt;
+  }
+  open_request made{.header_at = connection.header_at};
+  auto const facts = m_context.protocol_adapter.read_request(connection.parser->get().base());
+  if (facts) {
+    made.id = facts->id;
+    made.route = m_context.router.route_name(*facts);
+    made.caller_deadline = connection.header_at + m_context.router.time_of(facts->caller_timeout);
+  }
+  return made;
+}
+
 void entry_server::stop_accepting() {
   // Callers whose connections the kernel has accepted already are served, as closing would reset
   // them.
@@ -53,10 +86,7 @@
 
 void entry_server::close_idle() {
   for (auto const& connection : m_connections) {
-    boost::system::error_code error;
-    bool const is_empty =
-        connection->buffer.size() == 0 && connection->stream.socket().available(error) == 0;
-    if (connection->is_awaiting_request && is_empty) {
+    if (connection->is_awaiting_request && connection->is_empty()) {
       connection->stream.cancel();
     }
   }
@@ -112,6 +142,7 @@
     daemon::scoped_count const active(m_active_exchanges);
     auto const current_exchange =
         std::make_shared<exchange>(m_context, connection.stream, std::move(*request));
+    connection.current_exchange = current_exchange;
     is_open = co_await current_exchange->run();
   }
 }
@@ -159,11 +190,16 @@
     constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(connection.stream, asio::buffer(continue_response), completion);
   }
-  if (!co_await read_body(connection, parser, body_memory)) {
+  connection.parser = &parser;
+  connection.header_at = arrived_at;
+  bool const is_whole = co_await read_body(connection, parser, body_memory);
+  connection.parser = nullptr;
+  if (!is_whole) {
     co_return std::nullopt;
   }
   connection.stream.expires_never();
-  co_return incoming_request{.message = parser.release(), .arrived_at = arrived_at};
+  co_return incoming_request{
+      .message = parser.release(), .arrived_at = arrived_at, .last_byte_at = now()};
 }
 
 awaitable<bool> entry_server::read_body(connection& connection, request_parser& parser,
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace catkinlanding::proxy {
 
@@ -30,6 +31,8 @@
   void close_idle();
   /// Whether no request is in flight.
   [[nodiscard]] bool is_idle() const { return m_active_exchanges == 0; }
+  /// The requests in flight and those of which a part has arrived.
+  [[nodiscard]] std::vector<open_request> open_requests() const;
   [[nodiscard]] std::size_t connection_count() const { return m_connections.size(); }
 
 private:
@@ -39,8 +42,17 @@
     daemon::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool is_awaiting_request = false;
+    /// The request whose body is being read, and when its header was complete.
+    request_parser const* parser = nullptr;
+    base::monotonic_time header_at{};
+    std::weak_ptr<exchange> current_exchange;
+
+    /// Whether a request may be on its way of which no byte has arrived.
+    [[nodiscard]] bool is_empty() const;
   };
 
+  /// The connection's request; nothing if no byte of one has arrived.
+  [[nodiscard]] std::optional<open_request> open_request_of(connection const& connection) const;
   daemon::awaitable<void> accept();
   void start(daemon::tcp_socket socket);
   daemon::awaitable<void> serve(std::shared_ptr<connection> connection);
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -4,6 +4,7 @@
 #include <services/daemon/coroutine.h>
 #include <services/proxy/answer_forwarder.h>
 #include <services/proxy/metrics.h>
+#include <services/proxy/open_request.h>
 #include <services/proxy/protocol_adapter.h>
 #include <services/proxy/upstream_pool.h>
 
@@ -40,6 +41,7 @@
   http_request message;
   /// When its header was complete. The time of its caller runs from then on.
   base::monotonic_time arrived_at{};
+  base::monotonic_time last_byte_at{};
 };
 
 /// One request of a caller and its answer. Executes the router's decisions: sends the request to
@@ -51,6 +53,8 @@
 
   /// Returns whether the caller's connection can be reused for another request.
   daemon::awaitable<bool> run();
+  /// How far the request has come.
+  [[nodiscard]] open_request progress() const;
 
 private:
   /// The last error response from an endpoint, delivered if the router makes no further attempt.
@@ -111,6 +115,9 @@
   std::string m_route;
   std::string m_customer;
   base::monotonic_time m_started_at;
+  base::monotonic_time m_last_byte_at;
+  /// How long the caller waits, as it stated.
+  std::optional<base::duration> m_caller_timeout;
   answer_forwarder m_forwarder;
   daemon::steady_timer m_deadline_timer;
   daemon::steady_timer m_stall_timer;
--- a/services/proxy/metrics.cpp
+++ b/services/proxy/metrics.cpp
@@ -73,6 +73,11 @@
           .Name("catkinlanding_proxy_calls_total")
           .Help("Calls of operators and endpoints, by the kind of their reply")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& cut_by_stop =
+      prometheus::BuildCounter()
+          .Name("catkinlanding_proxy_requests_cut_by_stop_total")
+          .Help("Requests that the end of this process cuts, by how far they had come")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                       .Name("catkinlanding_proxy_state")
                                                       .Help("State of this process")
@@ -119,6 +124,10 @@
       .Increment();
 }
 
+void metrics::count_cut_by_stop(std::string_view state) {
+  m_implementation->cut_by_stop.Add({{"state", std::string(state)}}).Increment();
+}
+
 void metrics::set_gauge(std::string const& name, double value) {
   m_implementation->gauges.Add({{"name", name}}).Set(value);
 }
--- a/services/proxy/metrics.h
+++ b/services/proxy/metrics.h
@@ -29,6 +29,8 @@
   void count_notice(std::string_view kind);
   /// Counts a call of an operator or endpoint by the kind of its reply.
   void count_call(std::string_view call, std::string_view reply);
+  /// Counts a request that the end of the process cuts, by how far it had come.
+  void count_cut_by_stop(std::string_view state);
   /// Sets the gauge of the process state with this name.
   void set_gauge(std::string const& name, double value);
 
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -113,8 +113,7 @@
       // Further stop signals are ignored, so that they do not end the process while it still has
       // requests in flight.
       m_is_stopping = true;
-      spdlog::info("process stopping signal={}", signal);
-      m_handlers.on_stop();
+      m_handlers.on_stop(signal);
     }
     wait_for_signal();
   });
--- a/services/proxy/process.h
+++ b/services/proxy/process.h
@@ -26,8 +26,8 @@
   struct handlers {
     std::function<void(base::instance_id const& from, message message)> on_message;
     std::function<void()> on_tick;
-    /// Called on the first SIGTERM or SIGINT only.
-    std::function<void()> on_stop;
+    /// Called with the first SIGTERM or SIGINT only.
+    std::function<void(int signal)> on_stop;
     std::function<void(process_settings const&)> on_settings;
     /// Called before the metrics are serialized, to update the gauges.
     std::function<void(proxy::metrics&)> on_metrics;
