proxy: Begin nothing at an instance that stops which it can't end

Cause: exchange::run began every request whatever the time and only shortened its deadline to the end of the process; a connection with a part of a request was read on for as long as its caller waits.

Now, from the signal on, a request is begun, or sent once more while nothing was delivered, only if its caller's time is over or its whole answer is expected before the end of the grace (stop_policy, pure). Expected is longest_usual of whole answers of the route, service and model; if one that is under way has taken longer, twice what it has. What is unknown is not begun. Else 503 with Retry-After 0 and Connection: close; 502 or the endpoint's failure if it may have run. Half-read requests are refused as soon as that is certain, at the end of the grace at the latest. Answers are not given up, as doubtful or stalled, for an attempt that can't end. It holds from the signal on and not only after the balancer has taken the instance out: a refusal costs its caller a connection, a cut the answer.

Three tests asked for an answer of a route of which the instance knew nothing, after the signal: planned_stop_process (both) and finishes_open_streams_on_sigterm. That is now refused, so the tests first show it how long an answer takes; what they require is unchanged.

--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -37,6 +37,12 @@
   [[nodiscard]] bool has_time(active_request const& request, base::monotonic_time now) const;
   /// What an answer to such a request usually takes; zero if unknown.
   [[nodiscard]] base::duration usual_time(active_request const& request) const;
+  /// What a whole answer to such a request takes at most, unless something is wrong; nothing if
+  /// unknown.
+  [[nodiscard]] std::optional<base::duration>
+  longest_usual_time(active_request const& request) const {
+    return m_times.of(request).whole.longest_usual();
+  }
   /// How many times as long the request's model takes for a prompt as the smallest of its route.
   [[nodiscard]] double relative_work(active_request const& request) const {
     return m_times.relative_work(request);
--- a/libraries/proxy/refusal_policy.cpp
+++ b/libraries/proxy/refusal_policy.cpp
@@ -12,9 +12,14 @@
 } // namespace
 
 refusal refusal_policy::make(refusal_kind kind) const {
-  bool const awaits_leader = kind == refusal_kind::no_document;
-  return {.kind = kind,
-          .retry_after = awaits_leader ? std::optional(m_options.recovery_time) : std::nullopt};
+  if (kind == refusal_kind::no_document) {
+    return {.kind = kind, .retry_after = m_options.recovery_time};
+  }
+  if (kind == refusal_kind::stopping) {
+    // Another instance accepts the request at once.
+    return {.kind = kind, .retry_after = base::duration::zero()};
+  }
+  return {.kind = kind};
 }
 
 refusal refusal_policy::make(refusal_kind kind, prospect const& prospect,
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -100,6 +100,9 @@
   /// Every endpoint of the service has stated that it wants requests later: its rate is used up, or
   /// it pauses.
   deferred,
+  /// The instance stops before the answer is expected to be complete, and no endpoint executed the
+  /// request.
+  stopping,
   /// No endpoint executed the request.
   not_run,
   /// The deadline passed, and no endpoint executed the request.
@@ -124,6 +127,8 @@
     return "quarantined";
   case refusal_kind::deferred:
     return "deferred";
+  case refusal_kind::stopping:
+    return "stopping";
   case refusal_kind::not_run:
     return "not_run";
   case refusal_kind::expired_unsent:
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -34,7 +34,7 @@
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
-  if (!m_started_at || !is_missing_state_for(facts)) {
+  if (!m_started_at || m_stop.is_stopping() || !is_missing_state_for(facts)) {
     return std::nullopt;
   }
   auto const time_allowed =
@@ -53,13 +53,20 @@
 decision router::begin(request_number number, request_facts facts, base::monotonic_time now) {
   auto const admitted = admit(*m_routes, facts);
   if (!admitted) {
-    return m_refusals.make(admitted.error());
+    bool const lacks_document = admitted.error() == refusal_kind::no_document;
+    return m_refusals.make(lacks_document && m_stop.is_stopping() ? refusal_kind::stopping
+                                                                  : admitted.error());
   }
   auto request = make_request({.admitted = *admitted,
                                .routes = m_routes,
                                .facts = std::move(facts),
                                .default_timeout = m_options.default_timeout},
                               now);
+  request.choose_model();
+  if (!may_begin_attempt(request, now)) {
+    return refuse_stopping(request);
+  }
+  request.deadline = m_stop.limit(request.deadline);
   if (!request.facts.is_relayed) {
     // The instance that passed it on has counted it.
     m_attempts.note_request(request, now);
@@ -84,7 +91,7 @@
   m_endpoints.note_prompt_processed(request.endpoint, std::exchange(request.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
   m_attempts.note_answer(request, now);
-  return !m_attempts.is_doubtful(request, confidence) ||
+  return !m_attempts.is_doubtful(request, confidence) || !may_escalate(request, now) ||
          !m_attempts.try_escalate(request,
                                   {.others = make_filter(now).sendable(m_endpoints, request),
                                    .ready = m_endpoints.ready(request.service)},
@@ -150,6 +157,7 @@
   auto const& request = found->second;
   return m_attempts.may_abandon_stalled(request, m_endpoints.find(request.endpoint), now) &&
          !make_filter(now).sendable(m_endpoints, request).empty() &&
+         (request.has_delivered || may_begin_attempt(request, now)) &&
          m_attempts.try_retry(request, now);
 }
 
@@ -181,7 +189,11 @@
   bool const is_retry_prepaid = failure == attempt_failure::low_confidence ||
                                 failure == attempt_failure::stalled ||
                                 (failure == attempt_failure::unreachable && request.tried.empty());
-  if (may_repeat && may_continue && request.has_attempts_left() &&
+  bool const can_end = request.has_delivered || may_begin_attempt(request, now);
+  if (!can_end && !request.may_have_run) {
+    return refuse_stopping(request);
+  }
+  if (can_end && may_repeat && may_continue && request.has_attempts_left() &&
       (is_retry_prepaid || m_attempts.try_retry(request, now))) {
     auto next = attempt_next(request, now);
     if (!std::holds_alternative<refusal>(next) || !request.may_have_run) {
@@ -201,6 +213,9 @@
   // Only an instance that was never sent the request can be replaced: how many endpoints the other
   // one has tried is unknown.
   bool const is_unsent = failure == attempt_failure::unreachable;
+  if (!request.has_delivered && !request.may_have_run && !may_begin_attempt(request, now)) {
+    return refuse_stopping(request);
+  }
   auto next = is_unsent && m_attempts.has_time(request, now) ? m_relays.next(request, m_random)
                                                              : std::nullopt;
   return next ? decision(std::move(*next)) : final_refusal(request, now);
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -17,6 +17,7 @@
 #include <libraries/proxy/rollout_observer.h>
 #include <libraries/proxy/route_table.h>
 #include <libraries/proxy/startup_policy.h>
+#include <libraries/proxy/stop_policy.h>
 #include <libraries/proxy/subscriber.h>
 #include <libraries/proxy/version_policy.h>
 
@@ -110,6 +111,17 @@
                               base::monotonic_time now);
   void end(request_number number, base::monotonic_time now);
 
+  // The end of this instance.
+
+  /// The instance stops, and its last answers end by this time.
+  void stop_at(base::monotonic_time deadline) { m_stop.stop_at(deadline); }
+  /// Until when a request that is being read may still begin, as far as is known now. While the
+  /// instance stops, not beyond its end.
+  [[nodiscard]] base::monotonic_time latest_begin(request_facts const& facts,
+                                                  base::monotonic_time now) const;
+  /// The refusal of a request that could not be read in time.
+  [[nodiscard]] refusal refuse_unread() const { return m_refusals.make(refusal_kind::stopping); }
+
   // Reachability of the endpoints.
 
   /// Whether this instance reaches no endpoint, and passes requests on to others.
@@ -166,6 +178,15 @@
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
+  /// What an attempt of the request that begins now takes, for the decision whether it does.
+  [[nodiscard]] stop_policy::work work_of(active_request const& request,
+                                          base::monotonic_time now) const;
+  /// Whether an attempt that begins now is expected to end before a stopping instance does.
+  [[nodiscard]] bool may_begin_attempt(active_request const& request,
+                                       base::monotonic_time now) const;
+  /// The same for an attempt of the largest model.
+  [[nodiscard]] bool may_escalate(active_request const& request, base::monotonic_time now) const;
+  [[nodiscard]] refusal refuse_stopping(active_request const& request) const;
   /// Decides what follows when the instance to which the request was passed on has failed.
   [[nodiscard]] decision fail_relay(active_request& request, attempt_failure failure,
                                     base::monotonic_time now);
@@ -207,6 +228,7 @@
   request_quarantine m_quarantine;
   refusal_policy m_refusals;
   startup_policy m_startup;
+  stop_policy m_stop;
   std::optional<base::monotonic_time> m_started_at;
   attempt_monitor m_attempts;
   std::unordered_map<request_number, active_request> m_requests;
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -246,13 +246,22 @@
   m_context.is_stopping = true;
   m_stop_signal_at = now();
   m_stop_deadline = m_stop_signal_at + m_process.settings().shutdown_timeout - stop_margin;
-  m_context.stop_deadline = m_stop_deadline - answer_margin;
+  m_router.stop_at(m_stop_deadline - answer_margin);
+  for (auto* timer : m_context.state_wait_timers) {
+    timer->cancel();
+  }
+  refuse_half_read();
   m_process.call_after(balancer_removal_time, [this] {
     m_entry_server->stop_accepting();
     stop_when_idle();
   });
 }
 
+void entry_process::refuse_half_read() {
+  m_entry_server->refuse_half_read();
+  m_process.call_after(stop_check_interval, [this] { refuse_half_read(); });
+}
+
 void entry_process::stop_when_idle() {
   m_entry_server->close_idle();
   bool const is_past_deadline = now() >= m_stop_deadline;
--- a/services/proxy/entry_process.h
+++ b/services/proxy/entry_process.h
@@ -31,6 +31,8 @@
   void log_outdated(update const& received, base::instance_id const& from);
   static void log_rollouts(update const& received, base::instance_id const& from);
   void on_stop(int signal);
+  /// Refuses, again and again, the requests that are not read in time.
+  void refuse_half_read();
   void stop_when_idle();
   /// Logs and counts the requests that the end of the process cuts.
   void note_cut_requests();
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -15,6 +15,8 @@
 using daemon::completion;
 
 constexpr std::chrono::seconds reject_timeout{1};
+/// For how long a caller may pause in a request that is discarded.
+constexpr std::chrono::seconds discard_timeout{3};
 
 /// Whether the body length is unambiguous. Ambiguous framing would allow request smuggling.
 bool has_unambiguous_framing(http_request_header const& header) {
@@ -92,6 +94,27 @@
   }
 }
 
+void entry_server::refuse_half_read() {
+  for (auto const& connection : m_connections) {
+    bool const is_half_read = connection->parser != nullptr ||
+                              (connection->is_awaiting_request && !connection->is_empty());
+    if (is_half_read && now() > latest_arrival(*connection)) {
+      connection->is_refused = true;
+      connection->stream.cancel();
+    }
+  }
+}
+
+base::monotonic_time entry_server::latest_arrival(connection const& connection) const {
+  request_facts facts;
+  if (connection.parser != nullptr) {
+    auto read = m_context.protocol_adapter.read_request(connection.parser->get().base());
+    facts = read ? std::move(*read) : request_facts{};
+    facts.waited = now() - connection.header_at;
+  }
+  return m_context.router.latest_begin(facts, now());
+}
+
 awaitable<void> entry_server::accept() {
   while (m_acceptor.is_open()) {
     auto [error, socket] = co_await m_acceptor.async_accept(m_context.io, completion);
@@ -172,6 +195,9 @@
   if (is_malformed) {
     co_await reject(connection, http::status::bad_request, "malformed");
   }
+  if (error == asio::error::operation_aborted && connection.is_refused) {
+    co_await refuse_unread(connection);
+  }
   if (error) {
     co_return std::nullopt;
   }
@@ -184,14 +210,18 @@
     co_return std::nullopt;
   }
   auto const arrived_at = now();
+  connection.parser = &parser;
+  connection.header_at = arrived_at;
+  if (!parser.is_done() && arrived_at > latest_arrival(connection)) {
+    co_await refuse_unread(connection);
+    co_return std::nullopt;
+  }
   auto const timeout = m_context.protocol_adapter.read_timeout(parser.get().base());
   connection.stream.expires_after(m_context.router.time_of(timeout.value_or(std::nullopt)));
   if (parser.get()[http::field::expect] == "100-continue") {
     constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(connection.stream, asio::buffer(continue_response), completion);
   }
-  connection.parser = &parser;
-  connection.header_at = arrived_at;
   bool const is_whole = co_await read_body(connection, parser, body_memory);
   connection.parser = nullptr;
   if (!is_whole) {
@@ -206,7 +236,9 @@
                                         base::memory_share& body_memory) {
   auto const failure =
       co_await proxy::read_body(connection.stream, connection.buffer, parser, body_memory);
-  if (failure == request_body_failure::too_large) {
+  if (failure == request_body_failure::connection_lost && connection.is_refused) {
+    co_await refuse_unread(connection);
+  } else if (failure == request_body_failure::too_large) {
     co_await reject(connection, http::status::payload_too_large, "body_too_large");
   } else if (failure == request_body_failure::no_memory) {
     co_await reject(connection, http::status::service_unavailable, "bodies_exceed_memory");
@@ -214,6 +246,23 @@
   co_return !failure;
 }
 
+awaitable<void> entry_server::refuse_unread(connection& connection) {
+  auto const described = open_request_of(connection).value_or(open_request{});
+  connection.parser = nullptr;
+  auto refusal = m_context.router.refuse_unread();
+  spdlog::info("entry refused request={} reason={} route={}",
+               described.id.is_empty() ? "-" : described.id.value, name_of(refusal.kind),
+               described.route);
+  m_context.metrics.observe_request({}, described.route, request_end::refused,
+                                    name_of(refusal.kind),
+                                    now() - described.header_at.value_or(now()));
+  auto const answer = m_context.protocol_adapter.write_refusal(refusal);
+  auto const bytes = serialize_response(answer.base(), answer.body(), false);
+  connection.stream.expires_after(reject_timeout);
+  co_await asio::async_write(connection.stream, asio::buffer(bytes), completion);
+  co_await discard_rest(connection.stream, connection.buffer, discard_timeout);
+}
+
 awaitable<void> entry_server::reject(connection& connection, http::status status,
                                      char const* reason) {
   spdlog::warn("entry refused request=- reason={} status={}", reason, static_cast<int>(status));
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -29,6 +29,9 @@
   void stop_accepting();
   /// Closes connections that wait for a request of which no byte has arrived.
   void close_idle();
+  /// Refuses the requests of which a part has arrived and that could not be served any more if the
+  /// rest came now.
+  void refuse_half_read();
   /// Whether no request is in flight.
   [[nodiscard]] bool is_idle() const { return m_active_exchanges == 0; }
   /// The requests in flight and those of which a part has arrived.
@@ -46,6 +49,8 @@
     request_parser const* parser = nullptr;
     base::monotonic_time header_at{};
     std::weak_ptr<exchange> current_exchange;
+    /// Whether its half-read request is refused.
+    bool is_refused = false;
 
     /// Whether a request may be on its way of which no byte has arrived.
     [[nodiscard]] bool is_empty() const;
@@ -64,6 +69,10 @@
   /// Reads the body of a request after its header. Returns false like `read_request`.
   daemon::awaitable<bool> read_body(connection& connection, request_parser& parser,
                                     base::memory_share& body_memory);
+  /// Until when the rest of the connection's half-read request may come.
+  [[nodiscard]] base::monotonic_time latest_arrival(connection const& connection) const;
+  /// Refuses the connection's half-read request, and discards the rest of it.
+  daemon::awaitable<void> refuse_unread(connection& connection);
   daemon::awaitable<void> reject(connection& connection, http::status status, char const* reason);
 
   entry_context& m_context;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -53,11 +53,6 @@
   facts->attempts_before = attempts_before.value_or(0);
   facts->waited = now() - m_started_at;
   m_caller_timeout = facts->caller_timeout;
-  if (m_context.is_stopping) {
-    // What has no answer by then would be cut off without one.
-    auto const left = std::max<base::duration>(m_context.stop_deadline - m_started_at, {});
-    facts->caller_timeout = std::min(facts->caller_timeout.value_or(left), left);
-  }
   m_id = facts->id;
   m_session = facts->session.value;
   watch_for_caller_disconnect();
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -32,8 +32,6 @@
   std::uint16_t caller_port = 0;
   /// Set during shutdown: each connection is then closed after its current answer.
   bool is_stopping = false;
-  /// When requests that arrive during shutdown are answered at the latest.
-  base::monotonic_time stop_deadline{};
 };
 
 /// A caller's request as it was read.
--- a/services/proxy/request_body.cpp
+++ b/services/proxy/request_body.cpp
@@ -8,6 +8,7 @@
 
 /// A body of unknown length grows in a buffer of up to twice its size.
 constexpr std::size_t growth_factor = 2;
+constexpr std::size_t discard_block_bytes = 16UL * 1024;
 
 } // namespace
 
@@ -35,4 +36,17 @@
   co_return std::nullopt;
 }
 
+daemon::awaitable<void> discard_rest(daemon::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+                                     std::chrono::milliseconds max_pause) {
+  boost::system::error_code failed;
+  stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, failed);
+  while (!failed) {
+    buffer.clear();
+    stream.expires_after(max_pause);
+    auto const [error, size] =
+        co_await stream.async_read_some(buffer.prepare(discard_block_bytes), daemon::completion);
+    failed = error;
+  }
+}
+
 } // namespace catkinlanding::proxy
--- a/services/proxy/request_body.h
+++ b/services/proxy/request_body.h
@@ -32,4 +32,10 @@
 read_body(daemon::tcp_stream& stream, boost::beast::flat_buffer& buffer, request_parser& parser,
           base::memory_share& memory);
 
+/// Ends the sending direction and discards what arrives, until the peer closes the connection or
+/// pauses for so long. For a peer that still sends: if the connection were closed at once, it would
+/// be reset, and the peer might lose the answer.
+daemon::awaitable<void> discard_rest(daemon::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+                                     std::chrono::milliseconds max_pause);
+
 } // namespace catkinlanding::proxy
--- a/tests/services/proxy/late_requests_process.cpp
+++ b/tests/services/proxy/late_requests_process.cpp
@@ -94,6 +94,7 @@
   auto const signal_at = std::chrono::steady_clock::now();
   deployment.process("entry-1").send_signal(SIGTERM);
   std::vector<std::thread> threads;
+  threads.reserve(callers.size());
   for (auto& caller : callers) {
     threads.emplace_back([&caller, signal_at] { caller.send_and_read(signal_at); });
   }
--- a/tests/services/proxy/planned_stop_process.cpp
+++ b/tests/services/proxy/planned_stop_process.cpp
@@ -15,6 +15,13 @@
 
 using namespace std::chrono_literals;
 
+/// Shows the entry instance how long answers of the route take. What it knows nothing of it does
+/// not begin while it stops.
+bool show_answer_time(proxy_deployment const& deployment) {
+  http_request const request{.method = "POST", .path = "/once/answer", .body = {}, .headers = {}};
+  return deployment.send_to_entry("entry-1", request).status == 200;
+}
+
 // An instance that stops closes its port while callers' connections wait to be accepted: it is
 // paused until the time to close has passed, so both happen in the same moment. Guards against
 // requests that are cut off without an answer although their connection was open.
@@ -24,6 +31,7 @@
   constexpr auto pause = 4s;
   proxy_deployment deployment;
   ASSERT_TRUE(deployment.start());
+  ASSERT_TRUE(show_answer_time(deployment));
   auto& entry = deployment.process("entry-1");
   entry.send_signal(SIGTERM);
   ASSERT_TRUE(eventually([&] {
@@ -51,6 +59,7 @@
 TEST(planned_stops, answer_the_requests_that_come_during_the_grace_period_before_it_ends) {
   proxy_deployment deployment;
   ASSERT_TRUE(deployment.start());
+  ASSERT_TRUE(show_answer_time(deployment));
   deployment.process("entry-1").send_signal(SIGTERM);
   ASSERT_TRUE(eventually([&] {
     return deployment.log("entry-1").find("event=process stopping") != std::string::npos;
--- a/tests/services/proxy/proxy_whole_path_process.cpp
+++ b/tests/services/proxy/proxy_whole_path_process.cpp
@@ -193,6 +193,9 @@
 }
 
 TEST_F(proxy_whole_path, finishes_open_streams_on_sigterm) {
+  // The instance learns how long answers of the route take, without which it begins none when it
+  // stops.
+  ASSERT_EQ(send_request("id-0", "/once/answer").status, 200);
   auto answer =
       std::async(std::launch::async, [&] { return send_request("id-1", "/stream/slow-stream"); });
   ASSERT_TRUE(eventually([&] { return m_deployment.requests_executed_for("id-1").size() == 1; }));
--- a/tests/services/proxy/stop_log_test.cpp
+++ b/tests/services/proxy/stop_log_test.cpp
@@ -15,20 +15,18 @@
 
 class stop_logs : public ::testing::Test {
 protected:
-  stop_logs() : m_before(spdlog::default_logger()) {
+  void SetUp() override {
     auto logger = std::make_shared<spdlog::logger>(
         "test", std::make_shared<spdlog::sinks::ostream_sink_st>(m_text));
     logger->set_pattern("%v");
     spdlog::set_default_logger(std::move(logger));
   }
-  stop_logs(stop_logs const&) = delete;
-  stop_logs& operator=(stop_logs const&) = delete;
-  ~stop_logs() override { spdlog::set_default_logger(m_before); }
+  void TearDown() override { spdlog::set_default_logger(m_before); }
 
   [[nodiscard]] std::string text() const { return m_text.str(); }
 
   std::ostringstream m_text;
-  std::shared_ptr<spdlog::logger> m_before;
+  std::shared_ptr<spdlog::logger> m_before = spdlog::default_logger();
 };
 
 // Guards against a request that is cut while a part of it has arrived, and that no line names.
