proxy: Pass a request on to a third instance if the second one stops

Callers saw: a request that their instance passed on, as it reaches no endpoint, to one that is stopping came back as that one's refusal, though others reach the endpoints. It was true, but cost the caller another try at an instance that may be cut off as well.

Cause: the refusal of another instance is the last word, as the endpoints that it has tried are unknown. One that stops has tried none: it says so with a header, and the first instance goes on as if it couldn't be reached.

Three entries (a third that serves) are shown by the unit test only.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -210,14 +210,15 @@
                             base::monotonic_time now) {
   request.is_relaying = false;
   request.may_have_run |= may_have_run_after(failure);
-  // Only an instance that was never sent the request can be replaced: how many endpoints the other
-  // one has tried is unknown.
-  bool const is_unsent = failure == attempt_failure::unreachable;
+  // Only an instance that was never sent the request, or that stops and has sent it nowhere, can be
+  // replaced: how many endpoints another one has tried is unknown.
+  bool const is_untried =
+      failure == attempt_failure::unreachable || failure == attempt_failure::not_executed;
   if (!request.has_delivered && !request.may_have_run && !may_begin_attempt(request, now)) {
     return refuse_stopping(request);
   }
-  auto next = is_unsent && m_attempts.has_time(request, now) ? m_relays.next(request, m_random)
-                                                             : std::nullopt;
+  auto next = is_untried && m_attempts.has_time(request, now) ? m_relays.next(request, m_random)
+                                                              : std::nullopt;
   return next ? decision(std::move(*next)) : final_refusal(request, now);
 }
 
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -1,6 +1,7 @@
 #include <services/daemon/scoped_count.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/entry_server.h>
+#include <services/proxy/relay_header.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -248,15 +249,20 @@
 
 awaitable<void> entry_server::refuse_unread(connection& connection) {
   auto const described = open_request_of(connection).value_or(open_request{});
+  bool const is_relayed =
+      connection.parser != nullptr && has_relay_header(connection.parser->get().base());
   connection.parser = nullptr;
-  auto refusal = m_context.router.refuse_unread();
+  auto const refusal = m_context.router.refuse_unread();
   spdlog::info("entry refused request={} reason={} route={}",
                described.id.is_empty() ? "-" : described.id.value, name_of(refusal.kind),
                described.route);
   m_context.metrics.observe_request({}, described.route, request_end::refused,
                                     name_of(refusal.kind),
                                     now() - described.header_at.value_or(now()));
-  auto const answer = m_context.protocol_adapter.write_refusal(refusal);
+  auto answer = m_context.protocol_adapter.write_refusal(refusal);
+  if (is_relayed) {
+    add_stopping_header(answer.base());
+  }
   auto const bytes = serialize_response(answer.base(), answer.body(), false);
   connection.stream.expires_after(reject_timeout);
   co_await asio::async_write(connection.stream, asio::buffer(bytes), completion);
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -50,6 +50,7 @@
   }
   facts->content_hash = content_hash_of(m_request);
   facts->is_relayed = attempts_before.has_value();
+  m_is_relayed = facts->is_relayed;
   facts->attempts_before = attempts_before.value_or(0);
   facts->waited = now() - m_started_at;
   m_caller_timeout = facts->caller_timeout;
@@ -126,7 +127,10 @@
   }
   finish(request_end::refused, name_of(refusal.kind));
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  auto const answer = m_context.protocol_adapter.write_refusal(refusal);
+  auto answer = m_context.protocol_adapter.write_refusal(refusal);
+  if (m_is_relayed && refusal.kind == refusal_kind::stopping && m_attempts == 0) {
+    add_stopping_header(answer.base());
+  }
   co_return co_await m_forwarder.write(
       serialize_response(answer.base(), answer.body(), keep_alive)) &&
       keep_alive;
@@ -222,6 +226,9 @@
     co_return failure;
   }
   m_answer_status = m_answer->header().result_int();
+  if (has_stopping_header(m_answer->header())) {
+    co_return attempt_failure::not_executed;
+  }
   bool const is_whole_failure = !is_success(m_answer_status);
   bool const is_untrue = relay.may_have_run && implies_not_executed(m_answer_status);
   if (is_whole_failure && (m_forwarder.has_begun() || is_untrue)) {
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -123,6 +123,8 @@
   std::unique_ptr<answer_reader> m_answer;
   std::optional<stored_failure> m_stored_failure;
   std::uint32_t m_attempts = 0;
+  /// Whether another entry instance passed the request on.
+  bool m_is_relayed = false;
   /// The status of the current attempt's answer; 0 before its header arrived.
   unsigned m_answer_status = 0;
   bool m_keep_alive = true;
--- a/services/proxy/relay_header.cpp
+++ b/services/proxy/relay_header.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr char const* relay_header = "Catkinlanding-Relayed";
+constexpr char const* stopping_header = "Catkinlanding-Stopping";
 
 } // namespace
 
@@ -32,4 +33,16 @@
   return is_whole ? std::min(attempts, unreadable) : unreadable;
 }
 
+bool has_relay_header(http_request_header const& header) {
+  return header.count(relay_header) != 0;
+}
+
+void add_stopping_header(http_response_header& header) {
+  header.set(stopping_header, "1");
+}
+
+bool has_stopping_header(http_response_header const& header) {
+  return header.count(stopping_header) != 0;
+}
+
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/cut_off_entry_test.cpp
+++ b/tests/libraries/proxy/cut_off_entry_test.cpp
@@ -116,6 +116,18 @@
   EXPECT_EQ(refusal_of(made), refusal_kind::not_run);
 }
 
+// Guards against a caller that is sent away because the instance which its request was passed on to
+// stops, though others reach the endpoints.
+TEST_F(cut_off_entry, turns_to_another_instance_if_the_first_stops) {
+  cut_off();
+  auto const first = begin("/once/");
+  ASSERT_TRUE(std::holds_alternative<relay>(first));
+  auto const second = fail(attempt_failure::not_executed);
+  ASSERT_TRUE(std::holds_alternative<relay>(second));
+  EXPECT_NE(std::get<relay>(second).peer, std::get<relay>(first).peer);
+  EXPECT_EQ(refusal_of(fail(attempt_failure::not_executed)), refusal_kind::not_run);
+}
+
 // A request that can't be served is refused at once, not when its time is over.
 TEST_F(cut_off_entry, refuses_at_once_without_another_instance) {
   routers::m_router = router(options());
--- a/tests/services/proxy/relay_header_test.cpp
+++ b/tests/services/proxy/relay_header_test.cpp
@@ -22,6 +22,15 @@
   EXPECT_EQ(std::distance(header.begin(), header.end()), 0);
 }
 
+TEST(relay_headers, tell_a_stop_to_the_instance_that_passed_the_request_on) {
+  http_response_header answer;
+  EXPECT_FALSE(has_stopping_header(answer));
+  add_stopping_header(answer);
+  EXPECT_TRUE(has_stopping_header(answer));
+  EXPECT_TRUE(has_relay_header(header_with("2")));
+  EXPECT_FALSE(has_relay_header({}));
+}
+
 // A request with a forged or damaged header is sent to no endpoint, as its attempts are unknown.
 TEST(relay_headers, that_cannot_be_read_leave_no_attempt) {
   for (auto const* value : {"", "-1", "1x", "99999999999999999999", "4294967295", "two"}) {
--- a/tests/services/proxy/relayed_requests_process.cpp
+++ b/tests/services/proxy/relayed_requests_process.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 namespace catkinlanding::testing {
 
 namespace {
@@ -55,6 +57,27 @@
     });
   }
 
+  /// Sends a request with this body that is passed on to an instance which stops.
+  void send_to_stopping_peer(std::string const& body) {
+    add_refusing_endpoints(2);
+    m_deployment.process("entry-2").send_signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] {
+      return m_deployment.log("entry-2").find("event=process stopping") != std::string::npos;
+    }));
+    auto const answer = m_deployment.send_to_entry(
+        "entry-1", {.path = "/once/answer",
+                    .body = body,
+                    .headers = {{"Attempt-Id", "id-1"}, {"Deadline-Ms", "10000"}}});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_FALSE(answer.headers.contains("Catkinlanding-Stopping"));
+    EXPECT_TRUE(was_relayed("id-1"));
+    EXPECT_TRUE(m_deployment.requests_executed_for("id-1").empty());
+    EXPECT_TRUE(eventually([&] {
+      return m_deployment.log("entry-1").find("failure=not_executed status=503") !=
+             std::string::npos;
+    })) << m_deployment.log("entry-1");
+  }
+
   proxy_deployment m_deployment;
 };
 
@@ -110,6 +133,16 @@
   EXPECT_TRUE(m_deployment.requests_executed_for("id-1").empty());
 }
 
+// The other instance is told to stop, and does not know how long an answer takes. Guards against a
+// refusal that the first instance takes for the last word, or that passes for one of an endpoint.
+TEST_F(relayed_requests, are_told_apart_if_the_other_instance_stops) {
+  send_to_stopping_peer("");
+}
+
+TEST_F(relayed_requests, are_told_apart_if_the_other_instance_stops_before_it_reads_the_body) {
+  send_to_stopping_peer("body");
+}
+
 // Neither instance reaches an endpoint. Guards against a request that goes back and forth between
 // them, or waits for its deadline.
 TEST_F(relayed_requests, are_relayed_once) {
