--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -34,7 +34,7 @@
 
 std::optional<base::monotonic_time> router::wait_for_state(request_facts const& facts,
                                                            base::monotonic_time now) const {
-  if (!m_started_at || !is_missing_state_for(facts)) {
+  if (!m_started_at || m_stop.is_stopping() || !is_missing_state_for(facts)) {
     return std::nullopt;
   }
   auto const time_allowed =
@@ -53,13 +53,20 @@
 decision router::begin(request_number number, request_facts facts, base::monotonic_time now) {
   auto const admitted = admit(*m_routes, facts);
   if (!admitted) {
-    return m_refusals.make(admitted.error());
+    bool const lacks_document = admitted.error() == refusal_kind::no_document;
+    return m_refusals.make(lacks_document && m_stop.is_stopping() ? refusal_kind::stopping
+                                                                  : admitted.error());
   }
   auto request = make_request({.admitted = *admitted,
                                .routes = m_routes,
                                .facts = std::move(facts),
                                .default_timeout = m_options.default_timeout},
                               now);
+  request.choose_model();
+  if (!may_begin_attempt(request, now)) {
+    return refuse_stopping(request);
+  }
+  request.deadline = m_stop.limit(request.deadline);
   if (!request.facts.is_relayed) {
     // The instance that passed it on has counted it.
     m_attempts.note_request(request, now);
@@ -164,7 +171,11 @@
     request.note_unreached(request.current.endpoint);
   }
   bool const is_first = failure == attempt_failure::unreachable && request.tried.empty();
-  if (may_repeat && may_continue && request.has_attempts_left() &&
+  bool const can_end = request.has_delivered || may_begin_attempt(request, now);
+  if (!can_end && !request.may_have_run) {
+    return refuse_stopping(request);
+  }
+  if (can_end && may_repeat && may_continue && request.has_attempts_left() &&
       (is_first || m_attempts.try_retry(request, now))) {
     auto next = attempt_next(request, now);
     if (!std::holds_alternative<refusal>(next) || !request.may_have_run) {
@@ -181,14 +192,28 @@
                             base::monotonic_time now) {
   request.is_relaying = false;
   request.may_have_run |= may_have_run_after(failure);
-  // Only an instance that was never sent the request can be replaced: how many endpoints the other
-  // one has tried is unknown.
-  bool const is_unsent = failure == attempt_failure::unreachable;
-  auto next = is_unsent && m_attempts.has_time(request, now) ? m_relays.next(request, m_random)
-                                                             : std::nullopt;
+  // Only an instance that was never sent the request, or that stops and has sent it nowhere, can be
+  // replaced: how many endpoints another one has tried is unknown.
+  bool const is_untried =
+      failure == attempt_failure::unreachable || failure == attempt_failure::not_executed;
+  if (!request.has_delivered && !request.may_have_run && !may_begin_attempt(request, now)) {
+    return refuse_stopping(request);
+  }
+  auto next = is_untried && m_attempts.has_time(request, now) ? m_relays.next(request, m_random)
+                                                              : std::nullopt;
   return next ? decision(std::move(*next)) : final_refusal(request, now);
 }
 
+active_request const* router::find(request_number number) const {
+  auto const found = m_requests.find(number);
+  return found == m_requests.end() ? nullptr : &found->second;
+}
+
+std::string router::route_name(request_facts const& facts) const {
+  auto const* route = m_routes->find(facts.host, facts.path);
+  return route == nullptr ? "" : route->name;
+}
+
 void router::note_reached() {
   if (m_relays.reachability().note_reached()) {
     m_endpoints.forget_failures();
--- a/libraries/proxy/router_attempts.cpp
+++ b/libraries/proxy/router_attempts.cpp
@@ -20,7 +20,8 @@
   m_observer.note_answer(request, m_versions, now);
   m_attempts.note_answer(request, now);
   bool const is_better_wanted =
-      m_attempts.is_doubtful(request, confidence) && may_try_another(request, now) &&
+      m_attempts.is_doubtful(request, confidence) && may_escalate(request, now) &&
+      may_try_another(request, now) &&
       m_attempts.try_escalate(request,
                               {.others = make_filter(now).sendable(m_endpoints, request),
                                .ready = m_endpoints.ready(request.service)},
@@ -76,7 +77,11 @@
   }
   auto& request = found->second;
   auto const* endpoint = m_endpoints.find(request.current.endpoint);
-  if (!m_attempts.may_replace_stalled(request, endpoint, now) || !may_try_another(request, now)) {
+  bool const has_begun = request.has_delivered || request.current.has_event;
+  bool const is_wanted = m_attempts.may_replace_stalled(request, endpoint, now) &&
+                         may_try_another(request, now) &&
+                         (has_begun || may_begin_attempt(request, now));
+  if (!is_wanted) {
     return std::nullopt;
   }
   held_attempt held{.state = request.current, .reason = attempt_failure::stalled, .since = now};
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace catkinlanding::proxy {
 
@@ -28,8 +29,13 @@
   void stop_accepting();
   /// Closes connections that wait for a request of which no byte has arrived.
   void close_idle();
+  /// Refuses the requests of which a part has arrived and that could not be served any more if the
+  /// rest came now.
+  void refuse_half_read();
   /// Whether no request is in flight.
   [[nodiscard]] bool is_idle() const { return m_active_exchanges == 0; }
+  /// The requests in flight and those of which a part has arrived.
+  [[nodiscard]] std::vector<open_request> open_requests() const;
   [[nodiscard]] std::size_t connection_count() const { return m_connections.size(); }
 
 private:
@@ -39,8 +45,19 @@
     daemon::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool is_awaiting_request = false;
+    /// The request whose body is being read, and when its header was complete.
+    request_parser const* parser = nullptr;
+    base::monotonic_time header_at{};
+    std::weak_ptr<exchange> current_exchange;
+    /// Whether its half-read request is refused.
+    bool is_refused = false;
+
+    /// Whether a request may be on its way of which no byte has arrived.
+    [[nodiscard]] bool is_empty() const;
   };
 
+  /// The connection's request; nothing if no byte of one has arrived.
+  [[nodiscard]] std::optional<open_request> open_request_of(connection const& connection) const;
   daemon::awaitable<void> accept();
   void start(daemon::tcp_socket socket);
   daemon::awaitable<void> serve(std::shared_ptr<connection> connection);
@@ -52,6 +69,10 @@
   /// Reads the body of a request after its header. Returns false like `read_request`.
   daemon::awaitable<bool> read_body(connection& connection, request_parser& parser,
                                     base::memory_share& body_memory);
+  /// Until when the rest of the connection's half-read request may come.
+  [[nodiscard]] base::monotonic_time latest_arrival(connection const& connection) const;
+  /// Refuses the connection's half-read request, and discards the rest of it.
+  daemon::awaitable<void> refuse_unread(connection& connection);
   daemon::awaitable<void> reject(connection& connection, http::status status, char const* reason);
 
   entry_context& m_context;
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -31,6 +31,7 @@
 exchange::exchange(entry_context& context, daemon::tcp_stream& caller, incoming_request request)
     : m_context(context), m_caller(caller), m_request(std::move(request.message)),
       m_number(++context.last_request_number), m_started_at(request.arrived_at),
+      m_last_byte_at(request.last_byte_at),
       m_forwarder({.router = context.router,
                    .memory = context.answer_memory,
                    .caller = caller,
@@ -57,13 +58,10 @@
   }
   facts->content_hash = content_hash_of(m_request);
   facts->is_relayed = attempts_before.has_value();
+  m_is_relayed = facts->is_relayed;
   facts->attempts_before = attempts_before.value_or(0);
   facts->waited = now() - m_started_at;
-  if (m_context.is_stopping) {
-    // What has no answer by then would be cut off without one.
-    auto const left = std::max<base::duration>(m_context.stop_deadline - m_started_at, {});
-    facts->caller_timeout = std::min(facts->caller_timeout.value_or(left), left);
-  }
+  m_caller_timeout = facts->caller_timeout;
   m_id = facts->id;
   m_session = facts->session.value;
   watch_for_caller_disconnect();
@@ -139,7 +137,10 @@
   }
   finish(request_end::refused, name_of(refusal.kind));
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  auto const answer = m_context.protocol_adapter.write_refusal(refusal);
+  auto answer = m_context.protocol_adapter.write_refusal(refusal);
+  if (m_is_relayed && refusal.kind == refusal_kind::stopping && m_attempts == 0) {
+    add_stopping_header(answer.base());
+  }
   co_return co_await m_forwarder.write(
       serialize_response(answer.base(), answer.body(), keep_alive)) &&
       keep_alive;
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -2,6 +2,7 @@
 
 #include <services/proxy/answer_forwarder.h>
 #include <services/proxy/entry_context.h>
+#include <services/proxy/open_request.h>
 #include <services/proxy/upstream_request.h>
 
 #include <memory>
@@ -16,6 +17,7 @@
   http_request message;
   /// When its header was complete. The time of its caller runs from then on.
   base::monotonic_time arrived_at{};
+  base::monotonic_time last_byte_at{};
 };
 
 /// One request of a caller and its answer. Executes the router's decisions: sends the request to
@@ -31,6 +33,8 @@
 
   /// Returns whether the caller's connection can be reused for another request.
   daemon::awaitable<bool> run();
+  /// How far the request has come.
+  [[nodiscard]] open_request progress() const;
 
 private:
   daemon::awaitable<void> wait_for_state(request_facts& facts);
@@ -93,6 +97,9 @@
   std::string m_route;
   std::string m_customer;
   base::monotonic_time m_started_at;
+  base::monotonic_time m_last_byte_at;
+  /// How long the caller waits, as it stated.
+  std::optional<base::duration> m_caller_timeout;
   answer_forwarder m_forwarder;
   daemon::steady_timer m_deadline_timer;
   daemon::steady_timer m_stall_timer;
@@ -109,6 +116,8 @@
   std::optional<upstream_request::failure_answer> m_failure_answer;
   std::uint32_t m_attempts = 0;
   std::optional<attempt_failure> m_last_failure;
+  /// Whether another entry instance passed the request on.
+  bool m_is_relayed = false;
   bool m_keep_alive = true;
   bool m_is_expired = false;
   /// Set once the replacement is accepted, until it is the current transmission.
--- a/services/proxy/upstream_request.cpp
+++ b/services/proxy/upstream_request.cpp
@@ -108,6 +108,9 @@
     co_return failure;
   }
   m_status = m_answer->header().result_int();
+  if (has_stopping_header(m_answer->header())) {
+    co_return attempt_failure::not_executed;
+  }
   bool const is_untrue = relay.may_have_run && implies_not_executed(m_status);
   if (!is_success(m_status) && (m_options.forwarder.has_begun() || is_untrue)) {
     // Only events may follow in a stream that has begun, and the other instance does not know that
