exchange: Judge a replacement that is left alone, and bound what replaces an attempt

The one that is left is the current transmission now, and may be replaced itself. - A stalled request was passed on to another entry instance as one that no endpoint had; to several of them, and then to endpoints; and without regard to the limit on retries (400 of 400). It says now that it may have run, ends with the first relay that may have sent it, and takes a retry. Only a success replaces what is held. - One pause of 9 s raised the limit to 27 s for all streams of the route; a caller that read slowly counted as well.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -71,7 +71,7 @@
 
 std::uint32_t active_request::attempts_left() const {
   auto const sent = facts.attempts_before + static_cast<std::uint32_t>(tried.size());
-  return route->max_attempts - std::min(route->max_attempts, sent);
+  return is_relay_spent ? 0 : route->max_attempts - std::min(route->max_attempts, sent);
 }
 
 std::uint32_t active_request::slots() const {
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -37,6 +37,9 @@
   bool is_attempting = false;
   /// Set while another entry instance handles the request, or is asked to.
   bool is_relaying = false;
+  /// Whether another entry instance may have sent it to endpoints. How many is unknown, so that it
+  /// is sent to no further one.
+  bool is_relay_spent = false;
   /// Endpoints that ended under this request before it had an event.
   std::size_t endings = 0;
   bool has_delivered = false;
--- a/libraries/proxy/answer_times.cpp
+++ b/libraries/proxy/answer_times.cpp
@@ -42,19 +42,23 @@
   return find(key_of(request));
 }
 
+answer_times::record const& answer_times::of(active_request const& request,
+                                             std::optional<base::model_id> const& model) const {
+  auto key = key_of(request);
+  key.model = model.value_or(base::model_id{});
+  return find(key);
+}
+
 answer_times::record const& answer_times::of_largest_model(active_request const& request) const {
   auto const& models = request.route->models;
-  auto largest = key_of(request);
-  largest.model = models.empty() ? base::model_id{} : models.back();
-  return find(largest);
+  return of(request, models.empty() ? std::nullopt : std::optional(models.back()));
 }
 
 double answer_times::relative_work(active_request const& request) const {
   auto const& models = request.route->models;
-  auto smallest = key_of(request);
-  smallest.model = models.empty() ? base::model_id{} : models.front();
+  auto const smallest = models.empty() ? std::nullopt : std::optional(models.front());
   auto const own_time = of(request).first.usual();
-  auto const smallest_time = find(smallest).first.usual();
+  auto const smallest_time = of(request, smallest).first.usual();
   if (!own_time || !smallest_time || *smallest_time <= base::duration::zero()) {
     return 1.0;
   }
--- a/libraries/proxy/answer_times.h
+++ b/libraries/proxy/answer_times.h
@@ -41,6 +41,9 @@
 
   /// What is known of requests like this one with the model that it was sent to.
   [[nodiscard]] record const& of(active_request const& request) const;
+  /// The same with this model.
+  [[nodiscard]] record const& of(active_request const& request,
+                                 std::optional<base::model_id> const& model) const;
   /// The same with the largest model of its route.
   [[nodiscard]] record const& of_largest_model(active_request const& request) const;
   /// How many times as long as with the smallest model of its route an answer to the request takes
--- a/libraries/proxy/attempt_monitor.cpp
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -1,5 +1,7 @@
 #include <libraries/proxy/attempt_monitor.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
 void attempt_monitor::note_request(active_request const& request, base::monotonic_time now) {
@@ -12,11 +14,11 @@
 
 void attempt_monitor::note_events(active_request const& request, base::monotonic_time now) {
   // Streams under way show that pauses have become longer before one of them is whole.
-  auto const pause = now - request.current.progress_at;
-  bool const is_too_long = request.current.has_event &&
-                           pause > m_options.stalls.max_pause(*request.route, m_times.of(request));
+  auto const limit = m_options.stalls.max_pause(*request.route, m_times.of(request));
+  bool const is_too_long = request.current.has_event && now - request.current.progress_at > limit;
   if (is_too_long) {
-    m_times.note_pause(request, pause);
+    // One stream alone must not raise the limit for all by as much as it paused.
+    m_times.note_pause(request, limit);
   }
 }
 
@@ -49,7 +51,10 @@
 attempt_monitor::stall_deadline(active_request const& request,
                                 known_endpoint const* endpoint) const {
   if (request.held) {
-    return m_options.stalls.replacement_deadline(request.held->since, m_times.of(request));
+    auto const due = m_options.stalls.replacement_deadline(*request.route, request.held->since,
+                                                           m_times.of(request));
+    bool const is_answer_held = request.held->reason == attempt_failure::low_confidence;
+    return is_answer_held ? std::min(due, latest_delivery(request)) : due;
   }
   auto const& route = *request.route;
   bool const may_repeat = route.is_repeatable() && request.has_attempts_left();
@@ -63,6 +68,13 @@
                                    m_times.of(request), endpoint);
 }
 
+base::monotonic_time attempt_monitor::latest_delivery(active_request const& request) const {
+  auto const since = request.held->since;
+  auto const work = m_times.of(request, request.held->state.model).whole.usual();
+  return std::min(since + (request.deadline - since) / 2,
+                  request.deadline - work.value_or(base::duration::zero()));
+}
+
 attempt_report attempt_monitor::report(active_request const& request,
                                        known_endpoint const* endpoint,
                                        base::monotonic_time now) const {
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -82,6 +82,10 @@
                                   base::monotonic_time now);
 
 private:
+  /// Until when an answer that is held back can still be delivered in its caller's time: what its
+  /// model usually takes before the end of that, and at least half of the time that was left.
+  [[nodiscard]] base::monotonic_time latest_delivery(active_request const& request) const;
+
   options m_options;
   answer_times m_times;
   retry_limiter_table m_retries;
--- a/libraries/proxy/attempt_state.h
+++ b/libraries/proxy/attempt_state.h
@@ -23,7 +23,7 @@
   /// How many times as long this model takes for a prompt as the smallest of the route.
   double model_weight = 1.0;
   base::monotonic_time began_at{};
-  /// When the attempt or its answer began, or the latest event of its stream arrived.
+  /// When the attempt or its answer began, or the latest event of its stream was passed on.
   base::monotonic_time progress_at{};
   /// The longest pause between two events of its stream.
   base::duration longest_pause{};
--- a/libraries/proxy/relay_policy.cpp
+++ b/libraries/proxy/relay_policy.cpp
@@ -4,13 +4,16 @@
 
 namespace catkinlanding::proxy {
 
+bool relay_policy::is_needed(active_request const& request) const {
+  bool const is_unreachable =
+      m_reachability.is_cut_off() || request.unreached.size() >= m_options.max_unreached;
+  return is_unreachable && !request.facts.is_relayed && request.has_attempts_left() &&
+         request.relays.size() < m_options.max_peers;
+}
+
 std::optional<relay> relay_policy::next(active_request& request,
                                         base::random_generator& random) const {
-  bool const is_needed =
-      m_reachability.is_cut_off() || request.unreached.size() >= m_options.max_unreached;
-  bool const may_relay = !request.facts.is_relayed && request.has_attempts_left() &&
-                         request.relays.size() < m_options.max_peers;
-  if (!is_needed || !may_relay) {
+  if (!is_needed(request)) {
     return std::nullopt;
   }
   auto peers = m_peers;
--- a/libraries/proxy/relay_policy.h
+++ b/libraries/proxy/relay_policy.h
@@ -30,6 +30,9 @@
   void use_peers(std::vector<base::instance_id> peers) { m_peers = std::move(peers); }
   [[nodiscard]] bool has_peers() const { return !m_peers.empty(); }
 
+  /// Whether the request is to be passed on rather than sent to an endpoint, if there is an
+  /// instance for it.
+  [[nodiscard]] bool is_needed(active_request const& request) const;
   /// The instance that the request is to be passed on to; nothing if it is to be sent to an
   /// endpoint, or refused.
   [[nodiscard]] std::optional<relay> next(active_request& request,
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -129,6 +129,13 @@
   }
 }
 
+void router::note_written(request_number number, base::monotonic_time now) {
+  auto const found = m_requests.find(number);
+  if (found != m_requests.end() && found->second.is_attempting) {
+    found->second.current.progress_at = now;
+  }
+}
+
 std::optional<base::monotonic_time> router::stall_deadline(request_number number) const {
   auto const found = m_requests.find(number);
   return found == m_requests.end()
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -97,6 +97,8 @@
   void note_progress(request_number number, base::monotonic_time now);
   /// Records that this many further events of the current attempt's stream arrived.
   void note_events(request_number number, std::size_t count, base::monotonic_time now);
+  /// Records that what arrived was written to the caller, so that the next event can be read.
+  void note_written(request_number number, base::monotonic_time now);
   /// Returns when the current attempt is considered stalled if no more data arrives; while another
   /// one is held, until when the current one is waited for. Returns nothing if no other attempt
   /// could follow it, or while a request without a response may be queued on a fully loaded
--- a/libraries/proxy/router_attempts.cpp
+++ b/libraries/proxy/router_attempts.cpp
@@ -84,17 +84,26 @@
   if (!is_wanted) {
     return std::nullopt;
   }
+  bool const is_relay_needed = m_relays.is_needed(request);
+  bool const is_possible =
+      is_relay_needed || !make_filter(now).sendable(m_endpoints, request).empty();
+  if (!is_possible || !m_attempts.try_retry(request, now)) {
+    return std::nullopt;
+  }
   held_attempt held{.state = request.current, .reason = attempt_failure::stalled, .since = now};
-  if (auto relayed = m_relays.next(request, m_random)) {
-    request.held = std::move(held);
-    request.is_attempting = false;
-    return std::move(*relayed);
+  if (!is_relay_needed) {
+    auto made = begin_beside(request, std::move(held), request.current.model, now);
+    return made ? std::optional<replacement>(std::move(*made)) : std::nullopt;
   }
-  bool const is_possible = !make_filter(now).sendable(m_endpoints, request).empty() &&
-                           m_attempts.try_retry(request, now);
-  auto made = is_possible ? begin_beside(request, std::move(held), request.current.model, now)
-                          : std::nullopt;
-  return made ? std::optional<replacement>(std::move(*made)) : std::nullopt;
+  auto relayed = m_relays.next(request, m_random);
+  if (!relayed) {
+    return std::nullopt;
+  }
+  request.held = std::move(held);
+  request.is_attempting = false;
+  // By the endpoint of the attempt that is held.
+  relayed->may_have_run = true;
+  return std::move(*relayed);
 }
 
 bool router::may_try_another(active_request const& request, base::monotonic_time now) const {
@@ -111,6 +120,7 @@
                               base::monotonic_time now) {
   auto& request = find_held(number);
   request.may_have_run |= may_have_run_after(failure);
+  request.is_relay_spent |= request.is_relaying && may_have_run_after(failure);
   if (request.is_attempting) {
     finish_attempt(request);
     note_failure(request, failure, now);
@@ -125,6 +135,7 @@
   auto& request = find_held(number);
   // The other endpoint may have begun to execute the request.
   request.may_have_run = true;
+  request.is_relay_spent |= request.is_relaying;
   finish_attempt(request);
   restore_held(request, now);
 }
--- a/libraries/proxy/stall_policy.cpp
+++ b/libraries/proxy/stall_policy.cpp
@@ -11,10 +11,12 @@
   return std::max({max_sound_silence, route.target_pause, usual_pause});
 }
 
-base::monotonic_time stall_policy::replacement_deadline(base::monotonic_time began_at,
+base::monotonic_time stall_policy::replacement_deadline(route const& route,
+                                                        base::monotonic_time began_at,
                                                         answer_times::record const& usual) const {
-  auto const longest = usual.first.longest_usual().value_or(base::duration::zero());
-  return began_at + std::max(longest, max_sound_silence);
+  auto const longest = usual.first.longest_usual();
+  auto const least = route.is_stream() ? max_sound_silence : base::duration::zero();
+  return began_at + std::max(longest.value_or(max_sound_silence), least);
 }
 
 std::optional<base::monotonic_time> stall_policy::deadline(route const& route,
--- a/libraries/proxy/stall_policy.h
+++ b/libraries/proxy/stall_policy.h
@@ -29,7 +29,8 @@
 
   /// Until when an attempt that was begun at this time is asked to take the place of another one,
   /// without an answer.
-  [[nodiscard]] base::monotonic_time replacement_deadline(base::monotonic_time began_at,
+  [[nodiscard]] base::monotonic_time replacement_deadline(route const& route,
+                                                          base::monotonic_time began_at,
                                                           answer_times::record const& usual) const;
 
   /// Returns nothing while the attempt may be queued on a fully loaded endpoint, and while too
--- a/services/proxy/answer_forwarder.cpp
+++ b/services/proxy/answer_forwarder.cpp
@@ -173,6 +173,7 @@
   auto const [error, size] =
       co_await asio::async_write(m_options.caller, asio::buffer(bytes), completion);
   m_is_writing = false;
+  m_options.router.note_written(m_options.number, now());
   co_return !error;
 }
 
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -17,6 +17,9 @@
 
 /// Shortest time between two checks whether an attempt has stalled.
 constexpr std::chrono::milliseconds stall_check_interval{20};
+/// Time after a rejection until the next endpoint is asked to replace an attempt. Endpoints that
+/// are full would else use up the attempts of the request at once, and it may need them.
+constexpr std::chrono::milliseconds replacement_interval{250};
 
 /// Where a request is sent by a decision to do so.
 replacement target_of(decision const& decided) {
@@ -79,7 +82,6 @@
     if (std::holds_alternative<forward_failure>(decision)) {
       co_return co_await deliver_failure_answer();
     }
-    bool const is_relayed = std::holds_alternative<relay>(decision);
     auto const failure = co_await transmit(decision);
     m_stall_timer.cancel();
     if (m_is_caller_gone) {
@@ -87,6 +89,7 @@
       co_return false;
     }
     if (!failure) {
+      bool const is_relayed = m_current->attempt() == nullptr;
       if (is_success(m_current->status()) && !is_relayed) {
         m_context.router.note_completed(m_number, now());
       }
@@ -161,7 +164,8 @@
       keep_alive;
 }
 
-std::shared_ptr<upstream_request> exchange::prepare(replacement target) {
+std::shared_ptr<upstream_request> exchange::prepare(replacement target,
+                                                    upstream_request::purpose purpose) {
   ++m_attempts;
   if (auto const* sent = std::get_if<attempt>(&target)) {
     m_route = sent->route;
@@ -180,12 +184,13 @@
                                     .request = m_request,
                                     .id = m_id,
                                     .target = std::move(target),
+                                    .purpose = purpose,
                                     .number = m_attempts};
   return std::make_shared<upstream_request>(std::move(options));
 }
 
 awaitable<std::optional<attempt_failure>> exchange::transmit(decision const& decision) {
-  m_current = prepare(target_of(decision));
+  m_current = prepare(target_of(decision), upstream_request::purpose::next);
   start_stall_timer();
   auto failure = co_await m_current->ask();
   while (true) {
@@ -294,7 +299,7 @@
 void exchange::on_stall() {
   // While a write to the caller is pending nothing is read, so silence says nothing about the
   // endpoint.
-  bool const is_judged = !m_forwarder.is_writing() && !m_is_replaced && !m_is_current_lost;
+  bool const is_judged = !m_forwarder.is_writing() && !m_is_replaced;
   if (is_judged && m_replacement) {
     auto const due = m_context.router.stall_deadline(m_number);
     if (due && now() >= *due) {
@@ -313,8 +318,10 @@
 }
 
 void exchange::begin_replacement(replacement target) {
-  m_replacement_failure.reset();
-  m_replacement = prepare(std::move(target));
+  m_replacement = prepare(std::move(target), upstream_request::purpose::replacement);
+  if (m_is_caller_gone || m_is_expired) {
+    m_replacement->close();
+  }
   start_stall_timer();
   daemon::spawn(m_context.io, "entry", ask_replacement(shared_from_this(), m_replacement));
 }
@@ -322,51 +329,56 @@
 awaitable<void> exchange::ask_replacement(std::shared_ptr<exchange> /*self*/,
                                           std::shared_ptr<upstream_request> asked) {
   auto const failure = co_await asked->ask();
-  if (m_is_done || m_replacement != asked) {
+  if (m_is_done) {
     co_return;
   }
-  take_notices(*asked);
-  if (!failure) {
+  if (asked == m_current && !m_is_replaced) {
+    m_outcome = outcome{failure};
+  } else if (asked != m_replacement) {
+    co_return;
+  } else if (!failure) {
     accept_replacement();
-  } else if (m_is_current_lost) {
-    m_replacement_failure = classify_failure(*failure);
   } else if (m_is_expired || m_is_caller_gone) {
     withdraw_replacement();
   } else {
+    take_notices(*asked);
     drop_replacement(*failure);
   }
   m_replacement_timer.cancel();
 }
 
 awaitable<void> exchange::await_replacement() {
-  while (m_replacement && !m_is_replaced && !m_replacement_failure) {
+  while (m_replacement && !m_is_replaced) {
     m_replacement_timer.expires_at(daemon::steady_timer::time_point::max());
     co_await m_replacement_timer.async_wait(completion);
   }
 }
 
 awaitable<std::optional<attempt_failure>> exchange::take_replacement(attempt_failure failure) {
-  if (!m_is_replaced) {
-    log_failure(*m_current, failure, m_held_report);
-    m_current->close();
-    m_context.router.fail_held(m_number, failure, now());
-    m_is_current_lost = true;
-    co_await await_replacement();
-    m_is_current_lost = false;
+  if (std::exchange(m_is_replaced, false)) {
+    m_current = std::exchange(m_replacement, nullptr);
+    co_return std::nullopt;
   }
-  m_is_replaced = false;
+  log_failure(*m_current, failure, m_held_report);
+  m_current->close();
+  m_context.router.fail_held(m_number, failure, now());
+  // It may have to be replaced itself while it is asked.
   m_current = std::exchange(m_replacement, nullptr);
-  co_return std::exchange(m_replacement_failure, std::nullopt);
+  m_outcome.reset();
+  start_stall_timer();
+  while (!m_outcome && !m_is_replaced) {
+    m_replacement_timer.expires_at(daemon::steady_timer::time_point::max());
+    co_await m_replacement_timer.async_wait(completion);
+  }
+  co_return m_outcome ? m_outcome->failure : std::nullopt;
 }
 
 void exchange::accept_replacement() {
   m_context.metrics.count_replacement("accepted");
   m_is_replaced = true;
-  if (!m_is_current_lost) {
-    log_failure(*m_current, m_held_reason, m_held_report);
-    m_context.router.accept_replacement(m_number, now());
-    m_current->close();
-  }
+  log_failure(*m_current, m_held_reason, m_held_report);
+  m_context.router.accept_replacement(m_number, now());
+  m_current->close();
 }
 
 void exchange::drop_replacement(attempt_failure failure) {
@@ -376,7 +388,7 @@
   log_failure(*dropped, failure, m_context.router.report_attempt(m_number, now()));
   m_context.router.fail_replacement(m_number, failure, now());
   m_replacement_timer.cancel();
-  start_stall_timer(now() + stall_check_interval);
+  start_stall_timer(now() + replacement_interval);
 }
 
 void exchange::withdraw_replacement() {
@@ -441,7 +453,7 @@
                       .first_event = m_forwarder.timing().first_event(),
                       .longest_pause = m_forwarder.timing().longest_pause(),
                       .took = took,
-                      .last_failure = m_last_failure,
+                      .last_failure = end == request_end::answered ? std::nullopt : m_last_failure,
                       .last_attempt = last_attempt,
                       .document = m_context.router.status_of_document(now())});
 }
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -37,6 +37,11 @@
   [[nodiscard]] open_request progress() const;
 
 private:
+  /// How asking an endpoint ended; without a failure if it accepted the request.
+  struct outcome {
+    std::optional<attempt_failure> failure;
+  };
+
   daemon::awaitable<void> wait_for_state(request_facts& facts);
   daemon::awaitable<bool> refuse(refusal refusal);
   daemon::awaitable<bool> deliver_failure_answer();
@@ -49,7 +54,8 @@
   daemon::awaitable<std::optional<attempt_failure>> deliver();
   /// Forwards the body of the current answer. Returns like `transmit`.
   daemon::awaitable<std::optional<attempt_failure>> forward();
-  [[nodiscard]] std::shared_ptr<upstream_request> prepare(replacement target);
+  [[nodiscard]] std::shared_ptr<upstream_request> prepare(replacement target,
+                                                          upstream_request::purpose purpose);
 
   /// Asks for a replacement of the current transmission while that goes on.
   void begin_replacement(replacement target);
@@ -110,8 +116,8 @@
   /// What the current attempt had come to when its replacement was begun.
   std::optional<attempt_report> m_held_report;
   attempt_failure m_held_reason = attempt_failure::stalled;
-  /// How the replacement failed that is the only transmission left.
-  std::optional<attempt_failure> m_replacement_failure;
+  /// Set once it is known whether a current transmission that began as a replacement is accepted.
+  std::optional<outcome> m_outcome;
   /// The last error answer of an endpoint, delivered if the router makes no further attempt.
   std::optional<upstream_request::failure_answer> m_failure_answer;
   std::uint32_t m_attempts = 0;
@@ -122,8 +128,6 @@
   bool m_is_expired = false;
   /// Set once the replacement is accepted, until it is the current transmission.
   bool m_is_replaced = false;
-  /// Set while only the replacement is left.
-  bool m_is_current_lost = false;
   bool m_is_caller_gone = false;
   bool m_is_done = false;
 };
--- a/services/proxy/upstream_request.cpp
+++ b/services/proxy/upstream_request.cpp
@@ -28,6 +28,9 @@
 } // namespace
 
 awaitable<std::optional<attempt_failure>> upstream_request::ask() {
+  if (m_is_closed) {
+    co_return attempt_failure::unreachable;
+  }
   if (auto const* sent = attempt()) {
     co_return co_await ask_endpoint(*sent);
   }
@@ -112,7 +115,9 @@
     co_return attempt_failure::not_executed;
   }
   bool const is_untrue = relay.may_have_run && implies_not_executed(m_status);
-  if (!is_success(m_status) && (m_options.forwarder.has_begun() || is_untrue)) {
+  bool const must_succeed =
+      m_options.forwarder.has_begun() || m_options.purpose == purpose::replacement;
+  if (!is_success(m_status) && (must_succeed || is_untrue)) {
     // Only events may follow in a stream that has begun, and the other instance does not know that
     // an endpoint may have executed the request before.
     co_return attempt_failure::failed_answer;
@@ -186,7 +191,9 @@
     co_return m_metadata->is_wrong_endpoint ? attempt_failure::wrong_endpoint
                                             : attempt_failure::not_executed;
   }
-  if (is_server_error(m_status) || implies_not_executed(m_status)) {
+  bool const is_unwanted =
+      m_options.purpose == purpose::replacement && !forwarder.has_begun() && !is_success(m_status);
+  if (is_server_error(m_status) || implies_not_executed(m_status) || is_unwanted) {
     auto body =
         co_await forwarder.read_body(*m_answer, answer_forwarder::max_buffered_bytes, memory);
     if (!body) {
--- a/services/proxy/upstream_request.h
+++ b/services/proxy/upstream_request.h
@@ -14,13 +14,21 @@
 /// answer's body is left to the caller of this class.
 class upstream_request {
 public:
+  enum class purpose : std::uint8_t {
+    /// It is the request's only transmission, so that any answer of an endpoint can be delivered.
+    next,
+    /// Another one goes on meanwhile, for which only a success is taken.
+    replacement,
+  };
+
   struct options {
     entry_context& context;
     answer_forwarder& forwarder;
     http_request const& request;
     base::request_id const& id;
     /// Where it is sent.
-    replacement target;
+    proxy::replacement target;
+    upstream_request::purpose purpose = purpose::next;
     /// 1 for the first transmission of the request.
     std::uint32_t number = 1;
   };
@@ -47,7 +55,6 @@
     return std::get_if<proxy::attempt>(&m_options.target);
   }
   [[nodiscard]] std::uint32_t number() const { return m_options.number; }
-  [[nodiscard]] bool is_closed() const { return m_is_closed; }
   /// The status of the answer; 0 before its header arrived.
   [[nodiscard]] unsigned status() const { return m_status; }
   /// What the header of the endpoint's answer says; nothing before it arrived.
--- a/tests/libraries/proxy/cut_off_entry_test.cpp
+++ b/tests/libraries/proxy/cut_off_entry_test.cpp
@@ -34,6 +34,14 @@
   }
 
   /// Ends requests that reach no endpoint, until the instance knows that it is cut off.
+  /// Begins a stream whose endpoint has answered, without an event so far.
+  void begin_stream(request_number stream) {
+    auto patient = facts("/resume/");
+    patient.caller_timeout = 30s;
+    ASSERT_TRUE(is_attempt(m_router.begin(stream, patient, start)));
+    ASSERT_FALSE(m_router.note_answer(stream, std::nullopt, start));
+  }
+
   void cut_off() {
     for (request_number other = 100; !m_router.is_cut_off() && other < 110; ++other) {
       static_cast<void>(m_router.begin(other, facts("/again/"), start));
@@ -104,6 +112,43 @@
   }
 }
 
+// A stalled request was passed on as one that no endpoint had, so that its caller could be told
+// that it had not run.
+TEST_F(cut_off_entry, says_that_a_stalled_request_which_it_passes_on_may_have_run) {
+  begin_stream(number);
+  cut_off();
+  auto const asked = m_router.try_replace_stalled(number, start + 3s);
+  ASSERT_TRUE(asked && std::holds_alternative<relay>(*asked));
+  EXPECT_TRUE(std::get<relay>(*asked).may_have_run);
+}
+
+// A stalled request went to one instance after another, and then to endpoints, beyond the attempts
+// of its route.
+TEST_F(cut_off_entry, sends_a_stalled_request_nowhere_after_a_relay_that_may_have_sent_it) {
+  begin_stream(number);
+  cut_off();
+  ASSERT_TRUE(try_replace_stalled(start + 3s));
+  m_router.fail_replacement(number, attempt_failure::broken, start + 3s);
+  EXPECT_FALSE(try_replace_stalled(start + 6s));
+  m_router.note_reached();
+  EXPECT_FALSE(is_attempt(fail(attempt_failure::broken, false, 6s)));
+}
+
+// Stalled requests were passed on without regard to the limit on retries.
+TEST_F(cut_off_entry, takes_a_retry_for_each_stalled_request_that_it_passes_on) {
+  constexpr request_number streams = 400;
+  for (request_number i = 1; i <= streams; ++i) {
+    begin_stream(i);
+  }
+  cut_off();
+  std::size_t passed_on = 0;
+  for (request_number i = 1; i <= streams; ++i) {
+    passed_on += m_router.try_replace_stalled(i, start + 3s).has_value() ? 1 : 0;
+  }
+  EXPECT_GT(passed_on, 0U);
+  EXPECT_LT(passed_on, streams);
+}
+
 TEST_F(cut_off_entry, turns_to_another_instance_if_the_first_cannot_be_reached) {
   cut_off();
   auto made = begin("/once/");
--- a/tests/libraries/proxy/replaced_attempts_test.cpp
+++ b/tests/libraries/proxy/replaced_attempts_test.cpp
@@ -108,4 +108,31 @@
   EXPECT_GE(*m_router.stall_deadline(number), start + 10s);
 }
 
+// One stream whose endpoint had stood still for long, or whose caller had read nothing, kept others
+// from being continued elsewhere.
+TEST_F(replaced_attempts, raise_the_limit_for_others_by_a_step_however_long_they_paused) {
+  m_router.withdraw_replacement(number, start + 25s);
+  m_router.note_events(number, 1, start + 25s);
+  EXPECT_LE(*m_router.stall_deadline(number), start + 25s + 6s);
+}
+
+// The time in which a caller did not read was taken for silence of the endpoint.
+TEST_F(replaced_attempts, are_judged_from_the_end_of_the_last_write) {
+  m_router.withdraw_replacement(number, start + 3s);
+  m_router.note_events(number, 1, start + 3s);
+  m_router.note_written(number, start + 9s);
+  EXPECT_EQ(ask(start + 10s), base::endpoint_id{});
+}
+
+// A look-up was held by two endpoints that hung, and the third was not asked in its time.
+TEST_F(routers, judge_the_replacement_of_a_request_without_a_stream_like_the_first_attempt) {
+  receive_state({"a", "b", "c"});
+  answer_one("/again/x", 130ms);
+  auto patient = facts("/again/x");
+  patient.caller_timeout = 30s;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, patient, start)));
+  ASSERT_TRUE(try_replace_stalled(start + 390ms));
+  EXPECT_EQ(m_router.stall_deadline(number), start + 2 * 390ms);
+}
+
 } // namespace catkinlanding::proxy
--- a/tests/services/proxy/replaced_streams_process.cpp
+++ b/tests/services/proxy/replaced_streams_process.cpp
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <future>
+#include <vector>
 
 namespace catkinlanding::testing {
 
@@ -77,6 +79,32 @@
   }));
 }
 
+// A stream was cut at its deadline although an endpoint was idle: its own broke while another one
+// was asked that never answered, and the third was not asked.
+TEST_F(paused_streams, that_break_are_continued_by_a_third_endpoint_if_the_second_does_not_answer) {
+  platform_endpoint third("127.0.0.7", free_port(), "e-3");
+  ASSERT_EQ(m_deployment.announce(third).status, 200);
+  ASSERT_TRUE(eventually(
+      [&] { return m_deployment.log("entry-1").find("id=e-3 state=ready") != std::string::npos; }));
+  std::vector<platform_endpoint*> const endpoints{&m_deployment.endpoint(0),
+                                                  &m_deployment.endpoint(1), &third};
+  auto answer = begin("/brisk/breaking-stream-hang-once");
+  ASSERT_TRUE(eventually([&] {
+    return std::ranges::count_if(endpoints, [](auto* one) { return !one->arrivals().empty(); }) ==
+           2;
+  }));
+  std::ranges::for_each(endpoints, [](auto* one) { one->release(); });
+  expect_whole(answer.get());
+}
+
+// An answer of little confidence was held back until its caller's time was over.
+TEST_F(paused_streams, with_little_confidence_are_delivered_before_the_deadline) {
+  auto const answer = m_deployment.send_to_entry(
+      "entry-1", {.path = "/draft/small-stream-hang",
+                  .headers = {{"Attempt-Id", "id-1"}, {"Deadline-Ms", "1500"}}});
+  expect_whole(answer);
+}
+
 // The answer of a small model was discarded for one of the largest, whose endpoint then rejected
 // the request, or did not answer it. The caller got none.
 TEST_F(paused_streams, with_little_confidence_are_delivered_if_no_other_endpoint_accepts) {
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -244,7 +244,12 @@
         socket,
         with_body("HTTP/1.1 200 OK\r\nAttempt-Id: someone\r\nResponse-Seal: s\r\n", "theirs"));
   }
-  if (behaviour == "hang" || (behaviour == "slow-stream-hang" && is_continuation) ||
+  static std::atomic<int> continuations = 0;
+  bool is_hanging = false;
+  if (behaviour == "breaking-stream-hang-once" && is_continuation) {
+    is_hanging = continuations++ == 0;
+  }
+  if (is_hanging || behaviour == "hang" || (behaviour == "slow-stream-hang" && is_continuation) ||
       (behaviour == "small-stream-hang" && is_large)) {
     while (!m_is_stopping && !is_closed(socket)) {
       std::this_thread::sleep_for(poll_interval);
@@ -334,10 +339,13 @@
       send_all(socket, chunk(event(number).substr(0, 9)));
       return false;
     }
-    while (behaviour.starts_with("slow-stream") && number > 1 && !m_is_released) {
+    bool const is_breaking = behaviour == "breaking-stream-hang-once" && from.empty();
+    bool const waits = behaviour.starts_with("slow-stream") || is_breaking;
+    while (waits && number > 1 && !m_is_released) {
       std::this_thread::sleep_for(poll_interval);
     }
-    if (!send_all(socket, chunk(event(number)))) {
+    bool const is_cut = is_breaking && number > 1;
+    if (is_cut || !send_all(socket, chunk(event(number)))) {
       return false;
     }
   }
--- a/tests/stand_ins/platform_endpoint.h
+++ b/tests/stand_ins/platform_endpoint.h
@@ -41,6 +41,9 @@
 /// - slow-stream: waits after the first event until `release`;
 /// - slow-stream-shed, slow-stream-hang: the same, but a request with a `Last-Event-Id` is rejected
 ///   without being executed, or never answered;
+/// - breaking-stream-hang-once: waits after the first event until `release` and closes the
+/// connection;
+///   the first request of a test with a `Last-Event-Id` is never answered;
 /// - small-stream: streams five events in which the model has little confidence, and rejects a
 ///   request for the model `large`; small-stream-hang: does not answer that;
 /// - doubtful-stream: streams five events in which the model has little confidence, if it is
