router: Deliver an endpoint's error answer if nothing better came

Callers were told 502, an unknown outcome, although an endpoint's own answer was at hand: it was given up once a second attempt was begun, and only the last failure was looked at. The new case of router_test fails on the code before for a rejection and for an endpoint that can't be reached. The request remembers now that there is an answer, and the process delivers it.

--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -43,6 +43,8 @@
   /// Endpoints that ended under this request before it had an event.
   std::size_t endings = 0;
   bool has_delivered = false;
+  /// Whether an endpoint has answered with an error that can be delivered if nothing better comes.
+  bool has_failure_answer = false;
   /// Whether any attempt may have executed the request.
   bool may_have_run = false;
 
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -189,7 +189,7 @@
       return next;
     }
   }
-  if (failure == attempt_failure::failed_answer && !was_delivered) {
+  if (request.has_failure_answer && !was_delivered) {
     return forward_failure{};
   }
   return final_refusal(request, now);
@@ -339,6 +339,7 @@
     m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::failed_answer:
+    request.has_failure_answer = true;
     // An endpoint that asks for a pause is in need, which says nothing about its version.
     if (!m_notices.is_paused({request.current.endpoint, request.current.incarnation}, now)) {
       m_observer.note_failure(request, m_versions);
--- a/tests/libraries/proxy/router_test.cpp
+++ b/tests/libraries/proxy/router_test.cpp
@@ -236,6 +236,18 @@
   }
 }
 
+// An endpoint's error answer was at hand, and its caller was told of an unknown outcome because the
+// next endpoint rejected the request.
+TEST_F(routers, deliver_an_error_answer_if_the_next_endpoint_does_not_take_the_request) {
+  receive_state({"a", "b"});
+  for (auto const last : {attempt_failure::not_executed, attempt_failure::unreachable}) {
+    ASSERT_TRUE(is_attempt(begin("/again/x")));
+    ASSERT_TRUE(is_attempt(fail(attempt_failure::failed_answer)));
+    EXPECT_TRUE(std::holds_alternative<forward_failure>(fail(last)));
+    m_router.end(number, start);
+  }
+}
+
 // An endpoint stops sending in the middle of a stream while its connection stays open.
 TEST_F(routers, extend_the_stall_deadline_of_a_stream_on_each_event) {
   receive_state({"a", "b"});
