--- a/tests/libraries/proxy/replaced_attempts_property.cpp
+++ b/tests/libraries/proxy/replaced_attempts_property.cpp
@@ -95,18 +95,6 @@
     return true;
   }
 
-  std::uint32_t outstanding() {
-    std::uint32_t requests = 0;
-    for (auto const& sent : m_router.tick(start + 1h)) {
-      if (auto const* report = std::get_if<subscription>(&sent.message)) {
-        for (auto const& load : report->loads) {
-          requests += load.outstanding;
-        }
-      }
-    }
-    return requests;
-  }
-
   std::map<std::string, conduct> m_conducts;
   base::duration m_answer_time{};
 };
@@ -134,7 +122,7 @@
   }
   RC_PRE(whole < time_of_caller);
   RC_ASSERT(play(pauses));
-  RC_ASSERT(outstanding() == 0U);
+  RC_ASSERT(outstanding(start + 1h) == 0U);
 }
 
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/replaced_attempts_test.cpp
+++ b/tests/libraries/proxy/replaced_attempts_test.cpp
@@ -28,19 +28,6 @@
     return found ? std::get<attempt>(*found).endpoint : base::endpoint_id{};
   }
 
-  /// The requests that this instance has at endpoints.
-  std::uint32_t outstanding() {
-    std::uint32_t requests = 0;
-    for (auto const& sent : m_router.tick(start + 10s)) {
-      if (auto const* report = std::get_if<subscription>(&sent.message)) {
-        for (auto const& load : report->loads) {
-          requests += load.outstanding;
-        }
-      }
-    }
-    return requests;
-  }
-
   [[nodiscard]] base::endpoint_id endpoint() const {
     return m_router.report_attempt(number, start + 3s)->endpoint;
   }
@@ -77,20 +64,20 @@
   m_router.note_events(number, 1, start + 3s);
   EXPECT_EQ(endpoint(), m_first);
   m_router.end(number, start + 4s);
-  EXPECT_EQ(outstanding(), 0U);
+  EXPECT_EQ(outstanding(start + 10s), 0U);
 }
 
 TEST_F(replaced_attempts, end_once_the_other_endpoint_accepts_the_request) {
   m_router.accept_replacement(number, start + 3s);
   EXPECT_EQ(endpoint(), m_asked);
   m_router.end(number, start + 4s);
-  EXPECT_EQ(outstanding(), 0U);
+  EXPECT_EQ(outstanding(start + 10s), 0U);
 }
 
 // Both endpoints held the request when it ended: neither may count it any longer.
 TEST_F(replaced_attempts, leave_nothing_behind_when_the_request_ends) {
   m_router.end(number, start + 4s);
-  EXPECT_EQ(outstanding(), 0U);
+  EXPECT_EQ(outstanding(start + 10s), 0U);
 }
 
 // The connection to the first endpoint broke while the other one was asked: the request has that
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -96,6 +96,19 @@
     return m_router.fail(number, failure, was_delivered, start + after);
   }
 
+  /// The requests that the router reports to have at endpoints.
+  [[nodiscard]] std::uint32_t outstanding(base::monotonic_time at) {
+    std::uint32_t requests = 0;
+    for (auto const& sent : m_router.tick(at)) {
+      if (auto const* report = std::get_if<subscription>(&sent.message)) {
+        for (auto const& load : report->loads) {
+          requests += load.outstanding;
+        }
+      }
+    }
+    return requests;
+  }
+
   static bool is_attempt(decision const& made) { return std::holds_alternative<attempt>(made); }
 
   static refusal_kind refusal_of(decision const& made) {
