relay: Pass a stalled request on only if an instance is left for it

Read in the diff: at an entry that reaches no endpoint, a stalled request that had been passed on to every instance took one retry at each check, every 20 ms, until none was left for the other requests. The new case of cut_off_entry_test fails on the code before, and passes.

--- a/libraries/proxy/relay_policy.cpp
+++ b/libraries/proxy/relay_policy.cpp
@@ -7,7 +7,10 @@
 bool relay_policy::is_needed(active_request const& request) const {
   bool const is_unreachable =
       m_reachability.is_cut_off() || request.unreached.size() >= m_options.max_unreached;
-  return is_unreachable && !request.facts.is_relayed && request.has_attempts_left() &&
+  bool const has_peer = std::ranges::any_of(m_peers, [&](base::instance_id const& one) {
+    return std::ranges::find(request.relays, one) == request.relays.end();
+  });
+  return is_unreachable && has_peer && !request.facts.is_relayed && request.has_attempts_left() &&
          request.relays.size() < m_options.max_peers;
 }
 
--- a/tests/libraries/proxy/cut_off_entry_test.cpp
+++ b/tests/libraries/proxy/cut_off_entry_test.cpp
@@ -134,6 +134,21 @@
   EXPECT_FALSE(is_attempt(fail(attempt_failure::broken, false, 6s)));
 }
 
+// A stalled request that nobody could take used up the retries of all others, one at each check.
+TEST_F(cut_off_entry, takes_no_retry_for_a_stalled_request_that_nobody_can_take) {
+  constexpr int checks = 1000;
+  begin_stream(number);
+  begin_stream(number + 1);
+  cut_off();
+  while (try_replace_stalled(start + 3s)) {
+    m_router.fail_replacement(number, attempt_failure::unreachable, start + 3s);
+  }
+  for (int i = 0; i < checks; ++i) {
+    EXPECT_FALSE(try_replace_stalled(start + 3s));
+  }
+  EXPECT_TRUE(m_router.try_replace_stalled(number + 1, start + 3s).has_value());
+}
+
 // Stalled requests were passed on without regard to the limit on retries.
 TEST_F(cut_off_entry, takes_a_retry_for_each_stalled_request_that_it_passes_on) {
   constexpr request_number streams = 400;
