stop_log: Round times down, so that 0 never stands for before the signal

Operators saw `header_ms=0` for a request whose header had arrived in the millisecond before the stop signal, which docs/OPERATIONS.md reads as "after it". Whether a cut request was there before the signal is what the field is for.

Cause: durations were cast to milliseconds, which rounds towards zero, so that -0.4 ms and 0.4 ms look alike.

Ruled out: a header that was counted from the wrong moment, as the time left and the silence in the same line agree with it.

Why it works: rounded down, any time before the signal is negative, and 0 means the signal's own millisecond.

--- a/services/proxy/stop_log.cpp
+++ b/services/proxy/stop_log.cpp
@@ -12,13 +12,14 @@
 /// Logged for what a request does not have.
 constexpr char const* absent = "-";
 
-/// The milliseconds from one time to another; negative if the other is earlier.
+/// The whole milliseconds from one time to another, rounded down: negative whenever the other is
+/// earlier, by less than a millisecond too.
 std::string milliseconds_between(std::optional<base::monotonic_time> from,
                                  std::optional<base::monotonic_time> to) {
   if (!from || !to) {
     return absent;
   }
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*to - *from).count());
+  return std::to_string(std::chrono::floor<std::chrono::milliseconds>(*to - *from).count());
 }
 
 std::string const& or_absent(std::string const& text) {
--- a/tests/services/proxy/stop_log_test.cpp
+++ b/tests/services/proxy/stop_log_test.cpp
@@ -41,6 +41,18 @@
                     "events=0 header_ms=2000 last_byte_ms=- left_ms=13000 silent_ms=-\n");
 }
 
+// Guards against a request that arrived in the millisecond before the signal and looks as if it had
+// arrived after it.
+TEST_F(stop_logs, say_of_a_fraction_of_a_millisecond_whether_it_was_before_the_signal) {
+  base::monotonic_time const signal_at{100s};
+  stop_log::cut({{.id = {"id-1"},
+                  .route = "r",
+                  .header_at = signal_at - 400us,
+                  .last_byte_at = signal_at + 400us}},
+                {.signal_at = signal_at, .end_at = signal_at + 7s});
+  EXPECT_NE(text().find(" header_ms=-1 last_byte_ms=0 "), std::string::npos) << text();
+}
+
 // Guards against an end of a process that takes longer the more requests it cuts.
 TEST_F(stop_logs, are_bounded_and_count_what_they_leave_out) {
   constexpr std::size_t left_out = 7;
