--- a/tests/libraries/consensus/founding_property.cpp
+++ b/tests/libraries/consensus/founding_property.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int steps_per_run = 1500;
-constexpr std::uint64_t runs_per_case = 5;
+constexpr std::uint64_t runs_per_case = 10;
 
 void run(std::uint64_t seed) {
   auto group = replica_group::unfounded(seed);
