storage: Start with what was synced after a loss of power

Operators would have seen a control instance end with code 4 at each start (`corrupt`) after a loss of power, until its folder was moved away. Several records are appended before one sync, and each write after the last sync may be kept, lost or torn by itself. A lost or torn record that is followed by a whole one was taken for damage to a synced record. A header that was lost before its first sync was refused as an unknown format in the same way.

Cause: the file said nothing of what was synced. Now the writer appends a sync mark after each sync and before the next record, a record that changes nothing for the build before, too. Files without marks are judged as before.

Ruled out: an empty write as the mark. The replica stores one when it confirms entries that are not durable yet, the ledger for a batch that holds only known bills; both come before a sync. So the log's mark removes entries from the last possible index on, and the ledger's is two empty writes in a row, which this build no longer stores itself.

--- a/libraries/storage/journal.cpp
+++ b/libraries/storage/journal.cpp
@@ -2,8 +2,9 @@
 #include <libraries/base/hash.h>
 #include <libraries/storage/journal.h>
 
-#include <array>
-#include <cstring>
+#include <algorithm>
+#include <limits>
+#include <optional>
 
 namespace catkinlanding::storage {
 
@@ -56,6 +57,63 @@
   return bytes.find_first_not_of('\0') == std::string_view::npos;
 }
 
+/// Whether the bytes can be what a loss of power left of a header that was not synced.
+bool is_torn_header(std::string_view bytes) {
+  bool const is_header_or_zeros =
+      std::ranges::equal(bytes, file_header.substr(0, bytes.size()),
+                         [](char found, char written) { return found == written || found == 0; });
+  return is_header_or_zeros && bytes != file_header;
+}
+
+/// The length of the first record's payload; nothing if it is incomplete or damaged.
+std::optional<std::size_t> payload_length(std::string_view bytes) {
+  if (bytes.size() < frame_header_bytes) {
+    return {};
+  }
+  auto const length = decode_number<std::uint32_t>(bytes);
+  if (decode_number<std::uint32_t>(bytes.substr(length_bytes)) != length_checksum(length)) {
+    return {};
+  }
+  return length;
+}
+
+/// The payload of the first record; nothing if the record is incomplete or damaged.
+std::optional<std::string_view> whole_payload(std::string_view bytes) {
+  auto const length = payload_length(bytes);
+  if (!length || bytes.size() - frame_header_bytes < *length) {
+    return {};
+  }
+  auto const payload = bytes.substr(frame_header_bytes, *length);
+  auto const checksum =
+      decode_number<std::uint64_t>(bytes.substr(length_bytes + length_checksum_bytes));
+  return base::stable_hash(payload) == checksum ? std::optional(payload) : std::nullopt;
+}
+
+/// Whether the bytes can be one record that was torn, with nothing after it.
+bool is_torn_record(std::string_view bytes) {
+  if (bytes.size() < frame_header_bytes || is_zero_filled(bytes)) {
+    return true;
+  }
+  auto const length = payload_length(bytes);
+  return length && bytes.size() - frame_header_bytes <= *length;
+}
+
+/// Searches at each offset, as the lengths of damaged records may be lost.
+bool contains_sync_mark(std::string_view bytes) {
+  return bytes.find(log_sync_mark()) != std::string_view::npos ||
+         bytes.find(ledger_sync_mark()) != std::string_view::npos;
+}
+
+std::size_t count_whole_records(std::string_view bytes) {
+  std::size_t count = 0;
+  while (!bytes.empty()) {
+    auto const payload = whole_payload(bytes);
+    count += payload ? 1 : 0;
+    bytes.remove_prefix(payload ? frame_header_bytes + payload->size() : 1);
+  }
+  return count;
+}
+
 void remove_entries_up_to(consensus::recovered_state& state, consensus::log_index index) {
   std::erase_if(state.entries, [&](auto const& entry) { return entry.index <= index; });
 }
@@ -108,39 +166,44 @@
   return bytes;
 }
 
+std::string log_sync_mark() {
+  // Removes the entries from the last possible index on, of which there are none.
+  consensus::durable_write const nothing{.id = 0,
+                                         .hard_state = {},
+                                         .truncate_from =
+                                             std::numeric_limits<consensus::log_index>::max(),
+                                         .entries = {},
+                                         .snapshot = {}};
+  return frame_record(encode_log_write(nothing));
+}
+
+std::string ledger_sync_mark() {
+  // Two empty writes in a row: older builds may have written single ones.
+  auto const nothing = frame_record(encode_ledger_write({}));
+  return nothing + nothing;
+}
+
 tl::expected<journal_content, journal_error> read_journal(std::string_view bytes) {
-  if (bytes.size() < file_header.size() && file_header.starts_with(bytes)) {
-    return journal_content{};
+  journal_content content;
+  if (is_torn_header(bytes)) {
+    content.left_out_bytes = bytes.size();
+    return content;
   }
   if (!bytes.starts_with(file_header)) {
     return tl::unexpected(journal_error::unknown_format);
   }
-  journal_content content;
-  content.valid_bytes = file_header.size();
   auto rest = bytes.substr(file_header.size());
-  while (rest.size() >= frame_header_bytes && !is_zero_filled(rest)) {
-    auto const length = decode_number<std::uint32_t>(rest);
-    if (decode_number<std::uint32_t>(rest.substr(length_bytes)) != length_checksum(length)) {
-      return tl::unexpected(journal_error::corrupt);
-    }
-    auto const checksum =
-        decode_number<std::uint64_t>(rest.substr(length_bytes + length_checksum_bytes));
-    auto const body = rest.substr(frame_header_bytes);
-    if (body.size() < length) {
-      break;
-    }
-    auto const payload = body.substr(0, length);
-    bool const is_last = body.size() == length;
-    if (base::stable_hash(payload) != checksum) {
-      if (is_last) {
-        break;
-      }
-      return tl::unexpected(journal_error::corrupt);
-    }
-    content.records.emplace_back(payload);
-    content.valid_bytes += frame_header_bytes + length;
-    rest = body.substr(length);
+  while (auto const payload = whole_payload(rest)) {
+    content.records.emplace_back(*payload);
+    rest.remove_prefix(frame_header_bytes + payload->size());
+  }
+  content.valid_bytes = bytes.size() - rest.size();
+  bool const has_sync_mark = contains_sync_mark(bytes.substr(0, content.valid_bytes));
+  if (contains_sync_mark(rest) || (!has_sync_mark && !is_torn_record(rest))) {
+    return tl::unexpected(journal_error::corrupt);
   }
+  content.left_out_bytes = rest.size();
+  content.left_out_records = count_whole_records(rest);
   return content;
 }
 
--- a/libraries/storage/journal.h
+++ b/libraries/storage/journal.h
@@ -13,7 +13,7 @@
 namespace catkinlanding::storage {
 
 enum class journal_error : std::uint8_t {
-  /// A record in the middle of the file does not match its checksum.
+  /// A record that was synced can't be read.
   corrupt,
   /// The file was written in an unknown format.
   unknown_format,
@@ -25,15 +25,24 @@
 /// Encodes one record, prefixed by its length and checksums.
 [[nodiscard]] std::string frame_record(std::string_view payload);
 
-/// The records of a file, and the size of its valid part.
+/// Framed records that change nothing, called sync marks. A writer appends one after each sync and
+/// before the next record, so that a mark states that all bytes before it were synced.
+[[nodiscard]] std::string log_sync_mark();
+[[nodiscard]] std::string ledger_sync_mark();
+
+/// The records of a file, sync marks included, and the size of its valid part.
 struct journal_content {
   std::vector<std::string> records;
-  /// Bytes after this offset are a torn tail, which the writer truncates.
+  /// Bytes after this offset were not synced, and begin with a damaged record. The writer truncates
+  /// them.
   std::size_t valid_bytes = 0;
+  std::size_t left_out_bytes = 0;
+  /// The whole records among the bytes that are left out.
+  std::size_t left_out_records = 0;
 };
 
-/// Parses a file. A corrupt last record is treated as a torn write; a corrupt record before it is
-/// an error.
+/// Parses a file up to its first damaged record. The damage is an error if the record was synced,
+/// as a later sync mark shows. In a file without marks only the last record may be damaged.
 [[nodiscard]] tl::expected<journal_content, journal_error> read_journal(std::string_view bytes);
 
 [[nodiscard]] std::string encode_log_write(consensus::durable_write const& write);
--- a/services/daemon/disk_writer.cpp
+++ b/services/daemon/disk_writer.cpp
@@ -13,9 +13,11 @@
 
 } // namespace
 
-disk_writer::disk_writer(journal_file file, compactor compactor, failure_handler on_failure)
+disk_writer::disk_writer(journal_file file, compactor compactor, failure_handler on_failure,
+                         std::string sync_mark)
     : m_file(std::move(file)), m_compactor(std::move(compactor)),
-      m_on_failure(std::move(on_failure)), m_thread([this] { run(); }) {}
+      m_on_failure(std::move(on_failure)), m_sync_mark(std::move(sync_mark)),
+      m_thread([this] { run(); }) {}
 
 disk_writer::~disk_writer() {
   {
@@ -52,6 +54,10 @@
     for (auto const& job : jobs) {
       job.done();
     }
+    if (auto const marked = mark_synced(); !marked) {
+      m_on_failure(marked.error());
+      return;
+    }
   }
 }
 
@@ -88,14 +94,18 @@
 }
 
 tl::expected<void, file_error> disk_writer::append(std::deque<job> const& jobs) {
-  auto const size = CATKINLANDING_TRY(m_file.size());
+  std::string bytes = m_is_marked ? "" : m_sync_mark;
   for (auto const& job : jobs) {
-    if (auto const appended = m_file.append(job.bytes); !appended) {
-      // Removes the partial record, so that the next one doesn't follow it.
-      return m_file.truncate(size) ? appended : tl::unexpected(file_error::sync_failed);
-    }
+    bytes += job.bytes;
   }
-  return {};
+  return m_file.append_whole(bytes);
+}
+
+tl::expected<void, file_error> disk_writer::mark_synced() {
+  auto const marked = m_file.append_whole(m_sync_mark);
+  m_is_marked = marked.has_value();
+  bool const is_full = !marked && marked.error() == file_error::write_failed;
+  return is_full ? tl::expected<void, file_error>{} : marked;
 }
 
 bool disk_writer::wait_before_retry() {
--- a/services/daemon/disk_writer.h
+++ b/services/daemon/disk_writer.h
@@ -12,7 +12,9 @@
 namespace catkinlanding::daemon {
 
 /// Appends records to a journal file on its own thread, with one sync for all queued jobs. While
-/// the disk is full it retries, and reports the jobs as done only once they are stored.
+/// the disk is full it retries, and reports the jobs as done only once they are stored. After each
+/// sync, and before the records of the next one, it appends a sync mark, so that a reader can tell
+/// damage to synced records from writes that a loss of power took.
 class disk_writer {
 public:
   struct job {
@@ -30,7 +32,9 @@
   /// afterwards.
   using failure_handler = std::function<void(file_error)>;
 
-  disk_writer(journal_file file, compactor compactor, failure_handler on_failure);
+  /// The file must be synced. An empty `sync_mark` writes no marks.
+  disk_writer(journal_file file, compactor compactor, failure_handler on_failure,
+              std::string sync_mark = {});
   disk_writer(disk_writer const&) = delete;
   disk_writer& operator=(disk_writer const&) = delete;
   ~disk_writer();
@@ -46,14 +50,20 @@
   /// the writer is stopped.
   [[nodiscard]] tl::expected<void, file_error> store_with_retries(std::deque<job> const& jobs);
   [[nodiscard]] tl::expected<void, file_error> store(std::deque<job> const& jobs);
-  /// Appends all of the jobs, or none if the disk is full.
+  /// Appends all of the jobs, after a sync mark if it is missing, or nothing if the disk is full.
   [[nodiscard]] tl::expected<void, file_error> append(std::deque<job> const& jobs);
+  /// Appends a sync mark after the jobs that were just synced. If the disk is full, the next jobs
+  /// bring it.
+  [[nodiscard]] tl::expected<void, file_error> mark_synced();
   /// Waits for the retry interval. Returns whether the writer was stopped meanwhile.
   [[nodiscard]] bool wait_before_retry();
 
   journal_file m_file;
   compactor m_compactor;
   failure_handler m_on_failure;
+  std::string m_sync_mark;
+  /// Whether the file ends with a sync mark.
+  bool m_is_marked = false;
   std::mutex m_mutex;
   std::condition_variable m_wakeup;
   std::deque<job> m_jobs;
--- a/services/daemon/journal_file.cpp
+++ b/services/daemon/journal_file.cpp
@@ -101,6 +101,15 @@
   return {};
 }
 
+tl::expected<void, file_error> journal_file::append_whole(std::string_view bytes) {
+  auto const previous_size = CATKINLANDING_TRY(size());
+  auto const appended = append(bytes);
+  if (!appended && !truncate(previous_size)) {
+    return tl::unexpected(file_error::sync_failed);
+  }
+  return appended;
+}
+
 tl::expected<void, file_error> journal_file::sync() {
   if (::fdatasync(m_descriptor) != 0) {
     return tl::unexpected(file_error::sync_failed);
--- a/services/daemon/journal_file.h
+++ b/services/daemon/journal_file.h
@@ -26,6 +26,9 @@
   [[nodiscard]] tl::expected<std::size_t, file_error> size() const;
   [[nodiscard]] tl::expected<void, file_error> truncate(std::size_t size);
   [[nodiscard]] tl::expected<void, file_error> append(std::string_view bytes);
+  /// Appends all of the bytes, or returns `write_failed` and leaves the file as it was. After any
+  /// other error the end of the file is unknown.
+  [[nodiscard]] tl::expected<void, file_error> append_whole(std::string_view bytes);
   [[nodiscard]] tl::expected<void, file_error> sync();
 
   /// Replaces the file by a new one with this content, atomically and durably.
--- a/tests/services/daemon/disk_writer_test.cpp
+++ b/tests/services/daemon/disk_writer_test.cpp
@@ -53,6 +53,40 @@
   std::filesystem::remove_all(pattern);
 }
 
+// A mark that a full disk refused must not be missing before the records of the next sync.
+TEST(disk_writers, append_sync_mark_before_next_records_if_disk_was_full) {
+  std::signal(SIGXFSZ, SIG_IGN);
+  auto pattern = (std::filesystem::temp_directory_path() / "catkinlanding.XXXXXX").string();
+  ASSERT_NE(::mkdtemp(pattern.data()), nullptr);
+  std::filesystem::path const path = std::filesystem::path(pattern) / "log";
+  auto file = journal_file::open(path);
+  ASSERT_TRUE(file.has_value());
+  limit_file_size(std::string_view("mark one two").size());
+  std::atomic<bool> has_failed = false;
+  {
+    std::promise<void> first_stored;
+    std::promise<void> second_stored;
+    disk_writer writer(
+        std::move(*file), [](std::string const& content) { return content; },
+        [&](file_error /*error*/) { has_failed = true; }, "mark ");
+    writer.submit({.bytes = "one two", .done = [&] { first_stored.set_value(); }});
+    first_stored.get_future().wait();
+    writer.submit({.bytes = "three ", .done = [&] { second_stored.set_value(); }});
+    while (writer.full_disk_retries() == 0 && !has_failed) {
+      std::this_thread::yield();
+    }
+    limit_file_size(RLIM_INFINITY);
+    if (!has_failed) {
+      second_stored.get_future().wait();
+    }
+  }
+  EXPECT_FALSE(has_failed);
+  auto const reopened = journal_file::open(path);
+  ASSERT_TRUE(reopened.has_value());
+  EXPECT_EQ(reopened->read_all(), "mark one twomark three mark ");
+  std::filesystem::remove_all(pattern);
+}
+
 } // namespace
 
 } // namespace catkinlanding::daemon
