catkinctl: Name the requests that each end of a process cut

Operators saw: a process that is told to stop names the requests that it cuts; after one that was killed, crashed or ended by itself nobody could tell which requests it had cut, except by comparing all lines by hand.

Cause: nothing read the logs from the end of a process to its requests.

`catkinctl cut LOG-FILE...` lists each end of a process (told to stop, ended by itself with its reason, killed before its next start, or with the end of the log), and the requests that were open there: route, endpoint, state, time of arrival from the end, time that the caller had left, and the line by which it is known. `--request ID` shows the end that cut one request; `--max-lines` bounds the output and counts the rest; `--json` as elsewhere.

A request that waits for state after a start had no line before the wait was over: `entry awaiting_state` is one line where `entry waited` is one already. Ruled out: an index of open requests on disk (a write a request).

Evidence: killed_process (an entry with a stream and a hanging request is killed by SIGKILL) with the catkinctl of: killed_process.cpp:60: Failure ... [ FAILED ] 1 test and now: [ PASSED ] 1 test. process_ends_test: [ PASSED ] 8 tests. Unchanged and passed: explanation_test (10), explain_process (4), cut_requests_process, request_log_process (2).

--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -110,6 +110,11 @@
     if (m_is_caller_gone) {
       co_return;
     }
+    if (!has_waited) {
+      auto const left =
+          facts.caller_timeout ? std::optional(*facts.caller_timeout - facts.waited) : std::nullopt;
+      request_log::awaiting_state(m_id, left);
+    }
     has_waited = true;
     daemon::steady_timer timer(m_context.io);
     timer.expires_at(*end);
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -38,6 +38,10 @@
                to_age(request.document.age), to_age(request.document.leader_age));
 }
 
+void awaiting_state(base::request_id const& id, std::optional<base::duration> left) {
+  spdlog::info("entry awaiting_state request={} left_ms={}", id.value, to_age(left));
+}
+
 void waited(base::request_id const& id, router const& router, base::duration time) {
   spdlog::info("entry waited request={} revision={} endpoints={} waited_ms={}", id.value,
                router.document_revision(), router.endpoint_count(), to_milliseconds(time));
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -31,6 +31,9 @@
 };
 
 void ended(ended_request const& request);
+/// A request begins to wait for state that is missing after the start; its caller still waits for
+/// so long, if known.
+void awaiting_state(base::request_id const& id, std::optional<base::duration> left);
 /// A request waited for state that was missing after the start.
 void waited(base::request_id const& id, router const& router, base::duration time);
 void attempt_started(base::request_id const& id, std::string_view session, attempt const& attempt,
--- a/utilities/ctl/commands.cpp
+++ b/utilities/ctl/commands.cpp
@@ -85,7 +85,7 @@
   return to_exit_status(report.code);
 }
 
-constexpr std::array<command, 17> commands{{
+constexpr std::array<command, 18> commands{{
     {"settings check", "settings check FILE", 3, run_settings_check},
     {"catalogue diff", "catalogue diff FILE", 3, run_catalogue_diff},
     {"catalogue apply", "catalogue apply FILE", 3, run_catalogue_apply},
@@ -103,6 +103,7 @@
     {"voters set", "voters set INSTANCE...", 3, run_set_voters},
     {"drain", "drain", 1, run_drain},
     {"explain", "explain REQUEST-ID LOG-FILE...", 3, run_explain},
+    {"cut", "cut LOG-FILE...", 2, run_cut},
 }};
 
 } // namespace
--- a/utilities/ctl/commands.h
+++ b/utilities/ctl/commands.h
@@ -33,6 +33,7 @@
 int run_rollout_abort(invocation const& invocation);
 int run_rollout_status(invocation const& invocation);
 int run_explain(invocation const& invocation);
+int run_cut(invocation const& invocation);
 
 /// Sends the request, prints the reply and returns the exit status.
 int send_and_print(invocation const& invocation, operators::request const& request);
--- a/utilities/ctl/invocation.cpp
+++ b/utilities/ctl/invocation.cpp
@@ -52,10 +52,12 @@
   char* change_id = nullptr;
   char* base_revision = nullptr;
   char* author = nullptr;
+  char* request = nullptr;
+  char* max_lines = nullptr;
   int is_json = 0;
   int waits_until_in_force = 0;
   int prunes = 0;
-  std::array<poptOption, 9> const options{{
+  std::array<poptOption, 11> const options{{
       {"instance", 'i', POPT_ARG_STRING, static_cast<void*>(&instance), instance_value,
        "Operators' listener of an instance; may be repeated, and each is tried in turn", "IP:PORT"},
       {"change-id", 'c', POPT_ARG_STRING, static_cast<void*>(&change_id), no_value,
@@ -64,6 +66,10 @@
        "Revision that the change is made against, if not the current one", "N"},
       {"author", 'a', POPT_ARG_STRING, static_cast<void*>(&author), no_value,
        "Who makes the change", "NAME"},
+      {"request", 'q', POPT_ARG_STRING, static_cast<void*>(&request), no_value,
+       "cut: only the end of a process that cut this request", "ID"},
+      {"max-lines", 'm', POPT_ARG_STRING, static_cast<void*>(&max_lines), no_value,
+       "cut: the most lines; what is left out is counted", "N"},
       {"json", 'j', POPT_ARG_NONE, static_cast<void*>(&is_json), no_value, "Print JSON on one line",
        nullptr},
       {"wait", 'w', POPT_ARG_NONE, static_cast<void*>(&waits_until_in_force), no_value,
@@ -97,6 +103,7 @@
     return value;
   };
   invocation.change_id = take_option_value(change_id);
+  invocation.request = take_option_value(request);
   auto const revision = take_option_value(base_revision);
   if (auto const name = take_option_value(author); !name.empty()) {
     invocation.author = name;
@@ -107,6 +114,13 @@
       return std::nullopt;
     }
   }
+  if (auto const lines = take_option_value(max_lines); !lines.empty()) {
+    auto const number = parse_number<std::size_t>(lines);
+    if (!number) {
+      return std::nullopt;
+    }
+    invocation.max_lines = *number;
+  }
   if (result != -1) {
     std::fprintf(stderr, "%s: %s\n", poptBadOption(context.get(), 0), poptStrerror(result));
     return std::nullopt;
--- a/utilities/ctl/invocation.h
+++ b/utilities/ctl/invocation.h
@@ -10,6 +10,8 @@
 
 namespace catkinlanding::ctl {
 
+inline constexpr std::size_t default_max_lines = 200;
+
 /// The parsed command line.
 struct invocation {
   /// Operator listeners of the instances, in the order in which they are tried.
@@ -20,6 +22,10 @@
   bool is_json = false;
   bool waits_until_in_force = false;
   bool prunes = false;
+  /// Only what concerns the request with this id; empty for all.
+  std::string request;
+  /// The most lines that a report of log files has.
+  std::size_t max_lines = default_max_lines;
   /// The command's one or two words, followed by its arguments.
   std::vector<std::string> positional_arguments;
 };
--- a/utilities/ctl/log_line.cpp
+++ b/utilities/ctl/log_line.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-/// Parses a time such as 2026-12-04T10:40:41.250.
+/// The first event of each process of `catkinlandingd`, followed by the name of the instance.
+constexpr std::string_view daemon_start_event = "daemon: instance";
+
+/// Parses a time such as 2026-12-04T10:40:41.250, or with a space in the middle.
 std::optional<std::chrono::milliseconds> parse_time(std::string const& text) {
   int year = 0;
   unsigned month = 0;
@@ -15,8 +18,8 @@
   int minute = 0;
   int second = 0;
   int millisecond = 0;
-  int const read = std::sscanf(text.c_str(), "%d-%u-%uT%d:%d:%d.%d", &year, &month, &day, &hour,
-                               &minute, &second, &millisecond);
+  int const read = std::sscanf(text.c_str(), "%d-%u-%u%*1[T ]%d:%d:%d.%d", &year, &month, &day,
+                               &hour, &minute, &second, &millisecond);
   std::chrono::year_month_day const date{std::chrono::year{year}, std::chrono::month{month},
                                          std::chrono::day{day}};
   constexpr int parts = 7;
@@ -59,14 +62,18 @@
   }
 }
 
-} // namespace
-
-std::string log_line::field(std::string_view name) const {
-  auto const found = fields.find(name);
-  return found == fields.end() ? "" : found->second;
+/// Reads the two words of the event and the fields after them.
+void read_event(std::string_view rest, log_line& line) {
+  line.event = take_until(rest, ' ');
+  line.event += " " + std::string(take_until(rest, ' '));
+  if (line.event == daemon_start_event) {
+    line.instance = take_until(rest, ' ');
+  }
+  read_fields(rest, line);
 }
 
-std::optional<log_line> parse_log_line(std::string_view line) {
+/// Parses a line of the proxy, such as "TIME level=info instance=NAME event=entry ended ...".
+std::optional<log_line> parse_proxy_line(std::string_view line) {
   auto const level = line.find(" level=");
   auto const event = line.find(" event=");
   if (level == std::string_view::npos || event == std::string_view::npos || event < level) {
@@ -83,11 +90,48 @@
   parsed.text = line.substr(begin);
   read_fields(line.substr(level, event - level), parsed);
   parsed.instance = parsed.field("instance");
-  auto rest = line.substr(event + std::string_view(" event=").size());
-  parsed.event = take_until(rest, ' ');
-  parsed.event += " " + std::string(take_until(rest, ' '));
-  read_fields(rest, parsed);
+  read_event(line.substr(event + std::string_view(" event=").size()), parsed);
   return parsed;
 }
 
+/// Parses a line of `catkinlandingd`, such as "[TIME] [info] daemon stopping ...".
+std::optional<log_line> parse_daemon_line(std::string_view line) {
+  constexpr std::string_view before_level = "] [";
+  constexpr std::string_view after_level = "] ";
+  constexpr std::size_t time_size = 23;
+  auto const time_end = line.find(before_level);
+  if (time_end == std::string_view::npos || time_end <= time_size ||
+      line[time_end - time_size - 1] != '[') {
+    return std::nullopt;
+  }
+  auto const time = parse_time(std::string(line.substr(time_end - time_size, time_size)));
+  auto const level = time_end + before_level.size();
+  auto const level_end = line.find(after_level, level);
+  if (!time || level_end == std::string_view::npos) {
+    return std::nullopt;
+  }
+  log_line parsed;
+  parsed.time = *time;
+  parsed.text = line.substr(time_end - time_size - 1);
+  parsed.fields.emplace("level", line.substr(level, level_end - level));
+  read_event(line.substr(level_end + after_level.size()), parsed);
+  return parsed;
+}
+
+} // namespace
+
+std::string log_line::field(std::string_view name) const {
+  auto const found = fields.find(name);
+  return found == fields.end() ? "" : found->second;
+}
+
+std::optional<log_line> parse_log_line(std::string_view line) {
+  auto parsed = parse_proxy_line(line);
+  return parsed ? parsed : parse_daemon_line(line);
+}
+
+bool is_process_start(log_line const& line) {
+  return line.event == "process started" || line.event == daemon_start_event;
+}
+
 } // namespace catkinlanding::ctl
