daemon: Say in the log by which fault a process ends

Operators saw: a process that ended by a broken invariant, an exception that nothing caught or a fault of memory access wrote nothing to its log. The invariant and the exception went to standard error only, the other faults nowhere, so that such an end looked like a SIGKILL.

Cause: CATKINLANDING_VERIFY, std::terminate and the signals' default actions know no log.

Both programs now install a handler for SIGABRT, SIGBUS, SIGFPE, SIGILL and SIGSEGV, and one for std::terminate. One line is built without memory allocation or locks and written past the logger: `process crashed signal=N reason="..."`, in the format of the program's log. Then the default action follows: a fault recurs with its own details, a signal that was sent is raised again. Ruled out: to log through spdlog, which may hold its locks in the thread that crashes. So the lines still queued in the proxy are lost, as before.

`catkinctl cut` takes the first critical line for the reason, as a disk that can't be written to is logged before the abort.

--- a/services/daemon/main.cpp
+++ b/services/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include <services/daemon/crash_log.h>
 #include <services/daemon/daemon.h>
 
 #include <spdlog/spdlog.h>
@@ -75,6 +76,9 @@
     return exit_settings;
   }
   spdlog::set_level(spdlog::level::from_str(settings->log_level));
+  // As the default pattern of spdlog has it.
+  catkinlanding::daemon::install_crash_log(
+      {.before_time = "[", .time_separator = ' ', .after_time = "] [critical] "});
   auto daemon = catkinlanding::daemon::daemon::create(std::move(*settings));
   if (!daemon) {
     return std::visit([](auto const& error) { return report_error(error); }, daemon.error());
--- a/services/proxy/log.cpp
+++ b/services/proxy/log.cpp
@@ -1,3 +1,4 @@
+#include <services/daemon/crash_log.h>
 #include <services/proxy/log.h>
 #include <services/proxy/log_sink.h>
 
@@ -28,6 +29,10 @@
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l instance=" + instance + " event=%v");
   spdlog::set_default_logger(std::move(logger));
   set_log_level(level);
+  daemon::install_crash_log({.descriptor = STDOUT_FILENO,
+                             .before_time = "",
+                             .time_separator = 'T',
+                             .after_time = " level=critical instance=" + instance + " event="});
 }
 
 void set_log_level(std::string const& level) {
--- a/tests/services/daemon/request_log_process.cpp
+++ b/tests/services/daemon/request_log_process.cpp
@@ -81,6 +81,18 @@
   EXPECT_EQ(log().find("daemon: stopped"), std::string::npos);
 }
 
+// Guards against a process that ends by a fault, of which its log says nothing.
+TEST_F(request_log, says_by_which_fault_the_process_ended) {
+  m_deployment.instance("a1").send_signal(SIGABRT);
+  EXPECT_FALSE(m_deployment.instance("a1").wait().has_value());
+  EXPECT_NE(log().find("] [critical] process crashed signal=6 reason=\"-\"\n"), std::string::npos)
+      << log();
+  auto const ends =
+      run_command({CATKINLANDING_CTL, "cut", (m_deployment.folder() / "a1.log").string()});
+  EXPECT_EQ(ends.exit_code, 0);
+  EXPECT_NE(ends.output.find("end instance=a1 kind=failed "), std::string::npos) << ends.output;
+}
+
 } // namespace
 
 } // namespace catkinlanding::testing
--- a/tests/services/proxy/killed_process.cpp
+++ b/tests/services/proxy/killed_process.cpp
@@ -77,6 +77,20 @@
   EXPECT_EQ(cut({"--request=nobody"}).exit_code, 3);
 }
 
+// Guards against a process that ends by a fault, of which its log says nothing.
+TEST_F(killed_process, says_in_its_log_by_which_fault_it_ended) {
+  m_deployment.process("entry-1").send_signal(SIGSEGV);
+  EXPECT_FALSE(m_deployment.process("entry-1").wait().has_value());
+
+  auto const all = cut({"--json"});
+  ASSERT_EQ(all.exit_code, 0) << all.output;
+  auto const ends = nlohmann::json::parse(all.output)["ends"];
+  ASSERT_EQ(ends.size(), 1U) << all.output;
+  EXPECT_EQ(ends[0]["kind"], "failed");
+  EXPECT_EQ(ends[0]["reason"], "process crashed signal=11 reason=\"-\"");
+  EXPECT_EQ(ends[0]["requests"].size(), 2U);
+}
+
 } // namespace
 
 } // namespace catkinlanding::testing
--- a/tests/utilities/ctl/process_ends_test.cpp
+++ b/tests/utilities/ctl/process_ends_test.cpp
@@ -118,6 +118,15 @@
   EXPECT_EQ(ends[0].lines_lost, 7U);
 }
 
+// Guards against the abort that follows a stated reason and hides it.
+TEST(process_ends, give_the_first_reason_of_a_process_that_then_aborts) {
+  auto const ends =
+      ends_in({line("03.000", "control", "disk write_failed error=2", "critical"),
+               line("03.000", "control", "process crashed signal=6 reason=\"-\"", "critical")});
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].reason, "disk write_failed error=2");
+}
+
 TEST(process_ends, leave_out_a_process_that_may_still_run_and_has_no_open_request) {
   EXPECT_TRUE(ends_in({line("01.000", "edge-1", start)}).empty());
 }
--- a/utilities/ctl/process_ends.cpp
+++ b/utilities/ctl/process_ends.cpp
@@ -90,7 +90,8 @@
 
 void process_ends::note_process(process& process, log_line const& line) {
   if (line.field("level") == "critical") {
-    process.fault = content_of(line);
+    // What ends a process may make it abort too; the first line says why.
+    process.fault = process.fault.empty() ? content_of(line) : process.fault;
   } else if (line.event == "process stopping" || line.event == "daemon: received") {
     process.stop = content_of(line);
     process.signal = line.time;
