peers: Close connections whose peers fell silent, and let a full table take new ones

Nothing was logged.

Ruled out: a timeout between frames. Sound connections rest for long, and the sender, which doesn't read, would send its next frame into one that is closed. That fault existed as well: a frame sent after the recipient had closed the connection was lost.

Now (inbound_connections, keep_alive): - Both ends probe a connection that rests (SO_KEEPALIVE), the sender after 30 s, the recipient after 60 s. The recipient sets no TCP_USER_TIMEOUT, which would decide when probes give up; at the sender it does, after 1 s. - Before a frame on a connection that rested the sender looks whether it is closed, and opens another. - When 1,024 are open, the one that has rested longest gives way to a new one, but never to an address with more connections than its own; if none rests, one of the address with the most, to an address with fewer. - `peers connection_closed` (a line a second at most), and `peer_connections` and `peer_connections_closed` in the metrics of both programs.

The same class by reading: the callers', operators', metrics' and entries' ports bound each read and each write by a time; no table there is filled for good by silent connections.

socket_state moves from services/proxy, as three places had the same check.

--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -6,6 +6,7 @@
 #include <services/daemon/coroutine.h>
 #include <services/daemon/reply_queue.h>
 #include <services/daemon/scoped_count.h>
+#include <services/daemon/socket_state.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -298,7 +299,7 @@
         [weak = weak_from_this(), connection, number](boost::system::error_code error) {
           auto const self = weak.lock();
           if (error || !self || !self->m_queues.contains(number) ||
-              !is_closed(connection->stream.socket())) {
+              state_of(connection->stream.socket()) != socket_state::closed) {
             return;
           }
           self->m_queues.at(number)->abort_answer(number);
@@ -306,14 +307,6 @@
         });
   }
 
-  static bool is_closed(tcp_socket& socket) {
-    char byte = 0;
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    auto const size = socket.receive(asio::buffer(&byte, 1), tcp_socket::message_peek, error);
-    return error != asio::error::would_block && size == 0;
-  }
-
   awaitable<bool> write_replies(tcp_stream& stream, caller_message const& message,
                                 reply_queue& queue) {
     std::optional<requests::reply_head> head;
--- a/services/daemon/daemon.cpp
+++ b/services/daemon/daemon.cpp
@@ -209,6 +209,10 @@
               },
           .metrics =
               [this] {
+                auto const& inbound = m_peers->inbound();
+                m_metrics.set_state("peer_connections", static_cast<double>(inbound.size()));
+                m_metrics.set_state("peer_connections_closed",
+                                    static_cast<double>(inbound.closed()));
                 return m_metrics.page(m_reducer->status(now()), m_reducer->request_counters());
               },
           .is_ready = [this] { return m_reducer->is_ready(now()); },
--- a/services/daemon/frame_transport.cpp
+++ b/services/daemon/frame_transport.cpp
@@ -1,6 +1,7 @@
 #include <services/daemon/coroutine.h>
 #include <services/daemon/frame_transport.h>
-#include <services/daemon/scoped_count.h>
+#include <services/daemon/keep_alive.h>
+#include <services/daemon/socket_state.h>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -24,7 +25,6 @@
 constexpr std::size_t max_frame_size = 64 * 1024 * 1024;
 /// Of the memory for frames that wait to be sent, one recipient may have this part of what is free.
 constexpr std::size_t queue_memory_divisor = 4;
-constexpr std::size_t max_connections = 1024;
 /// Frames are read in chunks of this size, so that a forged length doesn't allocate memory before
 /// the data arrives.
 constexpr std::size_t chunk_size = 256 * 1024;
@@ -35,6 +35,12 @@
 /// partition, its frames would wait for the next TCP retransmission, which may come seconds after
 /// the partition has healed.
 constexpr std::chrono::milliseconds unacknowledged_timeout{1000};
+/// The recipient keeps a connection that rests for longer, so that frames aren't sent into one
+/// which it has closed. The timeout for unacknowledged bytes ends the probes, whatever their
+/// number.
+constexpr keep_alive_options probes{.idle_time = std::chrono::seconds(30),
+                                    .interval = std::chrono::seconds(1),
+                                    .max_unanswered = 3};
 /// Limits the rate of warnings, so that invalid traffic doesn't flood the log.
 constexpr std::chrono::seconds warning_interval{1};
 constexpr std::size_t length_prefix_size = sizeof(std::uint32_t);
@@ -56,6 +62,7 @@
   if (error) {
     spdlog::warn("peers: can't set the timeout for unacknowledged bytes: {}", error.message());
   }
+  set_keep_alive(socket, probes);
 }
 
 frame_transport::frame_transport(asio::io_context& context, sockets sockets,
@@ -117,19 +124,26 @@
     auto [error, socket] = co_await m_acceptor.async_accept(m_context, completion);
     if (error) {
       co_await pause_accepting(m_context);
-    } else if (m_inbound_connections < max_connections) {
-      spawn(m_context, "peers", serve(tcp_stream(std::move(socket))));
+    } else if (auto accepted = m_inbound_connections.add(std::move(socket))) {
+      spawn(m_context, "peers", serve(std::move(accepted)));
     }
   }
 }
 
-awaitable<void> frame_transport::serve(tcp_stream stream) {
-  scoped_count const active(m_inbound_connections);
-  while (co_await read_frame(stream)) {
+awaitable<void>
+frame_transport::serve(std::shared_ptr<inbound_connections::connection> connection) {
+  try {
+    while (co_await read_frame(*connection)) {
+      m_inbound_connections.note_frame_ended(*connection);
+    }
+  } catch (std::exception const& exception) {
+    spdlog::error("peers: an unhandled exception closed a connection: {}", exception.what());
   }
+  m_inbound_connections.remove(*connection);
 }
 
-awaitable<bool> frame_transport::read_frame(tcp_stream& stream) {
+awaitable<bool> frame_transport::read_frame(inbound_connections::connection& connection) {
+  auto& stream = connection.stream;
   std::array<unsigned char, length_prefix_size> length{};
   stream.expires_never();
   auto const [length_error, length_size] =
@@ -137,6 +151,7 @@
   if (length_error) {
     co_return false;
   }
+  inbound_connections::note_frame_begun(connection);
   std::size_t const size = boost::endian::load_little_u32(length.data());
   if (size > max_frame_size) {
     log_unreadable("a frame exceeds the size limit", size);
@@ -209,19 +224,32 @@
   return has_room;
 }
 
-awaitable<void> frame_transport::write_frames(base::instance_id to,
-                                              std::shared_ptr<connection> connection) {
+awaitable<bool> frame_transport::connect(base::instance_id to,
+                                         std::shared_ptr<connection> connection) {
   auto& stream = connection->stream;
-  if (!stream.socket().is_open()) {
-    stream.expires_after(connect_timeout);
-    auto const [error] = co_await stream.async_connect(m_peers.at(to), completion);
-    if (error) {
-      log_lost(to, *connection, "connect");
-      remove_connection(to, connection);
-      co_return;
+  if (stream.socket().is_open()) {
+    if (state_of(stream.socket()) != socket_state::closed) {
+      co_return true;
     }
-    set_peer_socket_options(stream.socket());
+    stream.close();
   }
+  stream.expires_after(connect_timeout);
+  auto const [error] = co_await stream.async_connect(m_peers.at(to), completion);
+  if (error) {
+    log_lost(to, *connection, "connect");
+    co_return false;
+  }
+  set_peer_socket_options(stream.socket());
+  co_return true;
+}
+
+awaitable<void> frame_transport::write_frames(base::instance_id to,
+                                              std::shared_ptr<connection> connection) {
+  if (!co_await connect(to, connection)) {
+    remove_connection(to, connection);
+    co_return;
+  }
+  auto& stream = connection->stream;
   while (!connection->queue.empty()) {
     auto const frame = std::move(connection->queue.front());
     connection->queue.pop_front();
--- a/services/daemon/frame_transport.h
+++ b/services/daemon/frame_transport.h
@@ -4,6 +4,7 @@
 #include <libraries/base/identifier.h>
 #include <libraries/base/memory_budget.h>
 #include <services/daemon/coroutine.h>
+#include <services/daemon/inbound_connections.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,7 +22,7 @@
 namespace catkinlanding::daemon {
 
 /// Sets the socket options of outgoing connections between instances: disables Nagle's algorithm,
-/// and closes connections whose bytes are not acknowledged in time.
+/// and closes connections whose bytes, or probes while they rest, are not acknowledged in time.
 void set_peer_socket_options(tcp_socket& socket);
 
 /// Sends frames between instances: small ones as UDP datagrams, larger ones over TCP connections.
@@ -58,6 +59,8 @@
   void set_peer_address(base::instance_id const& instance, base::address const& address);
   /// Bytes of the frames that are being sent, or wait to be, over all connections.
   [[nodiscard]] std::size_t queued_bytes() const { return m_queue_memory.used_bytes(); }
+  /// The connections that other instances have opened.
+  [[nodiscard]] inbound_connections const& inbound() const { return m_inbound_connections; }
   /// Drops the connection to the instance with its queued frames. The next frame opens a new one.
   void drop_connection(base::instance_id const& to);
 
@@ -78,9 +81,12 @@
 
   awaitable<void> receive_datagrams();
   awaitable<void> accept_connections();
-  awaitable<void> serve(tcp_stream stream);
+  awaitable<void> serve(std::shared_ptr<inbound_connections::connection> connection);
   /// Returns whether more frames can be read from the connection.
-  awaitable<bool> read_frame(tcp_stream& stream);
+  awaitable<bool> read_frame(inbound_connections::connection& connection);
+  /// Opens the connection, or another socket if the recipient has closed it since the last frame.
+  /// Returns whether it is open.
+  awaitable<bool> connect(base::instance_id to, std::shared_ptr<connection> connection);
   awaitable<void> write_frames(base::instance_id to, std::shared_ptr<connection> connection);
   void send_over_connection(base::instance_id const& to, std::string bytes);
   /// Makes the next larger frame open a connection, unless the current one has sent none yet. What
@@ -105,7 +111,7 @@
   boost::asio::ip::udp::socket m_datagrams;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::map<base::instance_id, std::shared_ptr<connection>> m_connections;
-  std::size_t m_inbound_connections = 0;
+  inbound_connections m_inbound_connections;
   base::memory_budget m_frame_memory;
   base::memory_budget m_queue_memory;
   std::uint64_t m_unreadable_frames = 0;
--- a/services/daemon/message_transport.h
+++ b/services/daemon/message_transport.h
@@ -52,6 +52,9 @@
     m_frames.set_peer_address(instance, address);
   }
 
+  /// The connections that other instances have opened.
+  [[nodiscard]] inbound_connections const& inbound() const { return m_frames.inbound(); }
+
 private:
   bool deliver(std::string_view bytes, frame_transport::sender_callback const& report_sender) {
     auto envelope = Decode(bytes);
--- a/services/daemon/metrics.cpp
+++ b/services/daemon/metrics.cpp
@@ -142,18 +142,19 @@
   m_implementation->ratings.Add({{"judgement", name}}).Increment();
 }
 
+void metrics::set_state(char const* what, double value) {
+  m_implementation->gauges.Add({{"what", what}}).Set(value);
+}
+
 std::string metrics::page(operators::status_reply const& status,
                           requests::table_counters const& counters) {
-  auto const set = [this](char const* name, double value) {
-    m_implementation->gauges.Add({{"what", name}}).Set(value);
-  };
-  set("revision", static_cast<double>(status.revision));
-  set("has_lease", status.has_lease ? 1 : 0);
-  set("lease_left_seconds", seconds(status.lease_left));
-  set("endpoints", status.endpoints);
-  set("requests", status.requests);
-  set("unsettled_bills", status.unsettled_bills);
-  set("term", static_cast<double>(status.term));
+  set_state("revision", static_cast<double>(status.revision));
+  set_state("has_lease", status.has_lease ? 1 : 0);
+  set_state("lease_left_seconds", seconds(status.lease_left));
+  set_state("endpoints", status.endpoints);
+  set_state("requests", status.requests);
+  set_state("unsettled_bills", status.unsettled_bills);
+  set_state("term", static_cast<double>(status.term));
   auto const set_counter = [this](char const* name, std::uint64_t value) {
     auto& counter = m_implementation->events.Add({{"what", name}});
     counter.Increment(static_cast<double>(value) - counter.Value());
--- a/services/daemon/metrics.h
+++ b/services/daemon/metrics.h
@@ -21,6 +21,9 @@
   void count(requests::reply_failure const& failure);
   void count_rating(routing::judgement judgement);
 
+  /// Sets the gauge of the instance's state with this name.
+  void set_state(char const* what, double value);
+
   /// Renders the metrics page, with the gauges set from `status` and the counters from `counters`.
   [[nodiscard]] std::string page(operators::status_reply const& status,
                                  requests::table_counters const& counters);
--- a/services/proxy/socket_state.cpp
+++ b/services/daemon/socket_state.cpp
@@ -1,12 +1,12 @@
-#include <services/proxy/socket_state.h>
+#include <services/daemon/socket_state.h>
 
 #include <sys/socket.h>
 
 #include <cerrno>
 
-namespace catkinlanding::proxy {
+namespace catkinlanding::daemon {
 
-socket_state state_of(daemon::tcp_socket& socket) {
+socket_state state_of(tcp_socket& socket) {
   char byte = 0;
   auto const received =
       ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
@@ -17,4 +17,4 @@
   return has_nothing_to_read ? socket_state::open_without_input : socket_state::closed;
 }
 
-} // namespace catkinlanding::proxy
+} // namespace catkinlanding::daemon
--- a/services/proxy/socket_state.h
+++ b/services/daemon/socket_state.h
@@ -2,11 +2,11 @@
 
 #include <services/daemon/coroutine.h>
 
-namespace catkinlanding::proxy {
+namespace catkinlanding::daemon {
 
 enum class socket_state { open_without_input, has_input, closed };
 
 /// The state of a connection, found without reading from it or waiting.
-[[nodiscard]] socket_state state_of(daemon::tcp_socket& socket);
+[[nodiscard]] socket_state state_of(tcp_socket& socket);
 
-} // namespace catkinlanding::proxy
+} // namespace catkinlanding::daemon
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -1,10 +1,10 @@
 #include <libraries/proxy/settings.h>
+#include <services/daemon/socket_state.h>
 #include <services/proxy/answer_header.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/exchange.h>
 #include <services/proxy/relay_header.h>
 #include <services/proxy/request_log.h>
-#include <services/proxy/socket_state.h>
 
 #include <spdlog/spdlog.h>
 
@@ -261,16 +261,16 @@
 }
 
 void exchange::watch_for_caller_disconnect() {
-  m_caller.socket().async_wait(daemon::tcp_socket::wait_read,
-                               [self = shared_from_this()](boost::system::error_code error) {
-                                 if (error || self->m_is_done) {
-                                   return;
-                                 }
-                                 if (state_of(self->m_caller.socket()) == socket_state::closed) {
-                                   self->m_is_caller_gone = true;
-                                   self->close_upstream();
-                                 }
-                               });
+  m_caller.socket().async_wait(
+      daemon::tcp_socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+        if (error || self->m_is_done) {
+          return;
+        }
+        if (daemon::state_of(self->m_caller.socket()) == daemon::socket_state::closed) {
+          self->m_is_caller_gone = true;
+          self->close_upstream();
+        }
+      });
 }
 
 void exchange::start_deadline_timer(base::monotonic_time deadline) {
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -51,6 +51,9 @@
         m_io, std::move(metrics_acceptor), http_server::options{},
         [this](http_request /*request*/) -> daemon::awaitable<http_response> {
           m_handlers.on_metrics(m_metrics);
+          auto const& inbound = m_peers->inbound();
+          m_metrics.set_gauge("peer_connections", static_cast<double>(inbound.size()));
+          m_metrics.set_gauge("peer_connections_closed", static_cast<double>(inbound.closed()));
           http_response answer(http::status::ok, 11);
           answer.set(http::field::content_type, "text/plain; version=0.0.4");
           answer.body() = m_metrics.serialize();
--- a/services/proxy/upstream_pool.cpp
+++ b/services/proxy/upstream_pool.cpp
@@ -1,4 +1,4 @@
-#include <services/proxy/socket_state.h>
+#include <services/daemon/socket_state.h>
 #include <services/proxy/upstream_pool.h>
 
 #include <algorithm>
@@ -35,8 +35,8 @@
     // The most recently used connection is the least likely to be closed by the endpoint.
     auto candidate = std::move(connections.back());
     connections.pop_back();
-    if (now < candidate.expires_at &&
-        state_of((*candidate.connection).stream.socket()) == socket_state::open_without_input) {
+    if (now < candidate.expires_at && daemon::state_of((*candidate.connection).stream.socket()) ==
+                                          daemon::socket_state::open_without_input) {
       return std::move(candidate.connection);
     }
   }
--- a/tests/services/daemon/frame_transport_test.cpp
+++ b/tests/services/daemon/frame_transport_test.cpp
@@ -6,7 +6,9 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 
 namespace catkinlanding::daemon {
@@ -103,6 +105,24 @@
     return false;
   }
 
+  /// Runs the transport until the condition holds. Returns whether it does.
+  bool run_until(std::function<bool()> const& condition) {
+    constexpr std::chrono::seconds give_up_time{10};
+    auto const give_up_at = std::chrono::steady_clock::now() + give_up_time;
+    while (!condition() && std::chrono::steady_clock::now() < give_up_at) {
+      m_context.restart();
+      m_context.poll();
+    }
+    return condition();
+  }
+
+  static int option_of(tcp_socket& socket, int level, int name) {
+    int value = -1;
+    socklen_t size = sizeof(value);
+    EXPECT_EQ(::getsockopt(socket.native_handle(), level, name, &value, &size), 0);
+    return value;
+  }
+
   boost::asio::io_context m_context;
   boost::asio::ip::address m_address = boost::asio::ip::make_address("127.0.0.1");
   tcp::acceptor m_acceptor{m_context, tcp::endpoint{m_address, 0}};
@@ -132,6 +152,45 @@
   EXPECT_TRUE(reads(second, 'b'));
 }
 
+// Guards against a frame that is lost as the recipient has closed a connection that rested.
+TEST_F(frame_queues, use_another_connection_if_the_peer_has_closed_the_open_one) {
+  send('a');
+  auto first = m_acceptor.accept();
+  ASSERT_TRUE(reads(first, 'a'));
+  first.close();
+  send('b');
+  auto second = std::optional<tcp::socket>();
+  m_acceptor.non_blocking(true);
+  EXPECT_TRUE(run_until([&] {
+    boost::system::error_code error;
+    tcp::socket accepted(m_context);
+    m_acceptor.accept(accepted, error);
+    if (!error) {
+      second.emplace(std::move(accepted));
+    }
+    return second.has_value();
+  }));
+  EXPECT_TRUE(second && reads(*second, 'b'));
+}
+
+// Guards against a connection to a machine that is gone, or from one, which is never closed as no
+// frame is due on it.
+TEST_F(frame_queues, probe_connections_that_rest) {
+  tcp_socket outgoing(m_context, tcp::v4());
+  set_peer_socket_options(outgoing);
+  tcp_socket incoming(m_context, tcp::v4());
+  set_accepted_socket_options(incoming);
+  // With this set, keep-alive probes give up by it, and not by their number.
+  EXPECT_EQ(option_of(incoming, IPPROTO_TCP, TCP_USER_TIMEOUT), 0);
+  EXPECT_EQ(option_of(outgoing, SOL_SOCKET, SO_KEEPALIVE), 1);
+  EXPECT_EQ(option_of(incoming, SOL_SOCKET, SO_KEEPALIVE), 1);
+  // The sender notices first, so that it opens another connection for its next frame.
+  auto const noticed_by_sender = option_of(outgoing, IPPROTO_TCP, TCP_KEEPIDLE) +
+                                 option_of(outgoing, IPPROTO_TCP, TCP_KEEPINTVL) *
+                                     option_of(outgoing, IPPROTO_TCP, TCP_KEEPCNT);
+  EXPECT_LT(noticed_by_sender, option_of(incoming, IPPROTO_TCP, TCP_KEEPIDLE));
+}
+
 } // namespace
 
 } // namespace catkinlanding::daemon
