daemon: Count the time in which the machine is suspended

What callers would have seen: a leader whose machine is suspended within its lease goes on with the rest of it minutes later, and answers reads although newer changes were acknowledged; an entry goes on with its leases, and takes a caller's deadline as still ahead. Cause: the clock was std::chrono::steady_clock (CLOCK_MONOTONIC on Linux), which stands still meanwhile.

Now daemon::boot_clock reads CLOCK_BOOTTIME, in the one place that reads the clock for decisions. The timers (daemon::steady_timer) use the same clock, so that deadlines handed to them need no conversion; asio waits by a duration and compares with the clock again whenever a timer fires, after a suspension at the next tick. The two places that handed a time to a tcp_stream, whose timers are of the other clock, hand a duration now. Rates of log lines stay with std::chrono::steady_clock.

Not shown: a suspension, which this machine can't have.

--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -125,7 +125,7 @@
         break;
       }
       auto const timeout_at = now() + self->m_options.read_timeout;
-      stream.expires_at(timeout_at);
+      stream.expires_after(self->m_options.read_timeout);
       auto const [head_error, head_size] =
           co_await http::async_read_header(stream, connection->buffer, parser, completion);
       scoped_count const busy(self->m_busy_connections);
@@ -133,7 +133,8 @@
       if (!head_error) {
         // Nobody waits for the rest of a body beyond the deadline that its caller states.
         auto const deadline = read_deadline(parser.get()).value_or(std::nullopt);
-        stream.expires_at(deadline ? std::min(timeout_at, arrived_at + *deadline) : timeout_at);
+        auto const left = timeout_at - arrived_at;
+        stream.expires_after(deadline ? std::min(left, *deadline) : left);
       }
       auto const error = head_error ? head_error : co_await connection->read_body(parser);
       if (error) {
--- a/services/daemon/coroutine.h
+++ b/services/daemon/coroutine.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <services/daemon/clock.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
@@ -23,8 +25,9 @@
 using awaitable = boost::asio::awaitable<Value, executor>;
 using tcp_stream = boost::beast::basic_stream<boost::asio::ip::tcp, executor>;
 using tcp_socket = tcp_stream::socket_type;
-using steady_timer = boost::asio::basic_waitable_timer<
-    std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, executor>;
+/// Takes the time points of `now`.
+using steady_timer =
+    boost::asio::basic_waitable_timer<boot_clock, boost::asio::wait_traits<boot_clock>, executor>;
 
 /// Completion token with which operations return their error code instead of throwing it.
 inline constexpr auto completion = boost::asio::as_tuple(boost::asio::use_awaitable_t<executor>{});
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -67,6 +67,16 @@
   stop(id);
 }
 
+void control_group::suspend(std::string const& id) {
+  m_suspended.insert({id});
+  isolate(id);
+}
+
+void control_group::resume(std::string const& id) {
+  m_suspended.erase({id});
+  reconnect(id);
+}
+
 void control_group::split(std::set<std::string> const& side) {
   m_side.clear();
   for (auto const& id : side) {
@@ -101,6 +111,9 @@
   constexpr std::chrono::milliseconds step{20};
   for (auto const end = m_now + time; m_now < end; m_now += step) {
     for (auto& [id, node] : m_nodes) {
+      if (m_suspended.contains(id)) {
+        continue;
+      }
       proxy::control_effects effects;
       node.tick(m_now, effects);
       carry_out(id, effects);
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -28,6 +28,10 @@
   /// Cuts an instance off from all others until `reconnect`.
   void isolate(std::string const& id) { m_isolated.insert({id}); }
   void reconnect(std::string const& id) { m_isolated.erase({id}); }
+  /// Suspends an instance's machine until `resume`: it does nothing and gets nothing.
+  void suspend(std::string const& id);
+  /// Resumes it. It has done nothing yet when this returns.
+  void resume(std::string const& id);
   /// Cuts these instances off from all others, but not from each other, until `join`.
   void split(std::set<std::string> const& side);
   void join() { m_side.clear(); }
@@ -87,6 +91,7 @@
   std::map<base::instance_id, disk> m_disks;
   std::set<base::instance_id> m_side;
   std::set<base::instance_id> m_isolated;
+  std::set<base::instance_id> m_suspended;
   std::deque<in_flight_message> m_in_flight;
   std::map<proxy::call_number, proxy::call_reply> m_replies;
   std::map<base::instance_id, std::vector<proxy::update>> m_updates;
