callers: Bound the memory of bodies that are being read

body_reader holds what the proxy had (reserve_body, and the reading within a memory_share); callers' bodies, read or being read, have 256 MiB together, operators' 64 MiB. One that doesn't fit is answered with 503 (`bodies_exceed_memory` for callers), before it is read if its length is known.

--- a/services/daemon/caller_connection.cpp
+++ b/services/daemon/caller_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <array>
@@ -28,7 +27,11 @@
   co_return !error;
 }
 
-awaitable<beast::error_code> caller_connection::read_body(caller_request_parser& parser) {
+awaitable<beast::error_code> caller_connection::read_body(request_parser& parser,
+                                                          base::memory_share& memory) {
+  if (!reserve_body(parser, memory)) {
+    co_return make_error_code(boost::system::errc::not_enough_memory);
+  }
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> response{http::status::continue_, 11};
     auto const [error, size] = co_await http::async_write(stream, response, completion);
@@ -36,11 +39,7 @@
       co_return error;
     }
   }
-  if (parser.is_done()) {
-    co_return beast::error_code{};
-  }
-  auto const [error, size] = co_await http::async_read(stream, buffer, parser, completion);
-  co_return error;
+  co_return co_await daemon::read_body(stream, buffer, parser, memory);
 }
 
 awaitable<void> caller_connection::drain(std::chrono::seconds timeout) {
--- a/services/daemon/caller_connection.h
+++ b/services/daemon/caller_connection.h
@@ -1,11 +1,8 @@
 #pragma once
 
 #include <libraries/base/time.h>
+#include <services/daemon/body_reader.h>
 #include <services/daemon/caller_headers.h>
-#include <services/daemon/coroutine.h>
-
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 namespace catkinlanding::daemon {
 
@@ -16,8 +13,6 @@
   base::monotonic_time arrived_at{};
 };
 
-using caller_request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
 /// A caller's connection. Shared by its coroutine and by the handler that waits for a disconnect.
 /// The reads end with the time that is set at the stream.
 struct caller_connection {
@@ -25,8 +20,10 @@
 
   /// Waits for the first bytes of the next request. Returns false if the connection ended.
   [[nodiscard]] awaitable<bool> wait_for_request();
-  /// Reads the body after the header, which the caller may want to be asked for.
-  [[nodiscard]] awaitable<boost::beast::error_code> read_body(caller_request_parser& parser);
+  /// Takes memory for the body after the header, and reads it. The caller may want to be asked for
+  /// it first. Fails as `daemon::read_body`.
+  [[nodiscard]] awaitable<boost::beast::error_code> read_body(request_parser& parser,
+                                                              base::memory_share& memory);
   /// Reads and discards what the caller still sends, up to this time and a limit of size. Closing a
   /// socket with unread bytes sends a reset, and the caller may then lose the error response.
   [[nodiscard]] awaitable<void> drain(std::chrono::seconds timeout);
--- a/services/daemon/caller_protocol.cpp
+++ b/services/daemon/caller_protocol.cpp
@@ -279,7 +279,7 @@
     char const* code;
     char const* text;
   };
-  constexpr std::array<description, 10> descriptions{{
+  constexpr std::array<description, 11> descriptions{{
       {"not_json", "The body is not a JSON object."},
       {"missing_model", "The body names no model."},
       {"wrong_type", "A field of the body has the wrong type."},
@@ -290,6 +290,7 @@
       {"not_http", "The request can't be read."},
       {"too_many_connections", "This instance has too many connections; try again."},
       {"unknown_path", "There is nothing here."},
+      {"bodies_exceed_memory", "This instance has no memory for this body now; try again."},
   }};
   auto const& description = descriptions.at(static_cast<std::size_t>(error));
   json const body = {
--- a/services/daemon/caller_protocol.h
+++ b/services/daemon/caller_protocol.h
@@ -26,6 +26,7 @@
   not_http,
   too_many_connections,
   unknown_path,
+  bodies_exceed_memory,
 };
 
 /// The fields of a completion request that routing needs. The other fields are forwarded unparsed.
--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -35,7 +35,9 @@
   implementation(asio::io_context& context, tcp::acceptor acceptor, options options,
                  handlers handlers)
       : m_context(context), m_options(options), m_handlers(std::move(handlers)),
-        m_acceptor(std::move(acceptor)) {}
+        m_acceptor(std::move(acceptor)),
+        m_body_memory({.max_bytes = std::max(options.max_body_memory, options.max_body_size),
+                       .free_memory_divisor = 1}) {}
 
   void start() { spawn(m_context, "callers", accept(shared_from_this())); }
 
@@ -117,7 +119,7 @@
     auto& stream = connection->stream;
     bool keeps_alive = true;
     while (keeps_alive) {
-      caller_request_parser parser;
+      request_parser parser;
       parser.body_limit(self->m_options.max_body_size);
       parser.header_limit(self->m_options.max_header_size);
       stream.expires_after(self->m_options.read_timeout);
@@ -136,7 +138,9 @@
         auto const left = timeout_at - arrived_at;
         stream.expires_after(deadline ? std::min(left, *deadline) : left);
       }
-      auto const error = head_error ? head_error : co_await connection->read_body(parser);
+      base::memory_share body_memory(self->m_body_memory);
+      auto const error =
+          head_error ? head_error : co_await connection->read_body(parser, body_memory);
       if (error) {
         co_await self->send_parse_error(*connection, error);
         break;
@@ -153,7 +157,7 @@
                                            std::shared_ptr<caller_connection> connection) {
     scoped_count const active(self->m_rejected_connections);
     auto& stream = connection->stream;
-    caller_request_parser parser;
+    request_parser parser;
     parser.header_limit(self->m_options.max_header_size);
     parser.body_limit(self->m_options.max_body_size);
     stream.expires_after(rejection_timeout);
@@ -180,6 +184,11 @@
     } else if (error == http::error::header_limit) {
       status = http::status::request_header_fields_too_large;
       reason = message_error::header_too_long;
+    } else if (error == boost::system::errc::not_enough_memory) {
+      status = http::status::service_unavailable;
+      reason = message_error::bodies_exceed_memory;
+      spdlog::warn("callers: refused reason=bodies_exceed_memory used={}",
+                   m_body_memory.used_bytes());
     } else if (error.category() != make_error_code(http::error::end_of_stream).category() ||
                error == http::error::end_of_stream || error == http::error::partial_message) {
       co_return;
@@ -443,6 +452,7 @@
   /// Connections with a request that is being received or answered.
   std::size_t m_busy_connections = 0;
   std::size_t m_rejected_connections = 0;
+  base::memory_budget m_body_memory;
   bool m_is_stopping = false;
 };
 
--- a/services/daemon/caller_server.h
+++ b/services/daemon/caller_server.h
@@ -28,6 +28,9 @@
   struct options {
     std::size_t max_connections = 4096;
     std::size_t max_body_size = 8 * 1024 * 1024;
+    /// Memory for the bodies of all requests, read or being read. A request whose body doesn't fit
+    /// is answered with 503, before the body is read if its length is known.
+    std::size_t max_body_memory = 256UL * 1024 * 1024;
     std::uint32_t max_header_size = 16 * 1024;
     /// Bytes of a streamed answer that may be queued for a slow caller. A stream that exceeds this
     /// is aborted.
--- a/services/daemon/operator_server.cpp
+++ b/services/daemon/operator_server.cpp
@@ -1,4 +1,5 @@
 #include <libraries/operators/codec.h>
+#include <services/daemon/body_reader.h>
 #include <services/daemon/coroutine.h>
 #include <services/daemon/operator_server.h>
 #include <services/daemon/scoped_count.h>
@@ -19,6 +20,8 @@
 using asio::ip::tcp;
 
 constexpr std::size_t max_body_size = 16 * 1024 * 1024;
+/// For the bodies of all commands.
+constexpr std::size_t max_body_memory = 64UL * 1024 * 1024;
 constexpr std::chrono::seconds timeout{30};
 constexpr std::size_t max_connections = 64;
 
@@ -66,20 +69,25 @@
 
   awaitable<void> exchange(tcp_stream& stream) {
     beast::flat_buffer buffer;
-    http::request_parser<http::string_body> parser;
+    request_parser parser;
     parser.body_limit(max_body_size);
     stream.expires_after(timeout);
-    auto const [read_error, size] = co_await http::async_read(stream, buffer, parser, completion);
-    if (read_error) {
+    auto const [head_error, size] =
+        co_await http::async_read_header(stream, buffer, parser, completion);
+    if (head_error) {
       co_return;
     }
-    if (parser.get().target() != operators::command_path) {
-      http::response<http::string_body> response{http::status::not_found, 11};
-      response.keep_alive(false);
-      response.prepare_payload();
-      co_await http::async_write(stream, response, completion);
+    base::memory_share memory(m_body_memory);
+    if (!reserve_body(parser, memory)) {
+      co_return co_await reject(stream, http::status::service_unavailable);
+    }
+    auto const error = co_await read_body(stream, buffer, parser, memory);
+    if (error) {
       co_return;
     }
+    if (parser.get().target() != operators::command_path) {
+      co_return co_await reject(stream, http::status::not_found);
+    }
     auto request = operators::decode_request(parser.get().body());
     operators::reply reply = operators::refusal{operators::refusal_kind::malformed};
     if (request) {
@@ -94,6 +102,13 @@
     co_await http::async_write(stream, response, completion);
   }
 
+  static awaitable<void> reject(tcp_stream& stream, http::status status) {
+    http::response<http::string_body> response{status, 11};
+    response.keep_alive(false);
+    response.prepare_payload();
+    co_await http::async_write(stream, response, completion);
+  }
+
   awaitable<operators::reply> run(operators::request request) {
     auto const number = ++m_last_number;
     auto waiting = std::make_shared<waiting_command>(m_context);
@@ -110,6 +125,7 @@
   handler m_on_command;
   tcp::acceptor m_acceptor;
   std::size_t m_connections = 0;
+  base::memory_budget m_body_memory{{.max_bytes = max_body_memory, .free_memory_divisor = 1}};
   std::uint64_t m_last_number = 0;
   std::map<std::uint64_t, std::shared_ptr<waiting_command>> m_waiting;
 };
