--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -6,6 +6,7 @@
 #include <services/daemon/coroutine.h>
 #include <services/daemon/reply_queue.h>
 #include <services/daemon/scoped_count.h>
+#include <services/daemon/socket_state.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -34,7 +35,9 @@
   implementation(asio::io_context& context, tcp::acceptor acceptor, options options,
                  handlers handlers)
       : m_context(context), m_options(options), m_handlers(std::move(handlers)),
-        m_acceptor(std::move(acceptor)) {}
+        m_acceptor(std::move(acceptor)),
+        m_body_memory({.max_bytes = std::max(options.max_body_memory, options.max_body_size),
+                       .free_memory_divisor = 1}) {}
 
   void start() { spawn(m_context, "callers", accept(shared_from_this())); }
 
@@ -116,7 +119,7 @@
     auto& stream = connection->stream;
     bool keeps_alive = true;
     while (keeps_alive) {
-      caller_request_parser parser;
+      request_parser parser;
       parser.body_limit(self->m_options.max_body_size);
       parser.header_limit(self->m_options.max_header_size);
       stream.expires_after(self->m_options.read_timeout);
@@ -124,7 +127,7 @@
         break;
       }
       auto const timeout_at = now() + self->m_options.read_timeout;
-      stream.expires_at(timeout_at);
+      stream.expires_after(self->m_options.read_timeout);
       auto const [head_error, head_size] =
           co_await http::async_read_header(stream, connection->buffer, parser, completion);
       scoped_count const busy(self->m_busy_connections);
@@ -132,9 +135,12 @@
       if (!head_error) {
         // Nobody waits for the rest of a body beyond the deadline that its caller states.
         auto const deadline = read_deadline(parser.get()).value_or(std::nullopt);
-        stream.expires_at(deadline ? std::min(timeout_at, arrived_at + *deadline) : timeout_at);
+        auto const left = timeout_at - arrived_at;
+        stream.expires_after(deadline ? std::min(left, *deadline) : left);
       }
-      auto const error = head_error ? head_error : co_await connection->read_body(parser);
+      base::memory_share body_memory(self->m_body_memory);
+      auto const error =
+          head_error ? head_error : co_await connection->read_body(parser, body_memory);
       if (error) {
         co_await self->send_parse_error(*connection, error);
         break;
@@ -151,7 +157,7 @@
                                            std::shared_ptr<caller_connection> connection) {
     scoped_count const active(self->m_rejected_connections);
     auto& stream = connection->stream;
-    caller_request_parser parser;
+    request_parser parser;
     parser.header_limit(self->m_options.max_header_size);
     parser.body_limit(self->m_options.max_body_size);
     stream.expires_after(rejection_timeout);
@@ -178,6 +184,11 @@
     } else if (error == http::error::header_limit) {
       status = http::status::request_header_fields_too_large;
       reason = message_error::header_too_long;
+    } else if (error == boost::system::errc::not_enough_memory) {
+      status = http::status::service_unavailable;
+      reason = message_error::bodies_exceed_memory;
+      spdlog::warn("callers: refused reason=bodies_exceed_memory used={}",
+                   m_body_memory.used_bytes());
     } else if (error.category() != make_error_code(http::error::end_of_stream).category() ||
                error == http::error::end_of_stream || error == http::error::partial_message) {
       co_return;
@@ -298,7 +309,7 @@
         [weak = weak_from_this(), connection, number](boost::system::error_code error) {
           auto const self = weak.lock();
           if (error || !self || !self->m_queues.contains(number) ||
-              !is_closed(connection->stream.socket())) {
+              state_of(connection->stream.socket()) != socket_state::closed) {
             return;
           }
           self->m_queues.at(number)->abort_answer(number);
@@ -306,14 +317,6 @@
         });
   }
 
-  static bool is_closed(tcp_socket& socket) {
-    char byte = 0;
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    auto const size = socket.receive(asio::buffer(&byte, 1), tcp_socket::message_peek, error);
-    return error != asio::error::would_block && size == 0;
-  }
-
   awaitable<bool> write_replies(tcp_stream& stream, caller_message const& message,
                                 reply_queue& queue) {
     std::optional<requests::reply_head> head;
@@ -449,6 +452,7 @@
   /// Connections with a request that is being received or answered.
   std::size_t m_busy_connections = 0;
   std::size_t m_rejected_connections = 0;
+  base::memory_budget m_body_memory;
   bool m_is_stopping = false;
 };
 
