relay: Go on with a stream whose relay ends

What callers saw: an entry instance that reaches no endpoint passes requests on to another one.

Cause: router::fail_relay went on only if the relay had been sent nothing. How many endpoints it had tried was unknown, and the route states the most.

Mend: the relay says in the header of its answer how many endpoints the request was sent to at most, and how many of these ended under it. From then on it leaves the other attempts to the first instance, but for one of a resumable stream if there are more. If the answer breaks off, the first instance counts these and goes on like after an endpoint of its own (router::try_again, now shared): the route's kind, its attempts, the limit on retries, the endings and the time decide. It prefers an instance that was not asked, then an endpoint unless it is cut off, and asks one whose answer broke off only if nothing else is left: a killed process was seen to accept a connection for some milliseconds. A relay that ends before it has answered may have used everything, so that nothing is repeated, as before.

A stream that another instance continues names its model, so that a further answer of little confidence doesn't let the larger model continue that of the smaller one; after an answer of the larger one nothing is left.

Mixed builds: the first instance says by Catkinlanding-Endings that it understands the numbers. The header is named in Connection, so that a build that doesn't know it drops it before its endpoints. Without it a relay answers as before; without the numbers the first instance does.

Ruled out: one attempt for each relay, counted without a header (a relay could not replace a silent endpoint); interim answers before each attempt (what was read is no upper bound).

Evidence: relayed_requests.are_continued_if_the_other_instance_is_killed (real processes, the relay killed after the first event). On it fails: the caller has "data: event-1" and then the end of the connection; events 2 to 5 are missing, and the endpoints were asked once where two runs are expected.

Trade-off: of a route with two attempts the second is left to the first instance, so that a relay no longer replaces an endpoint that falls silent in mid-stream.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -15,7 +15,7 @@
   auto const& announcement = chosen.announcement;
   tried.push_back(announcement.id);
   is_attempting = true;
-  current = {.number = static_cast<std::uint32_t>(tried.size()),
+  current = {.number = relayed_attempts + static_cast<std::uint32_t>(tried.size()),
              .endpoint = announcement.id,
              .version = announcement.version,
              .incarnation = announcement.number.incarnation,
@@ -45,9 +45,15 @@
 
 relay active_request::begin_relay(base::instance_id const& peer) {
   relays.push_back(peer);
+  std::erase(interrupted_relays, peer);
   is_relaying = true;
+  tally_before_relay = tally();
+  tally_of_relay.reset();
+  bool const has_begun = has_delivered || current.has_event;
   return {.peer = peer,
-          .attempts_before = facts.attempts_before + static_cast<std::uint32_t>(tried.size()),
+          .attempts_before = tally_before_relay.attempts,
+          .endings_before = tally_before_relay.endings,
+          .model = has_begun ? current.model : std::nullopt,
           .may_have_run = may_have_run,
           .deadline = deadline,
           .is_stream = route->is_stream(),
@@ -55,6 +61,48 @@
           .customer = customer.value_or(base::customer_id{})};
 }
 
+void active_request::end_relay(attempt_failure failure) {
+  is_relaying = false;
+  if (!may_have_run_after(failure)) {
+    return;
+  }
+  may_have_run = true;
+  auto const& before = tally_before_relay;
+  bool const is_known = tally_of_relay && tally_of_relay->attempts >= before.attempts &&
+                        tally_of_relay->endings >= before.endings;
+  if (!is_known) {
+    is_relay_spent = true;
+    return;
+  }
+  auto const used = tally_of_relay->attempts - before.attempts;
+  relayed_attempts += std::min(used, route->max_attempts);
+  endings += tally_of_relay->endings - before.endings;
+  if (failure != attempt_failure::failed_answer) {
+    interrupted_relays.push_back(relays.back());
+  }
+}
+
+relay_tally active_request::hand_over() {
+  auto const left = attempts_left();
+  std::uint32_t const kept = route->kind == route_kind::resumable_stream && left > 1 ? 1 : 0;
+  // Another model could not continue the answer of this one, and the other instance knows only the
+  // smallest.
+  bool const is_known_model =
+      !current.model || route->models.empty() || *current.model == route->models.front();
+  auto const used = tally();
+  if (!is_known_model) {
+    return {.attempts = used.attempts + left, .endings = used.endings + left};
+  }
+  handed_over += left - kept;
+  return {.attempts = used.attempts + kept, .endings = used.endings + kept};
+}
+
+relay_tally active_request::tally() const {
+  return {.attempts =
+              facts.attempts_before + relayed_attempts + static_cast<std::uint32_t>(tried.size()),
+          .endings = static_cast<std::uint32_t>(endings)};
+}
+
 attempt_state const& active_request::attempt_at(base::endpoint_id const& id) const {
   return held && held->state.endpoint == id ? held->state : current;
 }
@@ -70,8 +118,8 @@
 }
 
 std::uint32_t active_request::attempts_left() const {
-  auto const sent = facts.attempts_before + static_cast<std::uint32_t>(tried.size());
-  return is_relay_spent ? 0 : route->max_attempts - std::min(route->max_attempts, sent);
+  auto const taken = tally().attempts + handed_over;
+  return is_relay_spent ? 0 : route->max_attempts - std::min(route->max_attempts, taken);
 }
 
 std::uint32_t active_request::slots() const {
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -27,8 +27,11 @@
   /// Endpoints that the request was sent to, and those that could not be connected to.
   std::vector<base::endpoint_id> tried;
   std::vector<base::endpoint_id> unreached;
-  /// Entry instances that the request was passed on to.
+  /// Entry instances that the request was passed on to, in order. One that broke off its answer may
+  /// be asked again.
   std::vector<base::instance_id> relays;
+  /// Those of them that broke off their answer since they were last asked.
+  std::vector<base::instance_id> interrupted_relays;
   /// The latest attempt.
   attempt_state current;
   /// The attempt that the latest one is to replace, and that goes on until the other is accepted.
@@ -37,9 +40,16 @@
   bool is_attempting = false;
   /// Set while another entry instance handles the request, or is asked to.
   bool is_relaying = false;
-  /// Whether another entry instance may have sent it to endpoints. How many is unknown, so that it
-  /// is sent to no further one.
+  /// What the latest relay began with, and what it said with its answer.
+  relay_tally tally_before_relay;
+  std::optional<relay_tally> tally_of_relay;
+  /// Endpoints that relays before it may have sent the request to.
+  std::uint32_t relayed_attempts = 0;
+  /// Whether another entry instance may have sent it to endpoints and has not said to how many, so
+  /// that it is sent to no further one.
   bool is_relay_spent = false;
+  /// Attempts that are left to the instance that passed the request on.
+  std::uint32_t handed_over = 0;
   /// Endpoints that ended under this request before it had an event.
   std::size_t endings = 0;
   bool has_delivered = false;
@@ -54,6 +64,14 @@
   [[nodiscard]] attempt begin_attempt(known_endpoint const& chosen, base::monotonic_time now);
   /// Passes the request on to another entry instance.
   [[nodiscard]] relay begin_relay(base::instance_id const& peer);
+  /// Records that the latest relay has failed, and counts what it may have used.
+  void end_relay(attempt_failure failure);
+  /// Leaves attempts to the instance that passed the request on, as its caller receives the answer
+  /// from now on. Returns the most that this instance uses. One attempt of a stream is kept if
+  /// there are more, as only this instance sees that an endpoint falls silent.
+  [[nodiscard]] relay_tally hand_over();
+  /// What has been used of the request's attempts so far.
+  [[nodiscard]] relay_tally tally() const;
   /// The attempt at this endpoint that is in progress, if it is the one that is held, or the
   /// latest.
   [[nodiscard]] attempt_state const& attempt_at(base::endpoint_id const& id) const;
--- a/libraries/proxy/relay_policy.cpp
+++ b/libraries/proxy/relay_policy.cpp
@@ -7,11 +7,8 @@
 bool relay_policy::is_needed(active_request const& request) const {
   bool const is_unreachable =
       m_reachability.is_cut_off() || request.unreached.size() >= m_options.max_unreached;
-  bool const has_peer = std::ranges::any_of(m_peers, [&](base::instance_id const& one) {
-    return std::ranges::find(request.relays, one) == request.relays.end();
-  });
-  return is_unreachable && has_peer && !request.facts.is_relayed && request.has_attempts_left() &&
-         request.relays.size() < m_options.max_peers;
+  return is_unreachable && !request.facts.is_relayed && request.has_attempts_left() &&
+         request.relays.size() < m_options.max_peers && !candidates(request).empty();
 }
 
 std::optional<relay> relay_policy::next(active_request& request,
@@ -19,14 +16,22 @@
   if (!is_needed(request)) {
     return std::nullopt;
   }
-  auto peers = m_peers;
-  std::erase_if(peers, [&](base::instance_id const& one) {
-    return std::ranges::find(request.relays, one) != request.relays.end();
-  });
-  if (peers.empty()) {
-    return std::nullopt;
-  }
+  auto const peers = candidates(request);
   return request.begin_relay(peers[random() % peers.size()]);
 }
 
+std::vector<base::instance_id> relay_policy::candidates(active_request const& request) const {
+  auto const contains = [](std::vector<base::instance_id> const& all) {
+    return
+        [&all](base::instance_id const& one) { return std::ranges::find(all, one) != all.end(); };
+  };
+  std::vector<base::instance_id> chosen;
+  std::ranges::remove_copy_if(m_peers, std::back_inserter(chosen), contains(request.relays));
+  // One that broke off its answer may be ending, so that an endpoint is the better choice.
+  if (chosen.empty() && m_reachability.is_cut_off()) {
+    std::ranges::copy_if(m_peers, std::back_inserter(chosen), contains(request.interrupted_relays));
+  }
+  return chosen;
+}
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/relay_policy.h
+++ b/libraries/proxy/relay_policy.h
@@ -9,7 +9,8 @@
 namespace catkinlanding::proxy {
 
 /// Decides which requests are passed on to other entry instances, because this one can't reach the
-/// endpoints, and to which. A request is passed on once at most, and by one instance.
+/// endpoints, and to which. A request that was passed on isn't passed on again by the other
+/// instance.
 class relay_policy {
 public:
   struct options {
@@ -44,6 +45,10 @@
   }
 
 private:
+  /// The instances that the request may be passed on to: those that were not asked, or else, if no
+  /// endpoint is reached, those that had begun to answer.
+  [[nodiscard]] std::vector<base::instance_id> candidates(active_request const& request) const;
+
   options m_options;
   endpoint_reachability m_reachability;
   std::vector<base::instance_id> m_peers;
--- a/libraries/proxy/request.h
+++ b/libraries/proxy/request.h
@@ -52,6 +52,19 @@
   /// before.
   bool is_relayed = false;
   std::uint32_t attempts_before = 0;
+  /// How many of these ended under it.
+  std::uint32_t endings_before = 0;
+};
+
+/// How far an entry instance to which a request was passed on has gone with it, if its answer ends
+/// now.
+struct relay_tally {
+  /// Endpoints that the request was sent to at most, with those of the instances before.
+  std::uint32_t attempts = 0;
+  /// How many of these ended under it at most.
+  std::uint32_t endings = 0;
+
+  bool operator==(relay_tally const&) const = default;
 };
 
 /// A decision to send the request to an endpoint.
@@ -169,11 +182,16 @@
 /// A decision to forward the endpoint's error response to the caller.
 struct forward_failure {};
 
-/// A decision to pass the request on to another entry instance, whose answer is final.
+/// A decision to pass the request on to another entry instance. Its answer is final, unless it
+/// breaks off.
 struct relay {
   base::instance_id peer;
   /// Endpoints that the request was sent to before.
   std::uint32_t attempts_before = 0;
+  /// How many of these ended under it.
+  std::uint32_t endings_before = 0;
+  /// The model whose answer is to be continued; empty if none has begun or the caller named it.
+  std::optional<base::model_id> model;
   /// Whether one of these may have executed the request.
   bool may_have_run = false;
   /// When the caller's wait for the answer ends.
--- a/libraries/proxy/request_admission.cpp
+++ b/libraries/proxy/request_admission.cpp
@@ -41,6 +41,7 @@
   request.began_at = now - made.facts.waited;
   request.deadline = request.began_at + allowed_time(made.facts, route, made.default_timeout);
   request.traits = traits_of(made.facts);
+  request.endings = made.facts.endings_before;
   request.facts = std::move(made.facts);
   return request;
 }
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -167,27 +167,16 @@
   finish_attempt(request);
   note_failure(request, failure, now);
   request.may_have_run |= may_have_run_after(failure);
-  auto const& route = *request.route;
   if (failure == attempt_failure::expired || !m_attempts.has_time(request, now)) {
     return final_refusal(request, now);
   }
-  bool const may_repeat = (!request.may_have_run || route.is_repeatable()) &&
-                          m_quarantine.may_try_again(request.traits, request.endings);
-  bool const may_continue = !was_delivered || route.kind == route_kind::resumable_stream;
   if (failure == attempt_failure::unreachable) {
     request.note_unreached(request.current.endpoint);
   }
   bool const is_first = failure == attempt_failure::unreachable && request.tried.empty();
-  bool const can_end = request.has_delivered || may_begin_attempt(request, now);
-  if (!can_end && !request.may_have_run) {
-    return refuse_stopping(request);
-  }
-  if (can_end && may_repeat && may_continue && request.has_attempts_left() &&
-      (is_first || m_attempts.try_retry(request, now))) {
-    auto next = attempt_next(request, now);
-    if (!std::holds_alternative<refusal>(next) || !request.may_have_run) {
-      return next;
-    }
+  if (auto next =
+          try_again(request, {.was_delivered = was_delivered, .needs_retry = !is_first}, now)) {
+    return std::move(*next);
   }
   if (request.has_failure_answer && !was_delivered) {
     return forward_failure{};
@@ -195,22 +184,57 @@
   return final_refusal(request, now);
 }
 
+std::optional<decision> router::try_again(active_request& request, next_attempt next,
+                                          base::monotonic_time now) {
+  auto const& route = *request.route;
+  bool const can_end = request.has_delivered || may_begin_attempt(request, now);
+  if (!can_end && !request.may_have_run) {
+    return refuse_stopping(request);
+  }
+  bool const may_repeat = (!request.may_have_run || route.is_repeatable()) &&
+                          m_quarantine.may_try_again(request.traits, request.endings);
+  bool const may_continue = !next.was_delivered || route.kind == route_kind::resumable_stream;
+  bool const is_possible = can_end && may_repeat && may_continue && request.has_attempts_left();
+  if (!is_possible || (next.needs_retry && !m_attempts.try_retry(request, now))) {
+    return std::nullopt;
+  }
+  auto made = attempt_next(request, now);
+  bool const is_untrue = std::holds_alternative<refusal>(made) && request.may_have_run;
+  return is_untrue ? std::nullopt : std::optional(std::move(made));
+}
+
 decision router::fail_relay(active_request& request, attempt_failure failure,
                             base::monotonic_time now) {
-  request.is_relaying = false;
-  request.may_have_run |= may_have_run_after(failure);
-  // Only an instance that was never sent the request, or that stops and has sent it nowhere, can be
-  // replaced: how many endpoints another one has tried is unknown.
-  bool const is_untried =
-      failure == attempt_failure::unreachable || failure == attempt_failure::not_executed;
-  if (!request.has_delivered && !request.may_have_run && !may_begin_attempt(request, now)) {
+  bool const is_untried = !may_have_run_after(failure);
+  request.end_relay(failure);
+  if (failure == attempt_failure::expired || !m_attempts.has_time(request, now)) {
+    return final_refusal(request, now);
+  }
+  if (request.may_have_run) {
+    // A relay that was sent nothing leaves the retry that was taken for it.
+    auto next = try_again(
+        request, {.was_delivered = request.has_delivered, .needs_retry = !is_untried}, now);
+    return next ? std::move(*next) : final_refusal(request, now);
+  }
+  if (!may_begin_attempt(request, now)) {
     return refuse_stopping(request);
   }
-  auto next = is_untried && m_attempts.has_time(request, now) ? m_relays.next(request, m_random)
-                                                              : std::nullopt;
+  auto next = m_relays.next(request, m_random);
   return next ? decision(std::move(*next)) : final_refusal(request, now);
 }
 
+void router::note_relay_tally(request_number number, relay_tally const& tally) {
+  auto const found = m_requests.find(number);
+  if (found != m_requests.end() && found->second.is_relaying) {
+    found->second.tally_of_relay = tally;
+  }
+}
+
+relay_tally router::hand_over(request_number number) {
+  auto const found = m_requests.find(number);
+  return found == m_requests.end() ? relay_tally{} : found->second.hand_over();
+}
+
 active_request const* router::find(request_number number) const {
   auto const found = m_requests.find(number);
   return found == m_requests.end() ? nullptr : &found->second;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -125,6 +125,14 @@
   /// Records that the held attempt failed by itself. Only the replacement is left.
   void fail_held(request_number number, attempt_failure failure, base::monotonic_time now);
 
+  // Requests that are passed on to another instance.
+
+  /// Records what the instance to which the request was passed on said with its answer.
+  void note_relay_tally(request_number number, relay_tally const& tally);
+  /// Leaves attempts of a request to the instance that passed it on, and returns what that one is
+  /// told with the answer that its caller is about to receive.
+  [[nodiscard]] relay_tally hand_over(request_number number);
+
   /// Records that the request was answered completely and with success.
   void note_completed(request_number number, base::monotonic_time now);
   /// Records that the current attempt failed and decides what follows. `was_delivered` tells
@@ -226,6 +234,17 @@
   /// The same for an attempt of the largest model.
   [[nodiscard]] bool may_escalate(active_request const& request, base::monotonic_time now) const;
   [[nodiscard]] refusal refuse_stopping(active_request const& request) const;
+  /// What may follow a failed attempt of a request.
+  struct next_attempt {
+    /// Whether the caller has received a part of the response.
+    bool was_delivered = false;
+    /// Whether it needs a retry, as the request has arrived at an endpoint before.
+    bool needs_retry = true;
+  };
+  /// Decides to send the request once more. Nothing if it may not be, or if it may have been
+  /// executed and nothing else is to be had.
+  [[nodiscard]] std::optional<decision> try_again(active_request& request, next_attempt next,
+                                                  base::monotonic_time now);
   /// Decides what follows when the instance to which the request was passed on has failed.
   [[nodiscard]] decision fail_relay(active_request& request, attempt_failure failure,
                                     base::monotonic_time now);
--- a/libraries/proxy/router_attempts.cpp
+++ b/libraries/proxy/router_attempts.cpp
@@ -120,7 +120,9 @@
                               base::monotonic_time now) {
   auto& request = find_held(number);
   request.may_have_run |= may_have_run_after(failure);
-  request.is_relay_spent |= request.is_relaying && may_have_run_after(failure);
+  if (request.is_relaying) {
+    request.end_relay(failure);
+  }
   if (request.is_attempting) {
     finish_attempt(request);
     note_failure(request, failure, now);
@@ -135,7 +137,9 @@
   auto& request = find_held(number);
   // The other endpoint may have begun to execute the request.
   request.may_have_run = true;
-  request.is_relay_spent |= request.is_relaying;
+  if (request.is_relaying) {
+    request.end_relay(attempt_failure::stalled);
+  }
   finish_attempt(request);
   restore_held(request, now);
 }
--- a/services/proxy/answer_forwarder.cpp
+++ b/services/proxy/answer_forwarder.cpp
@@ -59,6 +59,7 @@
     co_return result::replaced;
   }
   m_options.on_progress();
+  m_options.complete_header(header);
   m_has_begun = true;
   if (!answer.is_done()) {
     auto beginning = serialize_chunked_header(header, keep_alive) + serialize_chunk(body);
@@ -120,6 +121,7 @@
     auto bytes = serialize_chunk(events);
     if (!m_has_begun) {
       // The header is sent with the first event, so that an attempt without events can be replaced.
+      m_options.complete_header(header);
       bytes.insert(0, serialize_chunked_header(header, keep_alive));
       m_has_begun = true;
     }
@@ -134,6 +136,7 @@
   m_options.on_progress();
   std::string ending(last_chunk);
   if (!m_has_begun) {
+    m_options.complete_header(header);
     ending.insert(0, serialize_chunked_header(header, keep_alive));
     m_has_begun = true;
   }
--- a/services/proxy/answer_forwarder.h
+++ b/services/proxy/answer_forwarder.h
@@ -37,6 +37,8 @@
     std::function<bool()> is_replaced;
     /// Called before a part of an answer is delivered, but not for bytes that complete no event.
     std::function<void()> on_progress;
+    /// Completes the header of the answer, right before it is sent.
+    std::function<void(http_response_header&)> complete_header;
   };
 
   explicit answer_forwarder(options options)
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -35,13 +35,15 @@
     : m_context(context), m_caller(caller), m_request(std::move(request.message)),
       m_number(++context.last_request_number), m_started_at(request.arrived_at),
       m_last_byte_at(request.last_byte_at),
-      m_forwarder({.router = context.router,
-                   .memory = context.answer_memory,
-                   .caller = caller,
-                   .number = m_number,
-                   .began_at = m_started_at,
-                   .is_replaced = [this] { return m_is_replaced; },
-                   .on_progress = [this] { note_progress(); }}),
+      m_forwarder(
+          {.router = context.router,
+           .memory = context.answer_memory,
+           .caller = caller,
+           .number = m_number,
+           .began_at = m_started_at,
+           .is_replaced = [this] { return m_is_replaced; },
+           .on_progress = [this] { note_progress(); },
+           .complete_header = [this](http_response_header& header) { complete_header(header); }}),
       m_deadline_timer(context.io), m_stall_timer(context.io), m_replacement_timer(context.io) {}
 
 // g++ 12 takes Asio's allocation of a coroutine's frame, once inlined, for a mismatch with its
@@ -51,7 +53,6 @@
 
 awaitable<bool> exchange::run() {
   m_keep_alive = m_request.keep_alive();
-  auto const attempts_before = take_relay_header(m_request.base());
   auto facts = m_context.protocol_adapter.read_request(m_request.base());
   if (!facts) {
     spdlog::warn("entry refused request=- reason={}", name_of(facts.error()));
@@ -60,9 +61,7 @@
         m_keep_alive;
   }
   facts->content_hash = content_hash_of(m_request);
-  facts->is_relayed = attempts_before.has_value();
-  m_is_relayed = facts->is_relayed;
-  facts->attempts_before = attempts_before.value_or(0);
+  take_relay_headers(*facts);
   facts->waited = now() - m_started_at;
   m_caller_timeout = facts->caller_timeout;
   m_id = facts->id;
@@ -138,9 +137,10 @@
     finish(request_end::interrupted, name_of(refusal.kind));
     co_return false;
   }
+  auto answer = m_context.protocol_adapter.write_refusal(refusal);
+  add_tally(answer.base());
   finish(request_end::refused, name_of(refusal.kind));
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
-  auto answer = m_context.protocol_adapter.write_refusal(refusal);
   if (m_is_relayed && refusal.kind == refusal_kind::stopping && m_attempts == 0) {
     add_stopping_header(answer.base());
   }
@@ -157,6 +157,7 @@
         .kind = refusal_kind::outcome_unknown, .route = m_route, .customer = {m_customer}};
     co_return co_await refuse(unknown);
   }
+  add_tally(m_failure_answer->header);
   finish(request_end::failed_answer, "endpoint_failed");
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
   co_return co_await m_forwarder.write(
@@ -469,21 +470,4 @@
                                .report = report});
 }
 
-void exchange::take_notices(upstream_request const& answered) {
-  auto const* attempt = answered.attempt();
-  auto const& metadata = answered.metadata();
-  if (attempt == nullptr || !metadata || metadata->is_wrong_endpoint) {
-    return;
-  }
-  for (auto const kind : metadata->unreadable_notices) {
-    m_context.metrics.count_notice("unreadable");
-    request_log::notice_ignored(m_id, *attempt, kind);
-  }
-  for (auto const& change :
-       m_context.router.note_notice(m_number, metadata->notice, now(), attempt->endpoint)) {
-    m_context.metrics.count_notice(name_of(change.kind));
-    request_log::notice_taken(m_id, *attempt, change);
-  }
-}
-
 } // namespace catkinlanding::proxy
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -91,8 +91,16 @@
   void finish(request_end end, std::string_view reason);
   void log_failure(upstream_request const& failed, attempt_failure failure,
                    std::optional<attempt_report> const& report);
-  /// Passes on what the endpoint states about itself in its answer.
+  /// Passes on what the endpoint states about itself in its answer, or the other instance about
+  /// its attempts.
   void take_notices(upstream_request const& answered);
+  /// Takes out of the request what another instance says that passed it on.
+  void take_relay_headers(request_facts& facts);
+  /// Completes the header of an answer, right before its caller receives it: the instance that
+  /// passed the request on is left attempts, and a caller is told nothing of them.
+  void complete_header(http_response_header& header);
+  /// Tells the instance that passed the request on, with a last answer, which attempts were used.
+  void add_tally(http_response_header& header) const;
 
   entry_context& m_context;
   daemon::tcp_stream& m_caller;
@@ -124,6 +132,8 @@
   std::optional<attempt_failure> m_last_failure;
   /// Whether another entry instance passed the request on.
   bool m_is_relayed = false;
+  /// What that instance said of its attempts, if it understands the same in the answer.
+  std::optional<relay_tally> m_tally_before;
   bool m_keep_alive = true;
   bool m_is_expired = false;
   /// Set once the replacement is accepted, until it is the current transmission.
--- a/services/proxy/protocol_adapter.h
+++ b/services/proxy/protocol_adapter.h
@@ -83,7 +83,8 @@
                                       std::optional<std::string> const& last_event) const = 0;
 
   /// Rewrites a caller's header for another entry instance, which handles it like a caller's.
-  virtual void prepare_relayed_header(http_request_header& header, base::duration remaining,
+  virtual void prepare_relayed_header(http_request_header& header, relay const& relay,
+                                      base::duration remaining,
                                       std::optional<std::string> const& last_event) const = 0;
 
   [[nodiscard]] virtual answer_metadata read_answer(http_response_header const& header,
--- a/services/proxy/upstream_request.cpp
+++ b/services/proxy/upstream_request.cpp
@@ -99,9 +99,9 @@
   }
   auto header = m_options.request.base();
   erase_hop_by_hop_headers(header);
-  context.protocol_adapter.prepare_relayed_header(header, remaining_until(relay.deadline),
+  context.protocol_adapter.prepare_relayed_header(header, relay, remaining_until(relay.deadline),
                                                   last_delivered_event());
-  add_relay_header(header, relay.attempts_before);
+  add_relay_header(header, {.attempts = relay.attempts_before, .endings = relay.endings_before});
   if (auto const failure = co_await send(std::move(header))) {
     co_return failure;
   }
@@ -111,6 +111,7 @@
     co_return failure;
   }
   m_status = m_answer->header().result_int();
+  m_tally = read_tally(m_answer->header());
   if (has_stopping_header(m_answer->header())) {
     co_return attempt_failure::not_executed;
   }
--- a/services/proxy/upstream_request.h
+++ b/services/proxy/upstream_request.h
@@ -59,6 +59,9 @@
   [[nodiscard]] unsigned status() const { return m_status; }
   /// What the header of the endpoint's answer says; nothing before it arrived.
   [[nodiscard]] std::optional<answer_metadata> const& metadata() const { return m_metadata; }
+  /// What the instance to which the request was passed on says of its attempts; nothing if it has
+  /// not answered, or doesn't say it.
+  [[nodiscard]] std::optional<relay_tally> const& tally() const { return m_tally; }
   /// The answer, of which the header has been read. Valid after `ask` has returned nothing.
   [[nodiscard]] answer_reader& answer() { return *m_answer; }
   /// Whether the body is forwarded as a stream of events.
@@ -88,6 +91,7 @@
   std::unique_ptr<upstream_connection> m_connection;
   std::unique_ptr<answer_reader> m_answer;
   std::optional<answer_metadata> m_metadata;
+  std::optional<relay_tally> m_tally;
   std::optional<failure_answer> m_failure_answer;
   unsigned m_status = 0;
   bool m_is_closed = false;
--- a/tests/libraries/proxy/cut_off_entry_test.cpp
+++ b/tests/libraries/proxy/cut_off_entry_test.cpp
@@ -33,7 +33,6 @@
     return made;
   }
 
-  /// Ends requests that reach no endpoint, until the instance knows that it is cut off.
   /// Begins a stream whose endpoint has answered, without an event so far.
   void begin_stream(request_number stream) {
     auto patient = facts("/resume/");
@@ -42,6 +41,7 @@
     ASSERT_FALSE(m_router.note_answer(stream, std::nullopt, start));
   }
 
+  /// Ends requests that reach no endpoint, until the instance knows that it is cut off.
   void cut_off() {
     for (request_number other = 100; !m_router.is_cut_off() && other < 110; ++other) {
       static_cast<void>(m_router.begin(other, facts("/again/"), start));
@@ -112,6 +112,101 @@
   }
 }
 
+// A stream that can be resumed was cut when the instance that it was passed on to ended, though
+// others were left (LOST).
+TEST_F(cut_off_entry, continues_a_stream_by_another_instance_if_the_first_breaks_it_off) {
+  cut_off();
+  auto const first = begin("/resume/");
+  ASSERT_TRUE(std::holds_alternative<relay>(first));
+  m_router.note_relay_tally(number, {.attempts = 2});
+  auto const second = fail(attempt_failure::broken, true);
+  ASSERT_TRUE(std::holds_alternative<relay>(second));
+  EXPECT_NE(std::get<relay>(second).peer, std::get<relay>(first).peer);
+  EXPECT_EQ(std::get<relay>(second).attempts_before, 2U);
+  EXPECT_TRUE(std::get<relay>(second).may_have_run);
+  // The route allows three.
+  m_router.note_relay_tally(number, {.attempts = 3});
+  EXPECT_EQ(refusal_of(fail(attempt_failure::broken, true)), refusal_kind::outcome_unknown);
+}
+
+TEST_F(cut_off_entry, continues_a_stream_at_an_endpoint_once_it_reaches_one) {
+  cut_off();
+  ASSERT_TRUE(std::holds_alternative<relay>(begin("/resume/")));
+  m_router.note_relay_tally(number, {.attempts = 2});
+  m_router.note_reached();
+  auto const second = fail(attempt_failure::broken, true);
+  ASSERT_TRUE(is_attempt(second));
+  EXPECT_EQ(std::get<attempt>(second).number, 3U);
+  EXPECT_FALSE(is_attempt(fail(attempt_failure::broken, true)));
+}
+
+// The endpoint broke and the instance, which goes on, is the only one.
+TEST_F(cut_off_entry, continues_a_stream_by_the_instance_that_broke_it_off_if_there_is_no_other) {
+  receive_peers({base::instance_id{"peer-1"}});
+  cut_off();
+  ASSERT_TRUE(std::holds_alternative<relay>(begin("/resume/")));
+  m_router.note_relay_tally(number, {.attempts = 1});
+  ASSERT_TRUE(std::holds_alternative<relay>(fail(attempt_failure::broken, true)));
+  // It has ended meanwhile.
+  EXPECT_FALSE(std::holds_alternative<relay>(fail(attempt_failure::unreachable, true)));
+}
+
+// Guards against a second execution, or a second beginning of an answer (TWICE).
+TEST_F(cut_off_entry, repeats_nothing_else_that_another_instance_breaks_off) {
+  cut_off();
+  for (auto const* path : {"/once/", "/stream/", "/again/"}) {
+    ASSERT_TRUE(std::holds_alternative<relay>(begin(path))) << path;
+    m_router.note_relay_tally(number, {.attempts = 1});
+    EXPECT_EQ(refusal_of(fail(attempt_failure::broken, true)), refusal_kind::outcome_unknown)
+        << path;
+    m_router.end(number, start);
+  }
+  for (auto const* path : {"/once/", "/stream/"}) {
+    ASSERT_TRUE(std::holds_alternative<relay>(begin(path))) << path;
+    m_router.note_relay_tally(number, {.attempts = 1});
+    EXPECT_EQ(refusal_of(fail(attempt_failure::broken)), refusal_kind::outcome_unknown) << path;
+    m_router.end(number, start);
+  }
+  ASSERT_TRUE(std::holds_alternative<relay>(begin("/again/")));
+  m_router.note_relay_tally(number, {.attempts = 1});
+  EXPECT_TRUE(std::holds_alternative<relay>(fail(attempt_failure::broken)));
+}
+
+// Guards against a request that ends endpoints by way of one instance after another.
+TEST_F(cut_off_entry, passes_a_request_on_no_more_under_which_two_endpoints_ended) {
+  cut_off();
+  auto const first = begin("/resume/");
+  ASSERT_TRUE(std::holds_alternative<relay>(first));
+  m_router.note_relay_tally(number, {.attempts = 1, .endings = 1});
+  auto const second = fail(attempt_failure::broken, true);
+  ASSERT_TRUE(std::holds_alternative<relay>(second));
+  EXPECT_EQ(std::get<relay>(second).endings_before, 1U);
+  m_router.note_relay_tally(number, {.attempts = 2, .endings = 2});
+  EXPECT_EQ(refusal_of(fail(attempt_failure::broken, true)), refusal_kind::outcome_unknown);
+}
+
+TEST_F(cut_off_entry, counts_the_endings_that_the_instance_before_it_has_seen) {
+  auto relayed_facts = facts("/resume/");
+  relayed_facts.is_relayed = true;
+  relayed_facts.attempts_before = 1;
+  relayed_facts.endings_before = 1;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, relayed_facts, start)));
+  EXPECT_FALSE(is_attempt(fail(attempt_failure::broken)));
+}
+
+// Guards against instances that together use more attempts than the route allows: what one leaves
+// to the other it doesn't use.
+TEST_F(cut_off_entry, uses_no_attempt_that_it_has_left_to_the_instance_before_it) {
+  auto relayed_facts = facts("/resume/");
+  relayed_facts.is_relayed = true;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, relayed_facts, start)));
+  m_router.note_events(number, 1, start);
+  EXPECT_EQ(m_router.hand_over(number), (relay_tally{.attempts = 2, .endings = 1}));
+  EXPECT_TRUE(is_attempt(fail(attempt_failure::broken, true)));
+  m_router.note_events(number, 1, start);
+  EXPECT_FALSE(is_attempt(fail(attempt_failure::broken, true)));
+}
+
 // A stalled request was passed on as one that no endpoint had, so that its caller could be told
 // that it had not run.
 TEST_F(cut_off_entry, says_that_a_stalled_request_which_it_passes_on_may_have_run) {
--- a/tests/services/proxy/relayed_requests_process.cpp
+++ b/tests/services/proxy/relayed_requests_process.cpp
@@ -1,5 +1,6 @@
 #include <tests/support/deployment.h>
 #include <tests/support/proxy_deployment.h>
+#include <tests/support/raw_connection.h>
 
 #include <gtest/gtest.h>
 
@@ -9,6 +10,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 class relayed_requests : public ::testing::Test {
 protected:
   void SetUp() override {
@@ -25,6 +28,16 @@
     return m_deployment.send_to_entry("entry-1", {.path = path, .body = id, .headers = headers});
   }
 
+  /// Each event has arrived once.
+  static void expect_whole(std::string const& body) {
+    for (int number = 1; number <= 5; ++number) {
+      auto const event = "data: event-" + std::to_string(number) + "\n\n";
+      auto const found = body.find(event);
+      EXPECT_NE(found, std::string::npos) << body;
+      EXPECT_EQ(body.find(event, found + 1), std::string::npos) << body;
+    }
+  }
+
   void announce(std::string const& id, std::string const& address, std::string const& zone) {
     auto const body =
         R"({"service":"lookup","address":")" + address + R"(","zone":")" + zone +
@@ -78,6 +91,23 @@
     })) << m_deployment.log("entry-1");
   }
 
+  /// Sends a request for a stream that pauses after its first event. Kills the instance that it was
+  /// passed on to once the caller has that event, and lets the stream go on. Returns all that the
+  /// caller receives.
+  [[nodiscard]] std::string send_and_kill_peer(std::string const& path) {
+    add_refusing_endpoints(2);
+    raw_connection const caller(m_deployment.caller_port(), m_deployment.ip_of("entry-1"));
+    EXPECT_TRUE(caller.send("GET " + path +
+                            " HTTP/1.1\r\nHost: api.example\r\nAuthorization: Bearer key-ann\r\n"
+                            "Attempt-Id: id-1\r\nDeadline-Ms: 30000\r\nConnection: close\r\n\r\n"));
+    auto received = caller.read_until("event-1\n\n", 30s);
+    EXPECT_TRUE(was_relayed("id-1"));
+    m_deployment.process("entry-2").kill();
+    m_deployment.endpoint(0).release();
+    m_deployment.endpoint(1).release();
+    return received + caller.read_until("", 30s);
+  }
+
   proxy_deployment m_deployment;
 };
 
@@ -110,14 +140,32 @@
   add_refusing_endpoints(2);
   auto const answer = send("id-1", "/resume/broken-stream");
   EXPECT_TRUE(was_relayed("id-1"));
-  for (int number = 1; number <= 5; ++number) {
-    auto const event = "data: event-" + std::to_string(number) + "\n\n";
-    auto const found = answer.body.find(event);
-    EXPECT_NE(found, std::string::npos) << answer.body;
-    EXPECT_EQ(answer.body.find(event, found + 1), std::string::npos) << answer.body;
+  expect_whole(answer.body);
+}
+
+// The caller of a stream that can be resumed was cut off when the instance that its request was
+// passed on to was killed, though endpoints were left (LOST).
+TEST_F(relayed_requests, are_continued_if_the_other_instance_is_killed) {
+  auto const answer = send_and_kill_peer("/resume/slow-stream");
+  expect_whole(answer);
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+  EXPECT_EQ(answer.find("Catkinlanding"), std::string::npos) << answer;
+  auto const executed = m_deployment.requests_executed_for("id-1");
+  ASSERT_EQ(executed.size(), 2U);
+  for (auto const& request : executed) {
+    EXPECT_FALSE(request.headers.contains("Catkinlanding-Relayed"));
+    EXPECT_FALSE(request.headers.contains("Catkinlanding-Endings"));
   }
 }
 
+// Guards against a second execution of what must run once (TWICE).
+TEST_F(relayed_requests, that_cannot_be_resumed_are_cut_if_the_other_instance_is_killed) {
+  auto const answer = send_and_kill_peer("/stream/slow-stream");
+  EXPECT_NE(answer.find("event-1\n\n"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("event-2"), std::string::npos) << answer;
+  EXPECT_EQ(m_deployment.requests_executed_for("id-1").size(), 1U);
+}
+
 TEST_F(relayed_requests, bring_back_the_failure_of_the_endpoint) {
   add_refusing_endpoints(2);
   EXPECT_EQ(send("id-1", "/once/fail").status, 500);
