router: Keep an endpoint in use where a replacement waited for its turn

What operators saw: an attempt that stalls is held while another endpoint is asked to replace it. If that one had more requests than it runs at once, the replacement waited there, was given up for its silence, and the endpoint got a backoff of 0.5 s and more, and a failure of its version in a roll-out, though nothing failed there.

Cause: router::fail_replacement records a give-up like any stalled attempt. Attempts of their own aren't judged while they may be queued (stall_policy::first_event_deadline); the deadline of a replacement (replacement_deadline) rightly doesn't look at that, as a further endpoint may do better, but the blame did not look at it either.

Mend: release notes on the attempt whether its endpoint, without having begun an answer, had more requests than it runs at once, by the rule that the stall policy has (now stall_policy::may_queue); if so, a give-up for silence is no failure of the endpoint or its version. The same holds for a held attempt that is given up for another one, which is the same class for answers that are no streams.

Ruled out: a replacement that is withdrawn because the held attempt goes on first: it sets no backoff (leave_their_endpoint_in_use_when_they_are_withdrawn passed before too).

Evidence: queued_replacements.leave_their_endpoint_in_use_when_they_are_given_up failed before this change: the next request went to "a", which was full, and not to "b", which had become free. Now it passes; a silent endpoint with a free slot, and one that breaks, still get a backoff (both pass before and after).

--- a/libraries/proxy/attempt_state.h
+++ b/libraries/proxy/attempt_state.h
@@ -34,6 +34,8 @@
   bool has_answer = false;
   /// Whether it delivered an event.
   bool has_event = false;
+  /// Whether it may still have waited for its turn at the endpoint when it ended.
+  bool was_queued = false;
 
   /// Records that events of its stream arrived.
   void note_events(base::monotonic_time now);
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -355,9 +355,12 @@
     note_ending(request, now);
     [[fallthrough]];
   case attempt_failure::malformed:
+    note_endpoint_failure(request, now);
+    return;
   case attempt_failure::stalled:
-    m_endpoints.note_failure(request.current.endpoint, now);
-    m_observer.note_failure(request, m_versions);
+    if (!request.current.was_queued) {
+      note_endpoint_failure(request, now);
+    }
     return;
   case attempt_failure::expired:
     m_observer.note_failure(request, m_versions);
@@ -377,6 +380,11 @@
   }
 }
 
+void router::note_endpoint_failure(active_request const& request, base::monotonic_time now) {
+  m_endpoints.note_failure(request.current.endpoint, now);
+  m_observer.note_failure(request, m_versions);
+}
+
 void router::note_ending(active_request& request, base::monotonic_time now) {
   if (!request.current.has_event) {
     ++request.endings;
@@ -392,6 +400,8 @@
 }
 
 void router::release(active_request const& request, attempt_state& attempt) {
+  attempt.was_queued =
+      !attempt.has_answer && stall_policy::may_queue(m_endpoints.find(attempt.endpoint));
   m_endpoints.note_prompt_processed(attempt.endpoint, std::exchange(attempt.pending_work, 0));
   m_endpoints.end_attempt(attempt.endpoint);
   m_overload.end_attempt(request.service);
--- a/libraries/proxy/stall_policy.cpp
+++ b/libraries/proxy/stall_policy.cpp
@@ -4,6 +4,11 @@
 
 namespace catkinlanding::proxy {
 
+bool stall_policy::may_queue(known_endpoint const* endpoint) {
+  return endpoint != nullptr && endpoint->announcement.slots != 0 &&
+         endpoint->load() > endpoint->announcement.slots;
+}
+
 base::duration stall_policy::max_pause(route const& route,
                                        answer_times::record const& usual) const {
   // A pause that the operator allows is none that the caller has to be spared.
@@ -38,10 +43,8 @@
                                    known_endpoint const* endpoint) const {
   // A busy endpoint still sends events on other requests while this prompt is queued; a failed one
   // sends none.
-  bool const is_full = endpoint != nullptr && endpoint->announcement.slots != 0 &&
-                       endpoint->load() > endpoint->announcement.slots;
   auto const longest = usual.first.longest_usual();
-  if (is_full || !longest) {
+  if (may_queue(endpoint) || !longest) {
     return std::nullopt;
   }
   auto const last_activity_at = endpoint == nullptr ? times.attempt_at : endpoint->last_activity_at;
--- a/libraries/proxy/stall_policy.h
+++ b/libraries/proxy/stall_policy.h
@@ -23,6 +23,10 @@
     bool has_answer = false;
   };
 
+  /// Whether the endpoint has so many requests that one may wait there for its turn. `endpoint` is
+  /// nullptr if it is not known any more.
+  [[nodiscard]] static bool may_queue(known_endpoint const* endpoint);
+
   /// The longest pause between two events of a stream that is no reason to give it up.
   [[nodiscard]] base::duration max_pause(route const& route,
                                          answer_times::record const& usual) const;
