control: Let a withdrawal cover the start that it names

An endpoint that withdrew itself from a leader which did not know it (right after a restart of the control group) was recorded as gone for every start, so it got no work when it started again under the same id. A withdrawal of an earlier start that arrived late ended the endpoint that runs now.

Cause: the withdrawal's body was not read. It is read if it is there, and the withdrawal covers that start and those before it; an unreadable body is no error, as before. The replicated format is unchanged: the record has the named start.

Ruled out: the leader's time of day as a bound (trusts clocks of endpoints, and leaves a start some seconds later without work); announcements that go on (several calls may be under way, and nothing bounds their delay).

--- a/libraries/proxy/call.h
+++ b/libraries/proxy/call.h
@@ -21,6 +21,8 @@
 
 struct withdraw_endpoint {
   base::endpoint_id endpoint;
+  /// The start that is withdrawn, as in `announcement_number`; nothing if the call names none.
+  std::optional<std::uint64_t> incarnation = {};
 };
 
 /// A call from an operator or an endpoint to a control instance.
--- a/libraries/proxy/control_calls.cpp
+++ b/libraries/proxy/control_calls.cpp
@@ -60,12 +60,14 @@
 
 void control::process_request(call_number number, withdraw_endpoint const& request,
                               base::monotonic_time now, control_effects& out) {
-  if (m_registry.withdraw(request.endpoint, now) == announcement_outcome::changed) {
+  auto const* known = m_registry.find(request.endpoint);
+  auto const known_incarnation =
+      known == nullptr ? any_incarnation : known->announcement.number.incarnation;
+  auto const incarnation = request.incarnation.value_or(known_incarnation);
+  bool const covers_known = known != nullptr && known_incarnation <= incarnation;
+  if (covers_known && m_registry.withdraw(request.endpoint, now) == announcement_outcome::changed) {
     note_endpoint(request.endpoint, out);
   }
-  auto const* record = m_registry.find(request.endpoint);
-  auto const incarnation =
-      record == nullptr ? any_incarnation : record->announcement.number.incarnation;
   acknowledge(number, {.source = {request.endpoint, incarnation}, .state = endpoint_state::gone},
               now, out);
 }
--- a/libraries/proxy/departure_log.h
+++ b/libraries/proxy/departure_log.h
@@ -9,8 +9,8 @@
 
 namespace catkinlanding::proxy {
 
-/// Stands for the start of an endpoint that withdraws itself from a leader which does not know it.
-/// A withdrawal names no start, so all announcements under its id are taken as delayed ones.
+/// Stands for the start of an endpoint that withdraws itself, without naming its start, from a
+/// leader which does not know it. All announcements under its id are then taken as delayed ones.
 constexpr std::uint64_t any_incarnation = std::numeric_limits<std::uint64_t>::max();
 
 /// An endpoint that said that it leaves, or that it has ended.
--- a/tests/platform/http_protocol_adapter_test.cpp
+++ b/tests/platform/http_protocol_adapter_test.cpp
@@ -142,6 +142,21 @@
   EXPECT_FALSE(read_endpoint_announcement({"e"}, body.dump()).has_value());
 }
 
+// The start that an endpoint withdrew was not read, so a later one got no work.
+TEST(read_call, reads_the_start_that_a_withdrawal_names) {
+  http_protocol_adapter const protocol_adapter;
+  auto const start = [&](std::string const& body) {
+    auto const read = protocol_adapter.read_call(
+        call(proxy::http::verb::post, "/api/Instances.Deregister/e", body));
+    return std::get<proxy::withdraw_endpoint>(read.value()).incarnation;
+  };
+  EXPECT_EQ(start(R"({"born":1700000000000,"seq":4})"), 1'700'000'000'000U);
+  for (auto const* body : {"", "{}", R"({"born":17.5})", R"({"born":"x"})", R"({"born":-1})",
+                           R"({"born":null})", "[]", R"({"born":17)"}) {
+    EXPECT_EQ(start(body), std::nullopt) << body;
+  }
+}
+
 TEST(read_call, distinguishes_calls_by_method_and_path) {
   http_protocol_adapter const protocol_adapter;
   using proxy::http::verb;
