--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -193,10 +193,17 @@
   }
 }
 
+void deployment::write_catalogue(std::string const& catalogue) const {
+  std::ofstream(catalogue_path()) << catalogue;
+}
+
+std::string deployment::catalogue_path() const {
+  return (m_folder / "catalogue.json").string();
+}
+
 command_result deployment::apply(std::string const& id, std::string const& catalogue) const {
-  auto const path = m_folder / "catalogue.json";
-  std::ofstream(path) << catalogue;
-  return run_catkinctl(id, {"--wait", "catalogue", "apply", path.string()});
+  write_catalogue(catalogue);
+  return run_catkinctl(id, {"--wait", "catalogue", "apply", catalogue_path()});
 }
 
 } // namespace catkinlanding::testing
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -64,6 +64,9 @@
   /// Founds the deployment through the first control instance, and waits until all control
   /// instances are voters. Throws if that does not happen.
   void found();
+  /// Writes the catalogue to the file at `catalogue_path`.
+  void write_catalogue(std::string const& catalogue) const;
+  [[nodiscard]] std::string catalogue_path() const;
   /// Writes the catalogue to a file and applies it. Waits until it is in force everywhere.
   [[nodiscard]] command_result apply(std::string const& id, std::string const& catalogue) const;
 
--- a/tests/support/replica_group.cpp
+++ b/tests/support/replica_group.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t instance_count = 6;
 constexpr std::size_t max_in_flight_messages = 100;
+constexpr std::uint64_t steps_per_order = 100;
 constexpr int max_heal_rounds = 4000;
 constexpr base::duration heal_tick_interval = 20ms;
 
@@ -37,6 +38,9 @@
 }
 
 void replica_group::bootstrap() {
+  if (m_waits_for_order && m_committed.empty()) {
+    order_founding(node_of(m_founders[random_below(m_founders.size())]));
+  }
   if (!m_founders.empty()) {
     return;
   }
@@ -67,6 +71,9 @@
 }
 
 void replica_group::step() {
+  if (m_waits_for_order && random_below(steps_per_order) == 0) {
+    order_founding(node_of(m_founders[random_below(m_founders.size())]));
+  }
   auto const kind = random_below(100);
   if (random_below(100) < m_fault_percent) {
     m_founders.empty() ? inject_fault() : inject_founding_fault();
@@ -241,7 +248,9 @@
   consensus::replica::options options;
   options.self = {.instance = node.id, .disk_id = node.storage.id};
   options.seed = m_random();
-  options.founders = m_founders;
+  if (!m_waits_for_order) {
+    options.founders = m_founders;
+  }
   options.max_append_bytes = random_below(2) == 0 ? 1 : 600;
   options.snapshot_chunk_bytes = 64;
   for (auto const& other : m_nodes) {
--- a/tests/support/replica_group.h
+++ b/tests/support/replica_group.h
@@ -20,6 +20,9 @@
   /// A group that isn't founded yet: its instances start for the first time during the steps, up to
   /// 0.3 s apart, and faults come from the first step on.
   [[nodiscard]] static replica_group unfounded(std::uint64_t seed);
+  /// The same with an operator who orders the founding: at random instances at random moments, also
+  /// after a disk was lost, and once again after the faults if nothing was founded.
+  [[nodiscard]] static replica_group unfounded_until_ordered(std::uint64_t seed);
 
   /// Simulates one random event: a message, a tick, a sync, a proposal or a fault.
   void step();
@@ -63,6 +66,8 @@
   [[nodiscard]] base::monotonic_time clock_of(node const& node) const;
 
   void bootstrap();
+  /// An operator orders the instance to found the group.
+  void order_founding(node& node);
   /// Adds instances that start for the first time at a random moment soon.
   void add_unstarted(std::size_t count);
   /// Draws what the group will have to bear, for this number of founders.
@@ -104,8 +109,10 @@
   /// A node crashes between two effects once in this many times.
   std::uint64_t m_effects_per_crash = 6000;
   std::chrono::milliseconds m_max_tick_interval{};
-  /// The instances that found the group by an election; empty if an operator founds it.
+  /// The instances that form the first group; empty if it was founded before the first step.
   std::vector<base::instance_id> m_founders;
+  /// Whether the founders wait for the order of an operator.
+  bool m_waits_for_order = false;
   /// How many more disks may be lost, and first starts aborted, while the group is founded.
   std::size_t m_disks_to_lose = 0;
   std::size_t m_starts_to_abort = 0;
--- a/tests/support/replica_group_founding.cpp
+++ b/tests/support/replica_group_founding.cpp
@@ -32,6 +32,22 @@
   return group;
 }
 
+replica_group replica_group::unfounded_until_ordered(std::uint64_t seed) {
+  auto group = unfounded(seed);
+  group.m_waits_for_order = true;
+  return group;
+}
+
+void replica_group::order_founding(node& node) {
+  if (!node.replica || node.is_frozen) {
+    return;
+  }
+  consensus::effects out;
+  // An instance that belongs to a group refuses the order.
+  static_cast<void>(node.replica->initialise(m_founders, clock_of(node), out));
+  perform(node, std::move(out), true);
+}
+
 void replica_group::add_unstarted(std::size_t count) {
   for (auto const end = m_nodes.size() + count; m_nodes.size() < end;) {
     node fresh;
