relay: Keep the last attempt for a stream whose endpoint falls silent

Now an instance to which a stream is passed on keeps one attempt whenever one is left. What it costs: with no other attempt, a relay that ends takes its stream along, as before.

Evidence: cut_off_entry.keeps_the_last_attempt_for_a_stream_that_falls_silent failed before (two attempts handed over for three, no stall deadline, no further attempt) and passes; relayed_streams_property (200) and relayed_requests_process (10) pass.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -84,7 +84,9 @@
 
 relay_tally active_request::hand_over() {
   auto const left = attempts_left();
-  std::uint32_t const kept = route->kind == route_kind::resumable_stream && left > 1 ? 1 : 0;
+  // Only this instance sees that an endpoint falls silent in the middle of a stream.
+  std::uint32_t const kept =
+      route->kind == route_kind::resumable_stream ? std::min<std::uint32_t>(left, 1) : 0;
   // Another model could not continue the answer of this one, and the other instance knows only the
   // smallest.
   bool const is_known_model =
--- a/tests/libraries/proxy/cut_off_entry_test.cpp
+++ b/tests/libraries/proxy/cut_off_entry_test.cpp
@@ -207,6 +207,20 @@
   EXPECT_FALSE(is_attempt(fail(attempt_failure::broken, true)));
 }
 
+// A stream whose endpoint fell silent lasted until its deadline: the only attempt that could
+// replace it was left to the instance before, which doesn't see the silence (LOST).
+TEST_F(cut_off_entry, keeps_the_last_attempt_for_a_stream_that_falls_silent) {
+  auto relayed_facts = facts("/resume/");
+  relayed_facts.is_relayed = true;
+  relayed_facts.attempts_before = 1;
+  ASSERT_TRUE(is_attempt(m_router.begin(number, relayed_facts, start)));
+  ASSERT_FALSE(m_router.note_answer(number, std::nullopt, start));
+  m_router.note_events(number, 1, start);
+  EXPECT_EQ(m_router.hand_over(number).attempts, 3U);
+  EXPECT_TRUE(m_router.stall_deadline(number).has_value());
+  EXPECT_TRUE(is_attempt(fail(attempt_failure::broken, true)));
+}
+
 // A stalled request was passed on as one that no endpoint had, so that its caller could be told
 // that it had not run.
 TEST_F(cut_off_entry, says_that_a_stalled_request_which_it_passes_on_may_have_run) {
