router: Count a first attempt that was given up at a busy endpoint for its version

Cause: took both marks off an attempt that may have waited for its turn: the backoff of the endpoint, which was its aim, and the failure of the version, which only first attempts count for and no replacement does.

Now only the backoff is left out. Evidence: queued_replacements.count_for_their_version_when_the_first_attempt_is_ given_up failed before (0 bad answers of 1) and passes; the other four of that test pass.

Open: an endpoint that is silent altogether and has more requests than it runs at once gets no backoff.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -355,12 +355,16 @@
     note_ending(request, now);
     [[fallthrough]];
   case attempt_failure::malformed:
-    note_endpoint_failure(request, now);
+    m_endpoints.note_failure(request.current.endpoint, now);
+    m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::stalled:
+    // What waited for its turn was given up for no fault of its endpoint. That it took too long
+    // counts for its version all the same: one that answers nothing is always busy.
     if (!request.current.was_queued) {
-      note_endpoint_failure(request, now);
+      m_endpoints.note_failure(request.current.endpoint, now);
     }
+    m_observer.note_failure(request, m_versions);
     return;
   case attempt_failure::expired:
     m_observer.note_failure(request, m_versions);
@@ -380,11 +384,6 @@
   }
 }
 
-void router::note_endpoint_failure(active_request const& request, base::monotonic_time now) {
-  m_endpoints.note_failure(request.current.endpoint, now);
-  m_observer.note_failure(request, m_versions);
-}
-
 void router::note_ending(active_request& request, base::monotonic_time now) {
   if (!request.current.has_event) {
     ++request.endings;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -252,8 +252,6 @@
   /// The refusal of a request for which no endpoint can be chosen.
   [[nodiscard]] refusal refuse_unsent(active_request const& request, endpoint_filter const& filter,
                                       base::monotonic_time now);
-  /// Records that the current attempt's endpoint failed, and its version there.
-  void note_endpoint_failure(active_request const& request, base::monotonic_time now);
   /// Records that the current attempt's connection ended before the answer was complete.
   void note_ending(active_request& request, base::monotonic_time now);
   /// The refusal of a request that no endpoint can have executed.
--- a/tests/libraries/proxy/queued_replacements_test.cpp
+++ b/tests/libraries/proxy/queued_replacements_test.cpp
@@ -1,5 +1,7 @@
 #include <tests/support/router_fixture.h>
 
+#include <tuple>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -81,6 +83,25 @@
   EXPECT_EQ(begin_at("/resume/x", later, start + 5s), m_first);
 }
 
+// Guards against a bad version of which nothing is counted, as it answers nothing and its endpoints
+// are always busy (EXPOSURE).
+TEST_F(queued_replacements, count_for_their_version_when_the_first_attempt_is_given_up) {
+  update received;
+  received.state = {
+      .document_revision = 1, .registry_term = 1, .registry_revision = 2, .rollouts_revision = 3};
+  received.base_registry_revision = 2;
+  received.rollouts = {
+      {{.service = {"s"}, .target = {""}, .state = rollout_state::promoted, .number = 1}}};
+  std::ignore = m_router.receive({"control"}, received, start);
+  ASSERT_NE(begin_at("/again/x", later), base::endpoint_id{});
+  std::ignore = m_router.fail(later, attempt_failure::stalled, false, start + 1s);
+  auto const sent = m_router.tick(start + 1s);
+  ASSERT_EQ(sent.size(), 1U);
+  auto const& tallies = std::get<subscription>(sent.front().message).tallies;
+  ASSERT_EQ(tallies.size(), 1U);
+  EXPECT_EQ(tallies.front().statistics.bad, 1U);
+}
+
 // Guards against an endpoint whose failures no longer count because it is busy.
 TEST_F(queued_replacements, that_break_put_their_endpoint_into_backoff) {
   m_router.fail_replacement(number, attempt_failure::broken, start + 5s);
