tests: Wait for the line of a refusal, as the log is written in the background

Cause: repeated_request_process looked into the log right after the answer. Lines go through a queue to a thread of their own, so that beside a busy machine the answer is there first. It is the only such place in the process tests that doesn't wait.

What is checked is the same: the refusal and its line.

--- a/tests/services/proxy/repeated_request_process.cpp
+++ b/tests/services/proxy/repeated_request_process.cpp
@@ -49,7 +49,9 @@
   }));
   EXPECT_EQ(refused.status, 503);
   EXPECT_GT(std::stod(refused.headers["Retry-After"]), 60.0);
-  EXPECT_NE(m_deployment.log("entry-2").find("kind=whole_request"), std::string::npos);
+  // The log is written in the background.
+  EXPECT_TRUE(eventually(
+      [&] { return m_deployment.log("entry-2").find("kind=whole_request") != std::string::npos; }));
 }
 
 // Guards against sound requests that are refused for what they share with the one that is not.
