proxy: Take availability zones out of use on an operator's order

Cause: a request to evacuate a zone was answered with 404; endpoints of a zone could only be taken out of use one by one.

Change: two calls, begin and end. Each control instance keeps the true state of endpoints in its registry, and shows entry instances `leaving` for the ready ones of a zone that is out of use; a change of a zone gives its records new revisions. Numbers are chosen above those of orders that are not committed yet, so the order committed last holds.

An entry instance ignores a record whose announcement is older than its own, and a new leader may hold only older ones: an order right after an election was lost at entry instances that had started in the term before. The first announcement that a leader hears from an endpoint of such a zone now gives its record a new revision.

Announcements and withdrawals under a reserved identifier are refused.

--- a/libraries/proxy/call.h
+++ b/libraries/proxy/call.h
@@ -25,9 +25,21 @@
   std::optional<std::uint64_t> incarnation = {};
 };
 
+/// Takes an availability zone out of use: no entry instance sends further requests to its
+/// endpoints.
+struct begin_evacuation {
+  base::availability_zone_id zone;
+};
+
+/// Puts an availability zone back into use.
+struct end_evacuation {
+  base::availability_zone_id zone;
+};
+
 /// A call from an operator or an endpoint to a control instance.
-using call_request = std::variant<replace_document, read_document, start_rollout, read_rollout,
-                                  announce_endpoint, withdraw_endpoint>;
+using call_request =
+    std::variant<replace_document, read_document, start_rollout, read_rollout, announce_endpoint,
+                 withdraw_endpoint, begin_evacuation, end_evacuation>;
 
 enum class reply_kind : std::uint8_t {
   /// The request is in effect, and durable if it has to be.
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -1,6 +1,7 @@
 #include <libraries/base/overloaded.h>
 #include <libraries/base/verify.h>
 #include <libraries/proxy/control.h>
+#include <libraries/proxy/evacuation_codec.h>
 #include <libraries/proxy/voter_policy.h>
 
 #include <algorithm>
@@ -64,6 +65,10 @@
           [&](read_rollout const& one) { answer(number, read_rollout_reply(m_state, one), out); },
           [&](announce_endpoint const& one) { process_request(number, one, now, out); },
           [&](withdraw_endpoint const& one) { process_request(number, one, now, out); },
+          [&](begin_evacuation const& one) {
+            process_evacuation(number, one.zone, true, now, out);
+          },
+          [&](end_evacuation const& one) { process_evacuation(number, one.zone, false, now, out); },
       },
       request);
   process_replica_output(now, out);
@@ -194,7 +199,7 @@
   }
   for (auto const& announcement : relayed.announcements) {
     // An announcement that its endpoint leaves is not passed on, so such a one is not genuine.
-    if (!announcement.is_leaving) {
+    if (!announcement.is_leaving && !is_reserved(announcement.id)) {
       register_announcement(announcement, now, out);
       apply_departure(announcement.id, out);
     }
@@ -278,13 +283,21 @@
   if (started != nullptr) {
     m_ordered_services.erase(started->service);
   }
+  auto const* departed = std::get_if<record_departure>(&*decoded);
+  auto const order = departed == nullptr ? std::nullopt : decode_order(departed->departure);
   auto const revision = m_state.revision();
   bool const is_changed = m_state.apply(*decoded);
   CATKINLANDING_VERIFY(m_state.revision() >= revision);
   m_evaluator.note(m_state.rollouts(), now);
   if (m_state.revision() > revision) {
     out.events.push_back({control_event::document_applied, {}, {}, m_state.revision()});
-  } else if (auto const* departed = std::get_if<record_departure>(&*decoded)) {
+  } else if (order) {
+    if (is_changed) {
+      apply_order(*order, out);
+    }
+    answer_order(*order, pending, now, out);
+    return;
+  } else if (departed != nullptr) {
     apply_departure(departed->departure.source.endpoint, out);
   } else if (is_changed) {
     for (auto const& rollout : m_state.rollouts()) {
@@ -298,7 +311,7 @@
   if (started != nullptr && is_changed) {
     m_evaluator.note_ordered_here(started->service);
   }
-  if (std::holds_alternative<record_departure>(*decoded)) {
+  if (departed != nullptr) {
     m_calls.await_confirmation(*pending, published(now).revisions(), now);
   } else {
     answer(*pending, done_here(), out);
@@ -312,6 +325,27 @@
   }
 }
 
+void control::apply_order(evacuations::order const& order, control_effects& out) {
+  m_registry.set_zones_out_of_use(m_state.zones().zones_out_of_use());
+  out.events.push_back({control_event::evacuation_changed, order.zone.value,
+                        evacuations::takes_out_of_use(order.number) ? "out_of_use" : "in_use",
+                        order.number});
+}
+
+void control::answer_order(evacuations::order const& order, std::optional<call_number> pending,
+                           base::monotonic_time now, control_effects& out) {
+  if (!pending) {
+    return;
+  }
+  bool const is_in_force =
+      m_state.zones().is_out_of_use(order.zone) == evacuations::takes_out_of_use(order.number);
+  if (is_in_force) {
+    m_calls.await_confirmation(*pending, published(now).revisions(), now);
+  } else {
+    answer(*pending, {.kind = reply_kind::unavailable}, out);
+  }
+}
+
 void control::restore(consensus::snapshot const& snapshot) {
   if (snapshot.index == 0) {
     return;
@@ -321,6 +355,7 @@
   m_state = std::move(*state);
   m_applied = snapshot.index;
   m_bytes_applied = 0;
+  m_registry.set_zones_out_of_use(m_state.zones().zones_out_of_use());
   for (auto const& departure : m_state.departures().all()) {
     m_registry.note_departure(departure);
   }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <libraries/consensus/replica.h>
+#include <libraries/evacuations/proposals.h>
 #include <libraries/proxy/announcement_relay.h>
 #include <libraries/proxy/call.h>
 #include <libraries/proxy/control_event.h>
@@ -132,6 +133,9 @@
                        base::monotonic_time now, control_effects& out);
   void process_request(call_number number, withdraw_endpoint const& request,
                        base::monotonic_time now, control_effects& out);
+  /// Takes a zone out of use, or puts it back into use.
+  void process_evacuation(call_number number, base::availability_zone_id const& zone,
+                          bool is_out_of_use, base::monotonic_time now, control_effects& out);
   /// Whether the call is accepted although another instance leads: an announcement that changes
   /// nothing which its endpoint relies on.
   [[nodiscard]] bool accept_for_leader(call_request const& request);
@@ -160,6 +164,11 @@
   void change_role(base::monotonic_time now);
   void apply(consensus::log_entry const& entry, base::monotonic_time now, control_effects& out);
   void restore(consensus::snapshot const& snapshot);
+  /// Shows the endpoints to entry instances according to an order for a zone that was committed.
+  void apply_order(evacuations::order const& order, control_effects& out);
+  /// Answers the call that asked for the order, if there is one, once the entry instances know.
+  void answer_order(evacuations::order const& order, std::optional<call_number> pending,
+                    base::monotonic_time now, control_effects& out);
   /// Marks the endpoint in the registry according to its departure in the log, if there is one.
   void apply_departure(base::endpoint_id const& id, control_effects& out);
   void manage_voters(base::monotonic_time now, control_effects& out);
@@ -196,6 +205,7 @@
   /// The services with an order for a rollout in the log that is not committed yet. What becomes of
   /// a further order depends on it.
   std::set<base::service_id> m_ordered_services;
+  evacuations::proposals m_proposed_orders;
   bool m_is_stopping = false;
 };
 
--- a/libraries/proxy/control_calls.cpp
+++ b/libraries/proxy/control_calls.cpp
@@ -1,4 +1,5 @@
 #include <libraries/proxy/control.h>
+#include <libraries/proxy/evacuation_codec.h>
 
 namespace catkinlanding::proxy {
 
@@ -33,6 +34,10 @@
 void control::process_request(call_number number, announce_endpoint const& request,
                               base::monotonic_time now, control_effects& out) {
   auto const& announcement = request.announcement;
+  if (is_reserved(announcement.id)) {
+    answer(number, {.kind = reply_kind::unavailable}, out);
+    return;
+  }
   if (register_announcement(announcement, now, out) == announcement_outcome::refused) {
     answer(number, {.kind = reply_kind::unavailable}, out);
     return;
@@ -60,6 +65,10 @@
 
 void control::process_request(call_number number, withdraw_endpoint const& request,
                               base::monotonic_time now, control_effects& out) {
+  if (is_reserved(request.endpoint)) {
+    answer(number, {.kind = reply_kind::unavailable}, out);
+    return;
+  }
   auto const* known = m_registry.find(request.endpoint);
   auto const known_incarnation =
       known == nullptr ? any_incarnation : known->announcement.number.incarnation;
@@ -72,10 +81,40 @@
               now, out);
 }
 
+void control::process_evacuation(call_number number, base::availability_zone_id const& zone,
+                                 bool is_out_of_use, base::monotonic_time now,
+                                 control_effects& out) {
+  auto const& zones = m_state.zones();
+  m_proposed_orders.update(m_replica.term(), zones);
+  auto const note = [&](std::string const& outcome, std::uint64_t order_number) {
+    out.events.push_back({control_event::evacuation_requested, zone.value,
+                          (is_out_of_use ? "begin," : "end,") + outcome, order_number});
+  };
+  bool const is_in_force =
+      zones.is_out_of_use(zone) == is_out_of_use && !m_proposed_orders.is_pending(zone);
+  if (is_in_force) {
+    note("in_force", zones.number_of(zone));
+    m_calls.await_confirmation(number, published(now).revisions(), now);
+    return;
+  }
+  auto const order = m_proposed_orders.make_order(zone, is_out_of_use, zones);
+  if (!order) {
+    note("too_many_zones", 0);
+    answer(number, {.kind = reply_kind::unavailable}, out);
+    return;
+  }
+  bool const is_proposed = propose(number, record_departure{encode_order(*order)}, now, out);
+  if (is_proposed) {
+    m_proposed_orders.note_proposed(*order);
+  }
+  note(is_proposed ? "proposed" : "log_unavailable", order->number);
+}
+
 bool control::accept_for_leader(call_request const& request) {
   auto const* announced = std::get_if<announce_endpoint>(&request);
   // That an endpoint leaves is acknowledged by the leader only, once the entry instances know.
-  bool const may_accept = announced != nullptr && !announced->announcement.is_leaving &&
+  bool const may_accept = announced != nullptr && !is_reserved(announced->announcement.id) &&
+                          !announced->announcement.is_leaving &&
                           other_leader(m_replica).has_value();
   return may_accept && m_relay.add(announced->announcement);
 }
--- a/libraries/proxy/control_event.h
+++ b/libraries/proxy/control_event.h
@@ -17,6 +17,11 @@
   /// The leader proposes the next state of a rollout; the detail holds the evidence.
   rollout_decided,
   endpoint_changed,
+  /// An operator asked for a zone to be taken out of use or put back; the detail says which, and
+  /// what became of it. The number is that of the proposed order, or of the one in force.
+  evacuation_requested,
+  /// An order for a zone is in force; the detail says whether the zone is out of use.
+  evacuation_changed,
   voters_changed,
   /// The leader proposes other voters; the subject names them, the detail says why.
   voters_proposed,
--- a/libraries/proxy/departure_log.cpp
+++ b/libraries/proxy/departure_log.cpp
@@ -40,6 +40,23 @@
   return departures;
 }
 
+std::vector<endpoint_departure>
+departure_log::take(std::function<bool(base::endpoint_id const&)> const& is_taken) {
+  std::vector<endpoint_departure> taken;
+  std::erase_if(m_entries, [&](auto const& item) {
+    bool const is_match = is_taken(item.first);
+    if (is_match) {
+      taken.push_back(item.second.departure);
+    }
+    return is_match;
+  });
+  return taken;
+}
+
+void departure_log::append(endpoint_departure const& departure) {
+  m_entries[departure.source.endpoint] = {.departure = departure, .number = ++m_last_number};
+}
+
 void departure_log::drop_oldest() {
   m_entries.erase(
       std::ranges::min_element(m_entries, {}, [](auto const& item) { return item.second.number; }));
--- a/libraries/proxy/departure_log.h
+++ b/libraries/proxy/departure_log.h
@@ -3,6 +3,7 @@
 #include <libraries/proxy/endpoint.h>
 #include <libraries/proxy/endpoint_rate.h>
 
+#include <functional>
 #include <limits>
 #include <map>
 #include <vector>
@@ -44,6 +45,12 @@
   [[nodiscard]] std::vector<endpoint_departure> all() const;
   [[nodiscard]] std::size_t size() const { return m_entries.size(); }
 
+  /// Takes out the departures whose identifiers `is_taken` accepts.
+  [[nodiscard]] std::vector<endpoint_departure>
+  take(std::function<bool(base::endpoint_id const&)> const& is_taken);
+  /// Adds a departure as the latest one, without regard to the bound. For a copy that is stored.
+  void append(endpoint_departure const& departure);
+
   template<class Archive>
   void serialize(Archive& archive) {
     archive(m_entries, m_last_number);
--- a/libraries/proxy/endpoint_registry.cpp
+++ b/libraries/proxy/endpoint_registry.cpp
@@ -1,5 +1,7 @@
 #include <libraries/proxy/endpoint_registry.h>
 
+#include <utility>
+
 namespace catkinlanding::proxy {
 
 namespace {
@@ -30,7 +32,7 @@
     }
     retire_previous_holder(announcement);
     auto& added = m_endpoints[announcement.id];
-    added = {.record = {.announcement = announcement}, .last_announced_at = now};
+    added = {.record = {.announcement = announcement}, .last_announced_at = now, .is_heard = true};
     set_state(added, state_of(announcement));
     return announcement_outcome::changed;
   }
@@ -51,9 +53,11 @@
   retire_previous_holder(announcement);
   known.last_announced_at = now;
   known.record.announcement = announcement;
-  if (is_change) {
+  if (is_change || must_repeat(known)) {
     set_state(known, state);
   }
+  known.is_heard = true;
+  known.has_zone_changed = false;
   return is_change ? announcement_outcome::changed : announcement_outcome::refreshed;
 }
 
@@ -124,12 +128,35 @@
 
 void endpoint_registry::reset_silence_timers(base::monotonic_time now) {
   for (auto& [id, entry] : m_endpoints) {
+    entry.is_heard = false;
     if (entry.record.state != endpoint_state::gone) {
       entry.last_announced_at = now;
     }
   }
 }
 
+void endpoint_registry::set_zones_out_of_use(std::set<base::availability_zone_id> zones) {
+  std::swap(m_zones_out_of_use, zones);
+  for (auto& [id, entry] : m_endpoints) {
+    auto const& zone = entry.record.announcement.zone;
+    if (zones.contains(zone) != m_zones_out_of_use.contains(zone)) {
+      entry.has_zone_changed = true;
+      set_state(entry, entry.record.state);
+    }
+  }
+}
+
+std::vector<endpoint_record> endpoint_registry::changes_for_entries(std::uint64_t revision) const {
+  auto changes = changes_since(revision);
+  for (auto& record : changes) {
+    bool const is_out_of_use = m_zones_out_of_use.contains(record.announcement.zone);
+    if (is_out_of_use && record.state == endpoint_state::ready) {
+      record.state = endpoint_state::leaving;
+    }
+  }
+  return changes;
+}
+
 std::vector<endpoint_record> endpoint_registry::changes_since(std::uint64_t revision) const {
   std::vector<endpoint_record> changes;
   for (auto const& [id, entry] : m_endpoints) {
@@ -145,6 +172,12 @@
   return found == m_endpoints.end() ? nullptr : &found->second.record;
 }
 
+bool endpoint_registry::must_repeat(entry const& entry) const {
+  bool const is_zone_relevant =
+      entry.has_zone_changed || m_zones_out_of_use.contains(entry.record.announcement.zone);
+  return !entry.is_heard && is_zone_relevant;
+}
+
 void endpoint_registry::set_state(entry& entry, endpoint_state state) {
   entry.record.state = state;
   entry.record.revision = ++m_revision;
--- a/libraries/proxy/endpoint_registry.h
+++ b/libraries/proxy/endpoint_registry.h
@@ -5,6 +5,7 @@
 #include <libraries/proxy/endpoint_rate.h>
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -38,7 +39,8 @@
 
 /// The endpoints known to a control instance. For each endpoint the newest announcement of its
 /// newest incarnation applies; announcements may be delayed, duplicated or reordered. Changes are
-/// numbered, so that each instance can be sent the ones that it lacks.
+/// numbered, so that each instance can be sent the ones that it lacks. The records say what the
+/// endpoints announced; zones out of use change only what entry instances are shown.
 class endpoint_registry {
 public:
   struct options {
@@ -70,10 +72,15 @@
   /// Restarts the silence timers of all endpoints. Called when this instance becomes the leader,
   /// since it received no announcements before.
   void reset_silence_timers(base::monotonic_time now);
+  /// Replaces the zones that are out of use. Their ready endpoints are shown to entry instances as
+  /// leaving. The endpoints of each zone for which that changes get a new revision.
+  void set_zones_out_of_use(std::set<base::availability_zone_id> zones);
 
   [[nodiscard]] std::uint64_t revision() const { return m_revision; }
   /// Returns the records that changed after the revision.
   [[nodiscard]] std::vector<endpoint_record> changes_since(std::uint64_t revision) const;
+  /// The same as entry instances get it: a ready endpoint of a zone out of use appears as leaving.
+  [[nodiscard]] std::vector<endpoint_record> changes_for_entries(std::uint64_t revision) const;
   [[nodiscard]] endpoint_record const* find(base::endpoint_id const& id) const;
   [[nodiscard]] std::size_t size() const { return m_endpoints.size(); }
 
@@ -81,8 +88,15 @@
   struct entry {
     endpoint_record record;
     base::monotonic_time last_announced_at{};
+    /// Whether it announced itself here since this instance leads.
+    bool is_heard = false;
+    /// Whether its zone was taken out of use or put back since its last announcement here.
+    bool has_zone_changed = false;
   };
 
+  /// Whether entry instances need the record again although the endpoint announced nothing new:
+  /// they ignore a record whose announcement is older than one that they got from a former leader.
+  [[nodiscard]] bool must_repeat(entry const& entry) const;
   void set_state(entry& entry, endpoint_state state);
   /// Returns another endpoint that holds the announced address and is not gone; nullptr if there is
   /// none.
@@ -99,6 +113,7 @@
   std::map<base::endpoint_id, entry> m_endpoints;
   /// The current holder of each address.
   std::map<base::address, base::endpoint_id> m_addresses;
+  std::set<base::availability_zone_id> m_zones_out_of_use;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/replicated_state.cpp
+++ b/libraries/proxy/replicated_state.cpp
@@ -1,6 +1,9 @@
 #include <libraries/base/codec.h>
+#include <libraries/proxy/evacuation_codec.h>
 #include <libraries/proxy/replicated_state.h>
 
+#include <algorithm>
+
 namespace catkinlanding::proxy {
 
 std::string encode(command const& command) {
@@ -80,9 +83,24 @@
 }
 
 bool replicated_state::apply_one(record_departure const& command) {
+  if (auto const order = decode_order(command.departure)) {
+    return m_zones.record(*order);
+  }
   return m_departures.record(command.departure);
 }
 
+void replicated_state::take_orders() {
+  evacuations::zone_table zones;
+  auto taken = m_departures.take(is_reserved);
+  std::ranges::sort(taken, {}, [](auto const& one) { return one.source.incarnation; });
+  for (auto const& departure : taken) {
+    if (auto const order = decode_order(departure)) {
+      zones.record(*order);
+    }
+  }
+  m_zones = std::move(zones);
+}
+
 rollout const* replicated_state::find_rollout(base::service_id const& service) const {
   auto const found = m_rollouts.find(service);
   return found == m_rollouts.end() ? nullptr : &found->second;
@@ -98,7 +116,12 @@
 }
 
 std::string replicated_state::snapshot() const {
-  return base::encode(*this) + base::encode(m_departures);
+  // Older builds read the orders as departures. As the latest ones they are dropped last there.
+  auto departures = m_departures;
+  for (auto const& order : m_zones.all()) {
+    departures.append(encode_order(order));
+  }
+  return base::encode(*this) + base::encode(departures);
 }
 
 tl::expected<replicated_state, state_error>
@@ -116,6 +139,7 @@
     return tl::unexpected(state_error::malformed);
   }
   decoded->m_departures = std::move(*departures);
+  decoded->take_orders();
   return std::move(*decoded);
 }
 
--- a/libraries/proxy/replicated_state.h
+++ b/libraries/proxy/replicated_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/evacuations/zone_table.h>
 #include <libraries/proxy/departure_log.h>
 #include <libraries/proxy/document.h>
 #include <libraries/proxy/rollout.h>
@@ -50,7 +51,8 @@
   }
 };
 
-/// Written by the leader before it acknowledges that an endpoint leaves or has ended.
+/// Written by the leader before it acknowledges that an endpoint leaves or has ended, or that an
+/// availability zone is taken out of use or put back (see `encode_order`).
 struct record_departure {
   endpoint_departure departure;
 
@@ -68,8 +70,8 @@
 
 [[nodiscard]] tl::expected<command, state_error> decode_command(std::string_view bytes);
 
-/// The state machine of the replicated log: the current document, the rollouts, and the endpoints
-/// that left.
+/// The state machine of the replicated log: the current document, the rollouts, the endpoints that
+/// left, and the availability zones that are out of use.
 class replicated_state {
 public:
   /// Returns whether the command changed anything.
@@ -83,6 +85,8 @@
   /// Increases with each change of a rollout.
   [[nodiscard]] std::uint64_t rollouts_revision() const { return m_rollouts_revision; }
   [[nodiscard]] departure_log const& departures() const { return m_departures; }
+  /// The availability zones that operators took out of use.
+  [[nodiscard]] evacuations::zone_table const& zones() const { return m_zones; }
 
   [[nodiscard]] std::string snapshot() const;
   [[nodiscard]] static tl::expected<replicated_state, state_error>
@@ -99,12 +103,16 @@
   bool apply_one(start_rollout const& command);
   bool apply_one(advance_rollout const& command);
   bool apply_one(record_departure const& command);
+  /// Moves the orders for zones out of departures that were read from a snapshot.
+  void take_orders();
 
   proxy::document m_document;
   std::string m_source;
   std::map<base::service_id, rollout> m_rollouts;
   std::uint64_t m_rollouts_revision = 0;
+  /// Without the orders for zones, which are not dropped when there are many departures.
   departure_log m_departures;
+  evacuations::zone_table m_zones;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/state_publisher.cpp
+++ b/libraries/proxy/state_publisher.cpp
@@ -95,7 +95,9 @@
     sent.is_registry_complete = false;
     return;
   }
-  sent.endpoints = changes_since(sent.base_registry_revision, registry, now);
+  sent.endpoints =
+      find_changes({.revision = sent.base_registry_revision, .is_for_entries = downstream.is_entry},
+                   registry, now);
   if (is_whole && !sent.endpoints.empty()) {
     downstream.registry_sent = registry.revision();
     downstream.registry_sent_at = now;
@@ -114,13 +116,13 @@
     return std::nullopt;
   }
   return last_known_state{.document = state.document(),
-                          .endpoints = changes_since(0, registry, now),
+                          .endpoints = find_changes({.is_for_entries = true}, registry, now),
                           .rollouts = state.rollouts()};
 }
 
-shared_list<endpoint_record> state_publisher::changes_since(std::uint64_t revision,
-                                                            endpoint_registry const& registry,
-                                                            base::monotonic_time now) {
+shared_list<endpoint_record> state_publisher::find_changes(change_list const& wanted,
+                                                           endpoint_registry const& registry,
+                                                           base::monotonic_time now) {
   bool const is_current =
       m_changes_revision == registry.revision() && now < m_changes_at + m_options.changes_lifetime;
   if (!is_current) {
@@ -128,9 +130,10 @@
     m_changes_revision = registry.revision();
     m_changes_at = now;
   }
-  auto const [changes, is_new] = m_changes.try_emplace(revision);
-  if (is_new && revision != registry.revision()) {
-    changes->second = registry.changes_since(revision);
+  auto const [changes, is_new] = m_changes.try_emplace(wanted);
+  if (is_new && wanted.revision != registry.revision()) {
+    changes->second = wanted.is_for_entries ? registry.changes_for_entries(wanted.revision)
+                                            : registry.changes_since(wanted.revision);
   }
   return changes->second;
 }
--- a/libraries/proxy/state_publisher.h
+++ b/libraries/proxy/state_publisher.h
@@ -78,9 +78,17 @@
                                      source const& source, base::monotonic_time now);
   /// Whether a whole registry may be sent now.
   [[nodiscard]] bool try_take_registry(endpoint_registry const& registry, base::monotonic_time now);
-  [[nodiscard]] shared_list<endpoint_record> changes_since(std::uint64_t revision,
-                                                           endpoint_registry const& registry,
-                                                           base::monotonic_time now);
+  /// The registry changes after a revision, as entry instances or control instances get them.
+  struct change_list {
+    std::uint64_t revision = 0;
+    bool is_for_entries = false;
+
+    auto operator<=>(change_list const&) const = default;
+  };
+
+  [[nodiscard]] shared_list<endpoint_record> find_changes(change_list const& wanted,
+                                                          endpoint_registry const& registry,
+                                                          base::monotonic_time now);
   /// Adds the registry changes that the receiver lacks.
   void add_registry(update& sent, downstream& downstream, endpoint_registry const& registry,
                     base::monotonic_time now);
@@ -97,8 +105,8 @@
   known_state m_last_pushed;
   /// When the time that the pushes so far account for is over.
   base::monotonic_time m_pushing_until{};
-  /// Registry changes by the revision after which they were made, up to `m_changes_revision`.
-  std::map<std::uint64_t, shared_list<endpoint_record>> m_changes;
+  /// Registry changes up to `m_changes_revision`.
+  std::map<change_list, shared_list<endpoint_record>> m_changes;
   std::uint64_t m_changes_revision = 0;
   base::monotonic_time m_changes_at{};
 };
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -43,17 +43,17 @@
 
 char const* name_of_call(call_request const& call) {
   constexpr std::array<char const*, std::variant_size_v<call_request>> names{
-      "replace_document", "read_document",     "start_rollout",
-      "read_rollout",     "announce_endpoint", "withdraw_endpoint"};
+      "replace_document",  "read_document",     "start_rollout",    "read_rollout",
+      "announce_endpoint", "withdraw_endpoint", "begin_evacuation", "end_evacuation"};
   return names.at(call.index());
 }
 
 char const* name_of_event(control_event event) {
-  constexpr std::array<char const*, 14> names{
-      "leadership_won",    "leadership_lost", "document_applied", "rollout_changed",
-      "rollout_requested", "rollout_decided", "endpoint_changed", "voters_changed",
-      "voters_proposed",   "quorum_gained",   "quorum_lost",      "instance_joined",
-      "instance_lost",     "state_repeated"};
+  constexpr std::array<char const*, 16> names{
+      "leadership_won",     "leadership_lost", "document_applied", "rollout_changed",
+      "rollout_requested",  "rollout_decided", "endpoint_changed", "evacuation_requested",
+      "evacuation_changed", "voters_changed",  "voters_proposed",  "quorum_gained",
+      "quorum_lost",        "instance_joined", "instance_lost",    "state_repeated"};
   return names.at(static_cast<std::size_t>(event));
 }
 
@@ -135,6 +135,9 @@
             metrics.set_gauge("document_revision",
                               static_cast<double>(m_control->state().revision()));
             metrics.set_gauge("endpoints", static_cast<double>(m_control->registry().size()));
+            metrics.set_gauge(
+                "zones_out_of_use",
+                static_cast<double>(m_control->state().zones().zones_out_of_use().size()));
             metrics.set_gauge("term", static_cast<double>(m_control->replica().term()));
             bool const is_leader = m_control->replica().role() == consensus::role::leader;
             metrics.set_gauge("is_leader", is_leader ? 1.0 : 0.0);
--- a/tests/platform/http_protocol_adapter_test.cpp
+++ b/tests/platform/http_protocol_adapter_test.cpp
@@ -172,11 +172,33 @@
   EXPECT_EQ(index(call(verb::get, "/api/Rollouts.Get/s")), 3);
   EXPECT_EQ(index(call(verb::post, "/api/Instances.Heartbeat/e", announcement_json().dump())), 4);
   EXPECT_EQ(index(call(verb::post, "/api/Instances.Deregister/e")), 5);
+  EXPECT_EQ(index(call(verb::post, "/api/Evacuations.Start/z")), 6);
+  EXPECT_EQ(index(call(verb::post, "/api/Evacuations.End/z")), 7);
+  EXPECT_EQ(index(call(verb::get, "/api/Evacuations.Start/z")), -1);
+  EXPECT_EQ(index(call(verb::post, "/api/Evacuations.Start/")), -1);
   EXPECT_EQ(index(call(verb::get, "/api/Config.Put")), -1);
   EXPECT_EQ(index(call(verb::post, "/api/Instances.Heartbeat/", announcement_json().dump())), -1);
   EXPECT_EQ(index(call(verb::get, "/")), -1);
 }
 
+// Guards against an operator whose request to evacuate a zone is answered with 404, or that applies
+// to another zone.
+TEST(read_call, reads_the_zone_of_an_evacuation) {
+  http_protocol_adapter const protocol_adapter;
+  auto const request = call(proxy::http::verb::post, "/api/Evacuations.Start/zone-1");
+  auto const read = protocol_adapter.read_call(request);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(std::get<proxy::begin_evacuation>(*read).zone.value, "zone-1");
+  auto const ended =
+      protocol_adapter.read_call(call(proxy::http::verb::post, "/api/Evacuations.End/zone-2"));
+  ASSERT_TRUE(ended.has_value());
+  EXPECT_EQ(std::get<proxy::end_evacuation>(*ended).zone.value, "zone-2");
+  auto const answer =
+      protocol_adapter.write_reply(request, *read, {.kind = proxy::reply_kind::done}, {});
+  EXPECT_EQ(answer.result_int(), 200U);
+  EXPECT_EQ(answer.body(), "{}");
+}
+
 TEST(write_reply, maps_replies_to_statuses) {
   http_protocol_adapter const protocol_adapter;
   auto const request = call(proxy::http::verb::get, "/api/Config.Get");
