cascade: Let second runs follow the free capacity, and use the whole share of retries

The limit kept back a fifth of the part that follows an instance's own requests, although the sum of these parts over all instances is the bound.

Change: that margin is kept for the fixed part only. libraries/cascade decides which doubtful answers are replaced: with replaced_answers set to by_capacity the limit of 0.5 falls in proportion while less than a quarter of the endpoints is idle. Each decision has a log line and a counter.

--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/cascade/model_choice.h>
 #include <libraries/proxy/attempt_state.h>
 #include <libraries/proxy/endpoint_table.h>
 #include <libraries/proxy/request.h>
@@ -36,6 +37,8 @@
   attempt_state current;
   /// The attempt that the latest one is to replace, and that goes on until the other is accepted.
   std::optional<held_attempt> held;
+  /// The latest decision on its model, for the log; nothing if there was none to make.
+  std::optional<cascade::choice> model_choice;
   /// Set while the latest attempt is in progress.
   bool is_attempting = false;
   /// Set while another entry instance handles the request, or is asked to.
--- a/libraries/proxy/attempt_monitor.cpp
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -109,10 +109,23 @@
   return now + work.usual().value_or(base::duration::zero()) <= request.deadline;
 }
 
-bool attempt_monitor::try_escalate(active_request const& request,
-                                   service_endpoints const& endpoints, base::monotonic_time now) {
-  return m_options.escalations.can_escalate(request, m_times, endpoints.others, now) &&
-         m_retries.of(request.service).try_spend(now, retries_after_zone_loss(endpoints.ready));
+cascade::choice attempt_monitor::try_escalate(active_request const& request, double confidence,
+                                              service_endpoints const& endpoints,
+                                              base::monotonic_time now) {
+  auto const left = capacity_of(endpoints.ready, request.slots());
+  cascade::choice made{
+      .confidence = confidence, .limit = m_models.limit(left), .idle_share = left.idle_share()};
+  if (confidence >= made.limit) {
+    made.reason = cascade::choice_reason::short_of_capacity;
+  } else if (!can_escalate(request, m_times, endpoints.others, now)) {
+    made.reason = cascade::choice_reason::not_possible;
+  } else if (!m_retries.of(request.service)
+                  .try_spend(now, retries_after_zone_loss(endpoints.ready))) {
+    made.reason = cascade::choice_reason::short_of_retries;
+  } else {
+    made.reason = cascade::choice_reason::replaced;
+  }
+  return made;
 }
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libraries/cascade/model_choice.h>
 #include <libraries/proxy/answer_times.h>
 #include <libraries/proxy/attempt_report.h>
 #include <libraries/proxy/escalation_policy.h>
@@ -16,12 +17,13 @@
 public:
   struct options {
     stall_policy stalls;
-    escalation_policy escalations;
+    cascade::model_choice::options models;
     /// Applied to each service separately.
     retry_limiter::options retries;
   };
 
-  explicit attempt_monitor(options options) : m_options(options), m_retries(options.retries) {}
+  explicit attempt_monitor(options options)
+      : m_options(options), m_retries(options.retries), m_models(options.models) {}
 
   void set_instances(std::uint32_t instances) { m_retries.set_instances(instances); }
   /// Forgets the routes that the table does not have.
@@ -66,20 +68,22 @@
   [[nodiscard]] bool may_replace_stalled(active_request const& request,
                                          known_endpoint const* endpoint,
                                          base::monotonic_time now) const;
-  /// Whether a better answer than the current one is wanted, and can take its place.
-  [[nodiscard]] bool is_doubtful(active_request const& request,
-                                 std::optional<double> confidence) const {
-    return m_options.escalations.is_doubtful(request, confidence);
-  }
   struct service_endpoints {
     /// Those that the request may be sent to next.
     std::vector<known_endpoint const*> others;
     /// All that are ready.
     std::vector<known_endpoint const*> ready;
   };
-  /// Takes a retry if the largest model should answer instead of the current one.
-  [[nodiscard]] bool try_escalate(active_request const& request, service_endpoints const& endpoints,
-                                  base::monotonic_time now);
+  /// Whether a better answer than the current one is wanted, by its confidence.
+  [[nodiscard]] bool is_doubtful(active_request const& request,
+                                 std::optional<double> confidence) const {
+    return confidence && m_models.is_doubtful(*confidence) && may_be_escalated(request);
+  }
+  /// Decides whether the largest model should answer instead of the current one, whose confidence
+  /// is this, and takes a retry for it.
+  [[nodiscard]] cascade::choice try_escalate(active_request const& request, double confidence,
+                                             service_endpoints const& endpoints,
+                                             base::monotonic_time now);
 
 private:
   /// Until when an answer that is held back can still be delivered in its caller's time: what its
@@ -89,6 +93,7 @@
   options m_options;
   answer_times m_times;
   retry_limiter_table m_retries;
+  cascade::model_choice m_models;
 };
 
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -5,18 +5,15 @@
 
 namespace catkinlanding::proxy {
 
-bool escalation_policy::is_doubtful(active_request const& request,
-                                    std::optional<double> confidence) const {
+bool may_be_escalated(active_request const& request) {
   auto const& models = request.route->models;
   bool const has_larger =
       request.current.model && !models.empty() && *request.current.model != models.back();
-  return confidence && *confidence < min_confidence && has_larger && request.has_attempts_left() &&
-         !request.has_delivered;
+  return has_larger && request.has_attempts_left() && !request.has_delivered;
 }
 
-bool escalation_policy::can_escalate(active_request const& request, answer_times const& times,
-                                     std::vector<known_endpoint const*> const& endpoints,
-                                     base::monotonic_time now) {
+bool can_escalate(active_request const& request, answer_times const& times,
+                  std::vector<known_endpoint const*> const& endpoints, base::monotonic_time now) {
   auto const& known = times.of_largest_model(request);
   auto const work = known.whole.usual();
   bool const has_time =
@@ -27,6 +24,13 @@
          });
 }
 
+cascade::capacity capacity_of(std::vector<known_endpoint const*> const& endpoints,
+                              std::uint32_t slots) {
+  auto const idle = std::ranges::count_if(
+      endpoints, [&](known_endpoint const* one) { return one->is_idle(slots); });
+  return {.idle = static_cast<std::size_t>(idle), .ready = endpoints.size()};
+}
+
 std::uint32_t retries_after_zone_loss(std::vector<known_endpoint const*> const& endpoints) {
   std::map<base::availability_zone_id, std::uint32_t> by_zone;
   std::uint32_t most = 0;
--- a/libraries/proxy/retry_limiter.cpp
+++ b/libraries/proxy/retry_limiter.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Margin for instances that are missing from the instance count, since instances don't see each
-/// other's retries.
-constexpr double safety_factor = 0.8;
+/// Margin of the fixed part for instances that are missing from the instance count. The part that
+/// follows the requests needs none: each instance uses that of its own requests.
+constexpr double slack_safety_factor = 0.8;
 
 } // namespace
 
@@ -17,7 +17,15 @@
 }
 
 bool retry_limiter::try_spend(base::monotonic_time now, std::uint32_t reserved) {
-  auto& latest = current_bucket(now);
+  if (left(now) < 1.0 + reserved) {
+    return false;
+  }
+  ++current_bucket(now).retries;
+  return true;
+}
+
+double retry_limiter::left(base::monotonic_time now) {
+  auto const& latest = current_bucket(now);
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
   for (auto const& one : m_buckets) {
@@ -28,12 +36,9 @@
     }
   }
   auto const instances = std::max<std::uint32_t>(m_instances, 1);
-  double const allowed = safety_factor * (m_options.ratio * requests + m_options.slack / instances);
-  if (retries + 1 + reserved > allowed) {
-    return false;
-  }
-  ++latest.retries;
-  return true;
+  double const allowed =
+      m_options.ratio * requests + slack_safety_factor * m_options.slack / instances;
+  return allowed - retries;
 }
 
 retry_limiter::bucket& retry_limiter::current_bucket(base::monotonic_time now) {
--- a/libraries/proxy/retry_limiter.h
+++ b/libraries/proxy/retry_limiter.h
@@ -25,6 +25,8 @@
   void note_request(base::monotonic_time now);
   /// Takes one retry. Returns false if that would leave less than this many.
   [[nodiscard]] bool try_spend(base::monotonic_time now, std::uint32_t reserved = 0);
+  /// The retries that are left now; negative if the bound has fallen since they were taken.
+  [[nodiscard]] double left(base::monotonic_time now);
 
 private:
   /// Number of buckets that the window is divided into.
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -87,6 +87,8 @@
   /// other endpoint accepts the request, or can't be waited for any longer.
   [[nodiscard]] std::optional<attempt>
   note_answer(request_number number, std::optional<double> confidence, base::monotonic_time now);
+  /// Takes the latest decision on the request's model, for the log; nothing if none was made since.
+  [[nodiscard]] std::optional<cascade::choice> take_model_choice(request_number number);
   /// Records what an endpoint states about itself in the header of its answer to an attempt: the
   /// current one, unless the endpoint is that of the held one. Returns what is new.
   std::vector<notice_change> note_notice(request_number number, endpoint_notice const& notice,
@@ -212,6 +214,9 @@
   /// none.
   [[nodiscard]] std::optional<attempt>
   begin_attempt(active_request& request, endpoint_filter const& filter, base::monotonic_time now);
+  /// The endpoints among which the models of a request are chosen.
+  [[nodiscard]] attempt_monitor::service_endpoints endpoints_for(active_request const& request,
+                                                                 base::monotonic_time now) const;
   /// Holds the current attempt, and begins one with the model beside it. Nothing if there is no
   /// endpoint for it; the current attempt is not held then.
   [[nodiscard]] std::optional<attempt> begin_beside(active_request& request, held_attempt held,
--- a/libraries/proxy/router_attempts.cpp
+++ b/libraries/proxy/router_attempts.cpp
@@ -19,21 +19,27 @@
   m_endpoints.note_prompt_processed(current.endpoint, std::exchange(current.pending_work, 0));
   m_observer.note_answer(request, m_versions, now);
   m_attempts.note_answer(request, now);
-  bool const is_better_wanted =
-      m_attempts.is_doubtful(request, confidence) && may_escalate(request, now) &&
-      may_try_another(request, now) &&
-      m_attempts.try_escalate(request,
-                              {.others = make_filter(now).sendable(m_endpoints, request),
-                               .ready = m_endpoints.ready(request.service)},
-                              now);
+  bool const is_better_wanted = m_attempts.is_doubtful(request, confidence) &&
+                                may_escalate(request, now) && may_try_another(request, now);
   if (!is_better_wanted) {
     return std::nullopt;
   }
+  request.model_choice =
+      m_attempts.try_escalate(request, *confidence, endpoints_for(request, now), now);
+  if (request.model_choice->reason != cascade::choice_reason::replaced) {
+    return std::nullopt;
+  }
   return begin_beside(request,
                       {.state = current, .reason = attempt_failure::low_confidence, .since = now},
                       request.route->models.back(), now);
 }
 
+std::optional<cascade::choice> router::take_model_choice(request_number number) {
+  auto const found = m_requests.find(number);
+  return found == m_requests.end() ? std::nullopt
+                                   : std::exchange(found->second.model_choice, std::nullopt);
+}
+
 std::optional<attempt> router::begin_attempt(active_request& request, endpoint_filter const& filter,
                                              base::monotonic_time now) {
   request.choose_model();
@@ -57,6 +63,12 @@
   return made;
 }
 
+attempt_monitor::service_endpoints router::endpoints_for(active_request const& request,
+                                                         base::monotonic_time now) const {
+  return {.others = make_filter(now).sendable(m_endpoints, request),
+          .ready = m_endpoints.ready(request.service)};
+}
+
 std::optional<attempt> router::begin_beside(active_request& request, held_attempt held,
                                             std::optional<base::model_id> model,
                                             base::monotonic_time now) {
--- a/libraries/proxy/settings.cpp
+++ b/libraries/proxy/settings.cpp
@@ -103,6 +103,16 @@
   read_milliseconds(reader, "announcement_interval_ms", value.announcement_interval);
 }
 
+void read_replaced_answers(object_reader& reader, process_settings& value) {
+  std::string name = "all";
+  reader.optional("replaced_answers", name);
+  if (name == "by_capacity") {
+    value.replaced_answers = replaced_answers::by_capacity;
+  } else if (name != "all") {
+    reader.fail("replaced_answers", "must be all or by_capacity");
+  }
+}
+
 } // namespace
 
 base::instance_id instance_at(base::address const& address) {
@@ -151,6 +161,7 @@
     }
     reader.optional("files_keep_place", value.has_stable_inodes);
     reader.object("bounds", [&](object_reader& nested) { read_bounds(nested, value); });
+    read_replaced_answers(reader, value);
     reader.optional("log_level", value.log_level);
     if (std::ranges::find(log_levels, value.log_level) == log_levels.end()) {
       reader.fail("log_level", "must be trace, debug, info, warning, error or off");
--- a/libraries/proxy/settings.h
+++ b/libraries/proxy/settings.h
@@ -15,6 +15,14 @@
 
 namespace catkinlanding::proxy {
 
+/// Which doubtful answers of a small model are replaced, where a route allows several models.
+enum class replaced_answers : std::uint8_t {
+  /// Each one, while an endpoint is idle and a retry is left.
+  all,
+  /// The fewer the less of the endpoints' capacity is free, the least confident first.
+  by_capacity,
+};
+
 /// Startup settings of a proxy process.
 struct process_settings {
   /// Instance name for logs.
@@ -55,6 +63,7 @@
   std::size_t memory_bytes = 160UL * 1024 * 1024;
   /// Interval between the announcements of an endpoint.
   base::duration announcement_interval = std::chrono::seconds(1);
+  proxy::replaced_answers replaced_answers = proxy::replaced_answers::all;
   std::string log_level = "info";
 
   /// The instance's id among its peers, derived from its address.
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -71,6 +71,8 @@
   options.attempts.retries = {.ratio = settings.retry_ratio,
                               .slack = settings.retry_slack,
                               .window = settings.retry_window};
+  options.attempts.models.follows_capacity =
+      settings.replaced_answers == replaced_answers::by_capacity;
   return options;
 }
 
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -228,6 +228,7 @@
   auto const& metadata = m_current->metadata();
   auto better =
       metadata ? m_context.router.note_answer(m_number, metadata->confidence, now()) : std::nullopt;
+  log_model_choice();
   if (better) {
     hold(attempt_failure::low_confidence);
     begin_replacement(std::move(*better));
@@ -245,6 +246,13 @@
   co_return failure;
 }
 
+void exchange::log_model_choice() {
+  if (auto const made = m_context.router.take_model_choice(m_number)) {
+    request_log::model_chosen(m_id, *made);
+    m_context.metrics.count_model_choice(m_route, name_of(made->reason));
+  }
+}
+
 awaitable<std::optional<attempt_failure>> exchange::forward() {
   bool const keep_alive = m_keep_alive && !m_context.is_stopping;
   auto& answer = m_current->answer();
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -52,6 +52,8 @@
   /// Delivers the answer of the current transmission, whose header has arrived, unless another one
   /// replaces it, as `m_is_replaced` then says. Returns like `transmit`.
   daemon::awaitable<std::optional<attempt_failure>> deliver();
+  /// Logs and counts the latest decision on the request's model, if there is a new one.
+  void log_model_choice();
   /// Forwards the body of the current answer. Returns like `transmit`.
   daemon::awaitable<std::optional<attempt_failure>> forward();
   [[nodiscard]] std::shared_ptr<upstream_request> prepare(replacement target,
--- a/services/proxy/metrics.cpp
+++ b/services/proxy/metrics.cpp
@@ -83,6 +83,11 @@
           .Name("catkinlanding_proxy_requests_cut_by_stop_total")
           .Help("Requests that the end of this process cuts, by how far they had come")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& model_choices =
+      prometheus::BuildCounter()
+          .Name("catkinlanding_proxy_model_choices_total")
+          .Help("Decisions on the model that answers, by route and reason")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                       .Name("catkinlanding_proxy_state")
                                                       .Help("State of this process")
@@ -137,6 +142,12 @@
   m_implementation->cut_by_stop.Add({{"state", std::string(state)}}).Increment();
 }
 
+void metrics::count_model_choice(std::string_view route, std::string_view reason) {
+  m_implementation->model_choices
+      .Add({{"route", std::string(route)}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
 void metrics::set_gauge(std::string const& name, double value) {
   m_implementation->gauges.Add({{"name", name}}).Set(value);
 }
--- a/services/proxy/metrics.h
+++ b/services/proxy/metrics.h
@@ -33,6 +33,8 @@
   void count_call(std::string_view call, std::string_view reply);
   /// Counts a request that the end of the process cuts, by how far it had come.
   void count_cut_by_stop(std::string_view state);
+  /// A decision on the model that answers a request of the route.
+  void count_model_choice(std::string_view route, std::string_view reason);
   /// Sets the gauge of the process state with this name.
   void set_gauge(std::string const& name, double value);
 
--- a/services/proxy/request_log.cpp
+++ b/services/proxy/request_log.cpp
@@ -61,6 +61,12 @@
       attempt.held_endpoint.value);
 }
 
+void model_chosen(base::request_id const& id, cascade::choice const& made) {
+  spdlog::info("entry model_choice request={} reason={} confidence={:.2f} limit={:.2f} "
+               "idle_share={:.2f}",
+               id.value, name_of(made.reason), made.confidence, made.limit, made.idle_share);
+}
+
 void relayed(base::request_id const& id, relay const& relay) {
   spdlog::info("entry relayed request={} peer={} route={} attempts_before={} may_have_run={}",
                id.value, relay.peer.value, relay.route, relay.attempts_before, relay.may_have_run);
--- a/services/proxy/request_log.h
+++ b/services/proxy/request_log.h
@@ -38,6 +38,8 @@
 void waited(base::request_id const& id, router const& router, base::duration time);
 void attempt_started(base::request_id const& id, std::string_view session, attempt const& attempt,
                      base::monotonic_time now);
+/// It was decided whether a doubtful answer is replaced.
+void model_chosen(base::request_id const& id, cascade::choice const& made);
 /// The request was passed on to another entry instance, as this one can't reach the endpoints.
 void relayed(base::request_id const& id, relay const& relay);
 /// A failed attempt of a request.
--- a/tests/libraries/proxy/escalation_policy_test.cpp
+++ b/tests/libraries/proxy/escalation_policy_test.cpp
@@ -1,3 +1,4 @@
+#include <libraries/cascade/model_choice.h>
 #include <libraries/proxy/escalation_policy.h>
 #include <libraries/proxy/retry_limiter.h>
 
@@ -48,14 +49,14 @@
     for (auto const& one : m_endpoints) {
       endpoints.push_back(&one);
     }
-    return m_policy.is_doubtful(m_request, confidence) &&
-           escalation_policy::can_escalate(m_request, m_times, endpoints, start);
+    return confidence && m_models.is_doubtful(*confidence) && may_be_escalated(m_request) &&
+           can_escalate(m_request, m_times, endpoints, start);
   }
 
   active_request m_request;
   std::vector<known_endpoint> m_endpoints;
   answer_times m_times;
-  escalation_policy m_policy;
+  cascade::model_choice m_models{{}};
 };
 
 TEST_F(escalations, replace_answers_that_are_more_likely_poor_than_good) {
--- a/tests/libraries/proxy/process_settings_test.cpp
+++ b/tests/libraries/proxy/process_settings_test.cpp
@@ -49,6 +49,20 @@
   }
 }
 
+TEST(process_settings, replace_every_doubtful_answer_unless_told_otherwise) {
+  auto const settings = parse_settings(settings_with("{}"));
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->replaced_answers, replaced_answers::all);
+}
+
+TEST(process_settings, know_how_doubtful_answers_are_replaced) {
+  auto const settings = parse_settings(settings_with(R"({}, "replaced_answers": "by_capacity")"));
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->replaced_answers, replaced_answers::by_capacity);
+  EXPECT_FALSE(
+      parse_settings(settings_with(R"({}, "replaced_answers": "sometimes")")).has_value());
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
--- a/tests/libraries/proxy/retry_limiter_test.cpp
+++ b/tests/libraries/proxy/retry_limiter_test.cpp
@@ -27,6 +27,21 @@
   EXPECT_GT(spent_shared, 0);
 }
 
+// Each instance uses the whole part that follows its own requests: a margin there kept second
+// answers from callers, though the sum over all instances was below the bound.
+TEST(retry_limiters, use_the_whole_part_of_their_own_requests) {
+  retry_limiter limiter({.ratio = 0.5, .slack = 0, .window = 10s});
+  limiter.set_instances(75);
+  for (int i = 0; i < 10; ++i) {
+    limiter.note_request(start);
+  }
+  EXPECT_DOUBLE_EQ(limiter.left(start), 5.0);
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(limiter.try_spend(start));
+  }
+  EXPECT_FALSE(limiter.try_spend(start));
+}
+
 // All requests fail, and each is retried as often as the limit allows.
 TEST(retry_limiters, hold_in_every_window_while_all_requests_fail) {
   constexpr double ratio = 0.5;
