tests: Send requests without end to both programs

Callers may send anything, and no test shows what a process holds of requests whose framing never ends, or who gets the connections when there are too many.

--- a/tests/support/process_memory.cpp
+++ b/tests/support/process_memory.cpp
@@ -1,6 +1,8 @@
 #include <tests/support/process_memory.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 
 namespace catkinlanding::testing {
@@ -19,4 +21,9 @@
   return 0;
 }
 
+std::size_t open_descriptors_of(int process) {
+  std::filesystem::directory_iterator const descriptors("/proc/" + std::to_string(process) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 } // namespace catkinlanding::testing
--- a/tests/support/proxy_deployment.cpp
+++ b/tests/support/proxy_deployment.cpp
@@ -42,7 +42,7 @@
 proxy_deployment::proxy_deployment()
     : m_ips{{"control", control_ip}, {"entry-1", "127.0.0.3"}, {"entry-2", "127.0.0.4"}},
       m_peer_port(free_port()), m_caller_port(free_port()), m_ready_port(free_port()),
-      m_call_port(free_port()) {
+      m_call_port(free_port()), m_metrics_port(free_port()) {
   auto pattern = (std::filesystem::temp_directory_path() / "catkinlanding.XXXXXX").string();
   m_folder = ::mkdtemp(pattern.data());
   m_endpoints.push_back(std::make_unique<platform_endpoint>("127.0.0.5", free_port(), "e-1"));
@@ -71,12 +71,13 @@
        {{"peers", at(m_peer_port)},
         {"callers", is_control ? "" : at(m_caller_port)},
         {"readiness", is_control ? "" : at(m_ready_port)},
-        {"calls", is_control ? at(m_call_port) : ""}}},
+        {"calls", is_control ? at(m_call_port) : ""},
+        {"metrics_port", m_metrics_port}}},
       {"seeds", {seed_ip + ":" + std::to_string(m_call_port)}},
       {"first_start", true},
       {"data_folder", is_control ? (m_folder / "data").string() : ""},
       {"log_level", log_level},
-      {"bounds", {{"retry_ratio", 0.5}, {"retry_slack", 200}, {"memory_mb", 160}}}};
+      {"bounds", {{"retry_ratio", 0.5}, {"retry_slack", 200}, {"memory_mb", m_memory_megabytes}}}};
   std::ofstream(m_folder / (name + ".json")) << settings.dump();
 }
 
--- a/tests/support/proxy_deployment.h
+++ b/tests/support/proxy_deployment.h
@@ -28,6 +28,8 @@
   void start_process(std::string const& name);
   /// Makes the instance, when it is started, look for the control instance at this address.
   void use_seed(std::string const& name, std::string const& ip) { m_seed_ips[name] = ip; }
+  /// Makes processes that are started later bound themselves to this much memory.
+  void use_memory(int megabytes) { m_memory_megabytes = megabytes; }
   /// Rewrites the settings file of the process with another log level. The process has to reload
   /// it.
   void change_log_level(std::string const& name, std::string const& level) const;
@@ -56,6 +58,7 @@
   [[nodiscard]] int caller_port() const { return m_caller_port; }
   [[nodiscard]] int call_port() const { return m_call_port; }
   [[nodiscard]] int ready_port() const { return m_ready_port; }
+  [[nodiscard]] int metrics_port() const { return m_metrics_port; }
   [[nodiscard]] std::string log(std::string const& name) const;
   [[nodiscard]] std::string log_path(std::string const& name) const;
 
@@ -69,6 +72,8 @@
   int m_caller_port;
   int m_ready_port;
   int m_call_port;
+  int m_metrics_port;
+  int m_memory_megabytes = 160;
   std::map<std::string, child_process> m_processes;
   std::vector<std::unique_ptr<platform_endpoint>> m_endpoints;
   std::map<std::string, int> m_sequences;
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -47,6 +47,24 @@
   return true;
 }
 
+std::size_t raw_connection::send_within(std::string_view bytes,
+                                        std::chrono::milliseconds max_pause) const {
+  std::size_t total = 0;
+  while (total < bytes.size()) {
+    pollfd waiting{.fd = m_socket, .events = POLLOUT, .revents = 0};
+    if (::poll(&waiting, 1, static_cast<int>(max_pause.count())) <= 0) {
+      break;
+    }
+    auto const sent =
+        ::send(m_socket, bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent <= 0) {
+      break;
+    }
+    total += static_cast<std::size_t>(sent);
+  }
+  return total;
+}
+
 void raw_connection::finish_sending() const {
   ::shutdown(m_socket, SHUT_WR);
 }
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -16,6 +16,10 @@
 
   /// Returns false if not all bytes could be sent.
   bool send(std::string_view bytes) const;
+  /// Sends until the peer takes nothing for so long, or has closed the connection. Returns the
+  /// number of bytes that were sent.
+  [[nodiscard]] std::size_t send_within(std::string_view bytes,
+                                        std::chrono::milliseconds max_pause) const;
   /// Closes the sending direction of the connection.
   void finish_sending() const;
   /// Reads until the text occurs, the peer closes the connection or the timeout expires. With an
