services: Bound what a caller's connection may hold

Beast keeps a chunk's size, its extensions and the trailers in the connection's buffer until they are complete, and that buffer had no bound: 12 callers with 32 MiB each took 360 to 420 MiB. Both programs now read requests through daemon::request_buffer (4 KiB for each connection, up to the header limit from a budget of all) and daemon::read_body, which also bounds all framing of a body against its bytes.

Connections beyond the limit were refused while others rested. The one that has waited longest for a request, or for the rest of one, gives way now.

Lengths given twice or as a list are refused in both programs and at all addresses; the check was in the entry server alone, and took a list.

discard_rest ends after the idle timeout and the bytes of a largest request; catkinlandingd drains 8 MiB of a refused request instead of 16. Rejected callers' connections are drained for a second, so that the answer is not lost with a reset.

An endpoint's slot was held until the write to a caller who doesn't read failed. When the caller's time is over, an answer that is still arriving is cut, and one that has arrived keeps no slot.

The endpoint stand-in took bodies of 1 MiB only, the parser's default, so many_tiny_chunks got 502; its limit is lifted, which no other test needs.

--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -266,6 +266,13 @@
   }
 }
 
+void router::release_slot(request_number number) {
+  auto const found = m_requests.find(number);
+  if (found != m_requests.end() && !found->second.held) {
+    finish_attempt(found->second);
+  }
+}
+
 void router::end(request_number number, base::monotonic_time now) {
   auto const found = m_requests.find(number);
   if (found == m_requests.end()) {
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -133,6 +133,9 @@
   /// told with the answer that its caller is about to receive.
   [[nodiscard]] relay_tally hand_over(request_number number);
 
+  /// Gives back the slot of an endpoint whose whole answer has arrived, while its caller has not
+  /// read it.
+  void release_slot(request_number number);
   /// Records that the request was answered completely and with success.
   void note_completed(request_number number, base::monotonic_time now);
   /// Records that the current attempt failed and decides what follows. `was_delivered` tells
--- a/services/daemon/caller_connection.cpp
+++ b/services/daemon/caller_connection.cpp
@@ -17,18 +17,23 @@
 } // namespace
 
 awaitable<bool> caller_connection::wait_for_request() {
-  constexpr std::size_t first_read_bytes = 4096;
-  if (buffer.size() > 0) {
+  constexpr std::size_t first_read_bytes = 2048;
+  buffer.shrink();
+  auto& storage = buffer.storage();
+  if (storage.size() > 0) {
     co_return true;
   }
   auto const [error, size] =
-      co_await stream.async_read_some(buffer.prepare(first_read_bytes), completion);
-  buffer.commit(size);
+      co_await stream.async_read_some(storage.prepare(first_read_bytes), completion);
+  storage.commit(size);
   co_return !error;
 }
 
 awaitable<beast::error_code> caller_connection::read_body(request_parser& parser,
                                                           base::memory_share& memory) {
+  if (!has_unambiguous_framing(parser)) {
+    co_return http::error::bad_content_length;
+  }
   if (!reserve_body(parser, memory)) {
     co_return make_error_code(boost::system::errc::not_enough_memory);
   }
@@ -43,7 +48,7 @@
 }
 
 awaitable<void> caller_connection::drain(std::chrono::seconds timeout) {
-  constexpr std::size_t max_drained_bytes = 16 * 1024 * 1024;
+  constexpr std::size_t max_drained_bytes = 8 * 1024 * 1024;
   beast::error_code ignored;
   stream.socket().shutdown(tcp_socket::shutdown_send, ignored);
   std::array<char, 16 * 1024> discarded{};
--- a/services/daemon/caller_connection.h
+++ b/services/daemon/caller_connection.h
@@ -16,7 +16,8 @@
 /// A caller's connection. Shared by its coroutine and by the handler that waits for a disconnect.
 /// The reads end with the time that is set at the stream.
 struct caller_connection {
-  explicit caller_connection(tcp_socket socket) : stream(std::move(socket)) {}
+  caller_connection(tcp_socket socket, base::memory_budget const& memory)
+      : stream(std::move(socket)), buffer(memory) {}
 
   /// Waits for the first bytes of the next request. Returns false if the connection ended.
   [[nodiscard]] awaitable<bool> wait_for_request();
@@ -29,7 +30,7 @@
   [[nodiscard]] awaitable<void> drain(std::chrono::seconds timeout);
 
   tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  request_buffer buffer;
 };
 
 } // namespace catkinlanding::daemon
--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -7,6 +7,7 @@
 #include <services/daemon/reply_queue.h>
 #include <services/daemon/scoped_count.h>
 #include <services/daemon/socket_state.h>
+#include <services/daemon/waiting_connections.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -37,7 +38,8 @@
       : m_context(context), m_options(options), m_handlers(std::move(handlers)),
         m_acceptor(std::move(acceptor)),
         m_body_memory({.max_bytes = std::max(options.max_body_memory, options.max_body_size),
-                       .free_memory_divisor = 1}) {}
+                       .free_memory_divisor = 1}),
+        m_buffer_memory({.max_bytes = options.max_buffer_memory}) {}
 
   void start() { spawn(m_context, "callers", accept(shared_from_this())); }
 
@@ -94,8 +96,8 @@
   void handle_connection(tcp_socket socket) {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto accepted = std::make_shared<caller_connection>(std::move(socket));
-    if (m_connections < m_options.max_connections) {
+    auto accepted = std::make_shared<caller_connection>(std::move(socket), m_buffer_memory);
+    if (m_connections < m_options.max_connections || m_waiting.close_longest()) {
       spawn(m_context, "callers", serve(shared_from_this(), std::move(accepted)));
     } else if (m_rejected_connections < max_rejected_connections) {
       spawn(m_context, "callers", reject_connection(shared_from_this(), std::move(accepted)));
@@ -119,17 +121,17 @@
     auto& stream = connection->stream;
     bool keeps_alive = true;
     while (keeps_alive) {
+      std::optional<waiting_connections::entry> waiting(std::in_place, self->m_waiting, stream);
       request_parser parser;
       parser.body_limit(self->m_options.max_body_size);
-      parser.header_limit(self->m_options.max_header_size);
       stream.expires_after(self->m_options.read_timeout);
       if (!co_await connection->wait_for_request()) {
         break;
       }
       auto const timeout_at = now() + self->m_options.read_timeout;
       stream.expires_after(self->m_options.read_timeout);
-      auto const [head_error, head_size] =
-          co_await http::async_read_header(stream, connection->buffer, parser, completion);
+      auto const head_error =
+          co_await read_header(stream, connection->buffer, parser, self->m_options.max_header_size);
       scoped_count const busy(self->m_busy_connections);
       auto const arrived_at = now();
       if (!head_error) {
@@ -141,6 +143,7 @@
       base::memory_share body_memory(self->m_body_memory);
       auto const error =
           head_error ? head_error : co_await connection->read_body(parser, body_memory);
+      waiting.reset();
       if (error) {
         co_await self->send_parse_error(*connection, error);
         break;
@@ -158,11 +161,10 @@
     scoped_count const active(self->m_rejected_connections);
     auto& stream = connection->stream;
     request_parser parser;
-    parser.header_limit(self->m_options.max_header_size);
     parser.body_limit(self->m_options.max_body_size);
     stream.expires_after(rejection_timeout);
-    auto const [error, size] =
-        co_await http::async_read_header(stream, connection->buffer, parser, completion);
+    auto const error =
+        co_await read_header(stream, connection->buffer, parser, self->m_options.max_header_size);
     if (error) {
       co_return;
     }
@@ -453,6 +455,8 @@
   std::size_t m_busy_connections = 0;
   std::size_t m_rejected_connections = 0;
   base::memory_budget m_body_memory;
+  base::memory_budget m_buffer_memory;
+  waiting_connections m_waiting{"callers"};
   bool m_is_stopping = false;
 };
 
--- a/services/daemon/operator_server.cpp
+++ b/services/daemon/operator_server.cpp
@@ -3,6 +3,7 @@
 #include <services/daemon/coroutine.h>
 #include <services/daemon/operator_server.h>
 #include <services/daemon/scoped_count.h>
+#include <services/daemon/waiting_connections.h>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -19,9 +20,12 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+constexpr std::uint32_t max_header_size = 16 * 1024;
 constexpr std::size_t max_body_size = 16 * 1024 * 1024;
 /// For the bodies of all commands.
 constexpr std::size_t max_body_memory = 64UL * 1024 * 1024;
+/// For the headers and the framing of commands, beyond a few KiB for each connection.
+constexpr std::size_t max_buffer_memory = 2UL * 1024 * 1024;
 constexpr std::chrono::seconds timeout{30};
 constexpr std::size_t max_connections = 64;
 
@@ -56,7 +60,7 @@
       auto [error, socket] = co_await self->m_acceptor.async_accept(self->m_context, completion);
       if (error) {
         co_await pause_accepting(self->m_context);
-      } else if (self->m_connections < max_connections) {
+      } else if (self->m_connections < max_connections || self->m_listed.close_longest()) {
         spawn(self->m_context, "operators", serve(self, tcp_stream(std::move(socket))));
       }
     }
@@ -68,20 +72,24 @@
   }
 
   awaitable<void> exchange(tcp_stream& stream) {
-    beast::flat_buffer buffer;
+    std::optional<waiting_connections::entry> waiting(std::in_place, m_listed, stream);
+    request_buffer buffer(m_buffer_memory);
     request_parser parser;
     parser.body_limit(max_body_size);
     stream.expires_after(timeout);
-    auto const [head_error, size] =
-        co_await http::async_read_header(stream, buffer, parser, completion);
+    auto const head_error = co_await read_header(stream, buffer, parser, max_header_size);
     if (head_error) {
       co_return;
     }
+    if (!has_unambiguous_framing(parser)) {
+      co_return co_await reject(stream, http::status::bad_request);
+    }
     base::memory_share memory(m_body_memory);
     if (!reserve_body(parser, memory)) {
       co_return co_await reject(stream, http::status::service_unavailable);
     }
     auto const error = co_await read_body(stream, buffer, parser, memory);
+    waiting.reset();
     if (error) {
       co_return;
     }
@@ -126,6 +134,8 @@
   tcp::acceptor m_acceptor;
   std::size_t m_connections = 0;
   base::memory_budget m_body_memory{{.max_bytes = max_body_memory, .free_memory_divisor = 1}};
+  base::memory_budget m_buffer_memory{{.max_bytes = max_buffer_memory}};
+  waiting_connections m_listed{"operators"};
   std::uint64_t m_last_number = 0;
   std::map<std::uint64_t, std::shared_ptr<waiting_command>> m_waiting;
 };
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -142,6 +142,8 @@
                               static_cast<double>(m_control->relay().accepted()));
             if (m_call_server) {
               metrics.set_gauge("callers", static_cast<double>(m_call_server->connection_count()));
+              metrics.set_gauge("callers_gave_way",
+                                static_cast<double>(m_call_server->closed_waiting()));
               metrics.set_gauge("callers_refused",
                                 static_cast<double>(m_call_server->refused_connections()));
             }
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -27,11 +27,16 @@
 constexpr double permille = 1000.0;
 /// Shortest time between two lines about outdated updates, which may come in series.
 constexpr std::chrono::seconds outdated_line_interval{1};
+/// Readiness checks have no bodies of use.
+constexpr std::uint32_t max_check_bytes = 64 * 1024;
+constexpr std::size_t max_check_memory = 1024UL * 1024;
 /// The part of the process's memory that answers may take up in buffers: one in this many bytes.
 /// Each open request takes up more, in proportion to their number.
 constexpr std::size_t answer_memory_divisor = 10;
 /// The same for the bodies of callers' requests.
 constexpr std::size_t body_memory_divisor = 5;
+/// The same for the headers and the framing of requests.
+constexpr std::size_t buffer_memory_divisor = 20;
 
 std::vector<base::instance_id> seed_instances(process_settings const& settings) {
   std::vector<base::instance_id> seeds;
@@ -88,6 +93,10 @@
             metrics.set_gauge("active_requests", static_cast<double>(m_router.active_requests()));
             metrics.set_gauge("connections",
                               static_cast<double>(m_entry_server->connection_count()));
+            metrics.set_gauge("connections_gave_way",
+                              static_cast<double>(m_entry_server->closed_waiting()));
+            metrics.set_gauge("request_buffer_bytes",
+                              static_cast<double>(m_entry_server->buffer_bytes()));
             metrics.set_gauge("endpoints", static_cast<double>(m_router.endpoint_count()));
             metrics.set_gauge("document_revision",
                               static_cast<double>(m_router.document_revision()));
@@ -102,7 +111,9 @@
   if (settings.readiness) {
     auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(io, *settings.readiness));
     m_readiness_server = std::make_unique<http_server>(
-        io, std::move(acceptor), http_server::options{},
+        io, std::move(acceptor),
+        http_server::options{.max_body_bytes = max_check_bytes,
+                             .max_body_memory = max_check_memory},
         [this](http_request request) -> daemon::awaitable<http_response> {
           bool const is_ready = m_router.is_ready() && !m_context.is_stopping;
           auto status = is_ready ? http::status::ok : http::status::service_unavailable;
@@ -117,7 +128,8 @@
     auto acceptor = CATKINLANDING_TRY(daemon::open_acceptor(io, *settings.callers));
     m_entry_server = std::make_unique<entry_server>(
         m_context, std::move(acceptor),
-        entry_server::options{.max_body_memory = settings.memory_bytes / body_memory_divisor});
+        entry_server::options{.max_body_memory = settings.memory_bytes / body_memory_divisor,
+                              .max_buffer_memory = settings.memory_bytes / buffer_memory_divisor});
   }
   return {};
 }
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -4,7 +4,7 @@
 #include <services/proxy/relay_header.h>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <spdlog/spdlog.h>
 
 namespace catkinlanding::proxy {
@@ -16,31 +16,27 @@
 using daemon::completion;
 
 constexpr std::chrono::seconds reject_timeout{1};
-/// For how long a caller may pause in a request that is discarded.
-constexpr std::chrono::seconds discard_timeout{3};
-
-/// Whether the body length is unambiguous. Ambiguous framing would allow request smuggling.
-bool has_unambiguous_framing(http_request_header const& header) {
-  auto const encodings = header.count(http::field::transfer_encoding);
-  if (encodings == 0) {
-    return header.count(http::field::content_length) <= 1;
-  }
-  return encodings == 1 && header.count(http::field::content_length) == 0 &&
-         header[http::field::transfer_encoding] == "chunked";
-}
+/// Limits the rate of log lines about rejected requests, for each reason. All are counted.
+constexpr std::chrono::seconds reject_line_interval{1};
+/// For how long a caller may pause in a refused request, whose rest is discarded.
+constexpr std::chrono::seconds discard_pause{3};
+/// What is discarded of a request that breaks a rule, so that its caller gets the answer.
+constexpr discard_limits rejected_rest{
+    .max_pause = reject_timeout, .max_time = reject_timeout, .max_bytes = 1024UL * 1024};
 
 } // namespace
 
 entry_server::entry_server(entry_context& context, asio::ip::tcp::acceptor acceptor,
                            options options)
     : m_context(context), m_acceptor(std::move(acceptor)), m_options(options),
-      m_body_memory({.max_bytes = options.max_body_memory, .free_memory_divisor = 1}) {
+      m_body_memory({.max_bytes = options.max_body_memory, .free_memory_divisor = 1}),
+      m_buffer_memory({.max_bytes = options.max_buffer_memory}) {
   daemon::spawn(m_context.io, "entry", accept());
 }
 
 bool entry_server::connection::is_empty() const {
   boost::system::error_code error;
-  return buffer.size() == 0 && stream.socket().available(error) == 0;
+  return buffer.storage().size() == 0 && stream.socket().available(error) == 0;
 }
 
 std::vector<open_request> entry_server::open_requests() const {
@@ -132,13 +128,13 @@
 }
 
 void entry_server::start(daemon::tcp_socket socket) {
-  if (m_connections.size() >= m_options.max_connections) {
+  if (m_connections.size() >= m_options.max_connections && !m_waiting.close_longest()) {
     spdlog::warn("entry connection_refused connections={}", m_connections.size());
     return;
   }
   boost::system::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  auto accepted = std::make_shared<connection>(std::move(socket));
+  auto accepted = std::make_shared<connection>(std::move(socket), m_buffer_memory);
   m_connections.insert(accepted);
   daemon::spawn(m_context.io, "entry", serve(std::move(accepted)));
 }
@@ -174,13 +170,13 @@
 awaitable<std::optional<incoming_request>>
 entry_server::read_request(connection& connection, base::memory_share& body_memory) {
   auto const& limits = m_context.router.limits();
+  daemon::waiting_connections::entry const waiting(m_waiting, connection.stream);
   request_parser parser;
-  parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   connection.stream.expires_after(limits.idle_timeout);
   connection.is_awaiting_request = true;
-  auto const [error, size] =
-      co_await http::async_read_header(connection.stream, connection.buffer, parser, completion);
+  auto const error = co_await daemon::read_header(connection.stream, connection.buffer, parser,
+                                                  limits.max_header_bytes);
   connection.is_awaiting_request = false;
   if (error == http::error::header_limit) {
     co_await reject(connection, http::status::request_header_fields_too_large, "header_too_large");
@@ -190,6 +186,10 @@
     co_await reject(connection, http::status::payload_too_large, "body_too_large");
     co_return std::nullopt;
   }
+  if (error == boost::system::errc::not_enough_memory) {
+    co_await reject(connection, http::status::service_unavailable, "headers_exceed_memory");
+    co_return std::nullopt;
+  }
   bool const is_malformed = error && error.category() == http::make_error_code({}).category() &&
                             error != http::error::end_of_stream &&
                             error != http::error::partial_message;
@@ -202,7 +202,7 @@
   if (error) {
     co_return std::nullopt;
   }
-  if (!has_unambiguous_framing(parser.get().base())) {
+  if (!has_unambiguous_framing(parser)) {
     co_await reject(connection, http::status::bad_request, "ambiguous_length");
     co_return std::nullopt;
   }
@@ -243,6 +243,8 @@
     co_await reject(connection, http::status::payload_too_large, "body_too_large");
   } else if (failure == request_body_failure::no_memory) {
     co_await reject(connection, http::status::service_unavailable, "bodies_exceed_memory");
+  } else if (failure == request_body_failure::framing_too_large) {
+    co_await reject(connection, http::status::request_header_fields_too_large, "framing_too_large");
   }
   co_return !failure;
 }
@@ -266,16 +268,26 @@
   auto const bytes = serialize_response(answer.base(), answer.body(), false);
   connection.stream.expires_after(reject_timeout);
   co_await asio::async_write(connection.stream, asio::buffer(bytes), completion);
-  co_await discard_rest(connection.stream, connection.buffer, discard_timeout);
+  auto const& limits = m_context.router.limits();
+  discard_limits const rest{.max_pause = discard_pause,
+                            .max_time = limits.idle_timeout,
+                            .max_bytes = daemon::max_bytes_on_wire(limits.max_body_bytes)};
+  co_await discard_rest(connection.stream, connection.buffer, rest);
 }
 
 awaitable<void> entry_server::reject(connection& connection, http::status status,
                                      char const* reason) {
-  spdlog::warn("entry refused request=- reason={} status={}", reason, static_cast<int>(status));
+  auto& next_line = m_next_lines[reason];
+  if (now() >= next_line) {
+    next_line = now() + reject_line_interval;
+    spdlog::warn("entry refused request=- reason={} status={}", reason, static_cast<int>(status));
+  }
   connection.stream.expires_after(reject_timeout);
   http_response const answer(status, 11);
+  m_context.metrics.observe_request({}, {}, request_end::refused, reason, {});
   auto const bytes = serialize_response(answer.base(), {}, false);
   co_await asio::async_write(connection.stream, asio::buffer(bytes), completion);
+  co_await discard_rest(connection.stream, connection.buffer, rejected_rest);
 }
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <services/daemon/waiting_connections.h>
 #include <services/proxy/exchange.h>
 #include <services/proxy/request_body.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -20,6 +23,9 @@
     /// Memory for the request bodies of all connections, read or being read. A request whose body
     /// doesn't fit is rejected, before the body is read if its length is known.
     std::size_t max_body_memory = 32UL * 1024 * 1024;
+    /// Memory for the headers and the framing of bodies that are being read, beyond a few KiB that
+    /// each connection may have. A request that needs more is rejected.
+    std::size_t max_buffer_memory = 16UL * 1024 * 1024;
   };
 
   entry_server(entry_context& context, boost::asio::ip::tcp::acceptor acceptor, options options);
@@ -37,13 +43,17 @@
   /// The requests in flight and those of which a part has arrived.
   [[nodiscard]] std::vector<open_request> open_requests() const;
   [[nodiscard]] std::size_t connection_count() const { return m_connections.size(); }
+  /// Connections that gave way to new ones while they waited for a request or the rest of one.
+  [[nodiscard]] std::uint64_t closed_waiting() const { return m_waiting.closed(); }
+  [[nodiscard]] std::size_t buffer_bytes() const { return m_buffer_memory.used_bytes(); }
 
 private:
   struct connection {
-    explicit connection(daemon::tcp_socket socket) : stream(std::move(socket)) {}
+    connection(daemon::tcp_socket socket, base::memory_budget const& memory)
+        : stream(std::move(socket)), buffer(memory) {}
 
     daemon::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    daemon::request_buffer buffer;
     bool is_awaiting_request = false;
     /// The request whose body is being read, and when its header was complete.
     request_parser const* parser = nullptr;
@@ -79,8 +89,12 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   options m_options;
   std::set<std::shared_ptr<connection>> m_connections;
+  /// When the next line about a rejected request may be logged, by reason.
+  std::map<std::string_view, base::monotonic_time> m_next_lines;
   std::size_t m_active_exchanges = 0;
   base::memory_budget m_body_memory;
+  base::memory_budget m_buffer_memory;
+  daemon::waiting_connections m_waiting{"entry"};
 };
 
 } // namespace catkinlanding::proxy
--- a/services/proxy/exchange.cpp
+++ b/services/proxy/exchange.cpp
@@ -285,10 +285,24 @@
     if (!error && !self->m_is_done) {
       self->m_is_expired = true;
       self->close_upstream();
+      self->end_unread_answer();
     }
   });
 }
 
+void exchange::end_unread_answer() {
+  bool const is_unread = m_forwarder.is_writing() && m_forwarder.has_begun() && m_current;
+  if (!is_unread) {
+    return;
+  }
+  if (m_current->answer().is_done()) {
+    // What has arrived is delivered, also late, but the endpoint has done its work.
+    m_context.router.release_slot(m_number);
+  } else {
+    m_caller.cancel();
+  }
+}
+
 void exchange::start_stall_timer(base::monotonic_time earliest) {
   auto const due = m_context.router.stall_deadline(m_number);
   if (!due) {
--- a/services/proxy/http_server.cpp
+++ b/services/proxy/http_server.cpp
@@ -2,7 +2,7 @@
 #include <services/proxy/http_server.h>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <spdlog/spdlog.h>
 
 namespace catkinlanding::proxy {
@@ -15,6 +15,10 @@
 
 /// Limits the rate of warnings while there are too many connections.
 constexpr std::chrono::seconds warning_interval{1};
+/// What is discarded of a refused request, so that its caller gets the answer.
+constexpr discard_limits rejected_rest{.max_pause = std::chrono::seconds(1),
+                                       .max_time = std::chrono::seconds(1),
+                                       .max_bytes = 1024UL * 1024};
 
 } // namespace
 
@@ -22,7 +26,8 @@
                          options options, handler handle_request)
     : m_context(context), m_acceptor(std::move(acceptor)), m_options(options),
       m_handler(std::move(handle_request)),
-      m_body_memory({.max_bytes = options.max_body_memory, .free_memory_divisor = 1}) {
+      m_body_memory({.max_bytes = options.max_body_memory, .free_memory_divisor = 1}),
+      m_buffer_memory({.max_bytes = options.max_buffer_memory}) {
   daemon::spawn(m_context, "calls", accept());
 }
 
@@ -40,7 +45,7 @@
     if (error) {
       spdlog::warn("calls accept_failed error={}", error.message());
       co_await daemon::pause_accepting(m_context);
-    } else if (m_connections < m_options.max_connections) {
+    } else if (m_connections < m_options.max_connections || m_waiting.close_longest()) {
       daemon::spawn(m_context, "calls",
                     serve(std::make_shared<daemon::tcp_stream>(std::move(socket))));
     } else {
@@ -58,9 +63,19 @@
   }
 }
 
+void http_server::note_rejected(char const* reason) {
+  ++m_rejected;
+  auto const time = std::chrono::steady_clock::now();
+  if (time >= m_next_warning) {
+    m_next_warning = time + warning_interval;
+    spdlog::warn("calls refused reason={} used={} total={}", reason, m_body_memory.used_bytes(),
+                 m_rejected);
+  }
+}
+
 awaitable<void> http_server::serve(std::shared_ptr<daemon::tcp_stream> stream) {
   daemon::scoped_count const active(m_connections);
-  boost::beast::flat_buffer buffer;
+  daemon::request_buffer buffer(m_buffer_memory);
   while (co_await serve_request(*stream, buffer)) {
   }
   boost::system::error_code ignored;
@@ -68,31 +83,56 @@
 }
 
 awaitable<bool> http_server::serve_request(daemon::tcp_stream& stream,
-                                           boost::beast::flat_buffer& buffer) {
+                                           daemon::request_buffer& buffer) {
+  base::memory_share memory(m_body_memory);
+  auto request = co_await read_request(stream, buffer, memory);
+  if (!request) {
+    auto const status = request.error();
+    if (status) {
+      co_await write(stream, http_response(*status, 11), false);
+      co_await discard_rest(stream, buffer, rejected_rest);
+    }
+    co_return false;
+  }
+  bool const keep_alive = request->keep_alive();
+  auto const answer = co_await m_handler(std::move(*request));
+  co_return co_await write(stream, answer, keep_alive);
+}
+
+awaitable<tl::expected<http_request, std::optional<http::status>>>
+http_server::read_request(daemon::tcp_stream& stream, daemon::request_buffer& buffer,
+                          base::memory_share& memory) {
+  daemon::waiting_connections::entry const waiting(m_waiting, stream);
   request_parser parser;
-  parser.header_limit(m_options.max_header_bytes);
   parser.body_limit(m_options.max_body_bytes);
   stream.expires_after(m_options.idle_timeout);
-  auto const [error, size] = co_await http::async_read_header(stream, buffer, parser, completion);
-  if (error) {
-    co_return false;
+  auto const error =
+      co_await daemon::read_header(stream, buffer, parser, m_options.max_header_bytes);
+  if (error && error != boost::system::errc::not_enough_memory) {
+    co_return tl::unexpected(error == http::error::header_limit
+                                 ? std::optional(http::status::request_header_fields_too_large)
+                                 : std::nullopt);
   }
-  base::memory_share memory(m_body_memory);
   auto failure = std::optional(request_body_failure::no_memory);
-  if (reserve_body(parser, memory)) {
-    failure = co_await read_body(stream, buffer, parser, memory);
+  if (!error && !has_unambiguous_framing(parser)) {
+    note_rejected("ambiguous_length");
+    co_return tl::unexpected(std::optional(http::status::bad_request));
+  }
+  if (!error && reserve_body(parser, memory)) {
+    failure = co_await proxy::read_body(stream, buffer, parser, memory);
   }
   if (failure == request_body_failure::no_memory) {
-    spdlog::warn("calls refused reason=bodies_exceed_memory used={}", m_body_memory.used_bytes());
-    co_return co_await write(stream, http_response(http::status::service_unavailable, 11), false);
+    note_rejected("requests_exceed_memory");
+    co_return tl::unexpected(std::optional(http::status::service_unavailable));
+  }
+  if (failure == request_body_failure::framing_too_large) {
+    note_rejected("framing_too_large");
+    co_return tl::unexpected(std::optional(http::status::request_header_fields_too_large));
   }
   if (failure) {
-    co_return false;
+    co_return tl::unexpected(std::optional<http::status>());
   }
-  auto request = parser.release();
-  bool const keep_alive = request.keep_alive();
-  auto const answer = co_await m_handler(std::move(request));
-  co_return co_await write(stream, answer, keep_alive);
+  co_return parser.release();
 }
 
 awaitable<bool> http_server::write(daemon::tcp_stream& stream, http_response const& answer,
--- a/services/proxy/process.cpp
+++ b/services/proxy/process.cpp
@@ -15,6 +15,9 @@
 
 /// Messages that are being received may take up one in this many bytes of the process's memory.
 constexpr std::size_t frame_memory_divisor = 5;
+/// Requests for metrics have no bodies of use.
+constexpr std::uint32_t max_metrics_request_bytes = 64 * 1024;
+constexpr std::size_t max_metrics_request_memory = 1024UL * 1024;
 
 constexpr std::chrono::seconds settings_check_interval{2};
 
@@ -48,7 +51,9 @@
     base::address const address{.ip = settings.peers.ip, .port = settings.metrics_port};
     auto metrics_acceptor = CATKINLANDING_TRY(daemon::open_acceptor(m_io, address));
     m_metrics_server = std::make_unique<http_server>(
-        m_io, std::move(metrics_acceptor), http_server::options{},
+        m_io, std::move(metrics_acceptor),
+        http_server::options{.max_body_bytes = max_metrics_request_bytes,
+                             .max_body_memory = max_metrics_request_memory},
         [this](http_request /*request*/) -> daemon::awaitable<http_response> {
           m_handlers.on_metrics(m_metrics);
           auto const& inbound = m_peers->inbound();
--- a/tests/stand_ins/platform_endpoint.cpp
+++ b/tests/stand_ins/platform_endpoint.cpp
@@ -77,6 +77,7 @@
 std::optional<received_request> read_request(int socket, std::string& pending,
                                              std::atomic<bool> const& is_stopping) {
   http::request_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
   parser.eager(true);
   std::array<char, 16 * 1024> piece{};
   while (!parser.is_done()) {
