rates: Keep the limits that a new leader does not know yet

A review by reading: an update without a grant ends the limit of an endpoint. A new leader that had not heard of a cold endpoint yet named none, so all instances sent without a limit until its next announcement. While the leader's registry is not complete, an instance keeps its share for the time in which the new leader grants none (2 s).

--- a/libraries/proxy/endpoint_rate_limiter.cpp
+++ b/libraries/proxy/endpoint_rate_limiter.cpp
@@ -44,7 +44,8 @@
   return is_new ? change::limited : change::none;
 }
 
-void endpoint_rate_limiter::apply(std::vector<rate_grant> const& grants, base::monotonic_time now) {
+void endpoint_rate_limiter::apply(std::vector<rate_grant> const& grants, base::monotonic_time now,
+                                  bool is_complete) {
   m_granted_at = now;
   std::map<endpoint_incarnation, rate_grant> granted;
   for (auto const& grant : grants) {
@@ -54,7 +55,12 @@
   for (auto& [source, known] : m_limits) {
     bool const had_share = known.grant && known.grant->share > 0.0;
     auto const grant = granted.find(source);
-    known.grant = grant == granted.end() ? std::nullopt : std::optional(grant->second);
+    bool const is_named = grant != granted.end();
+    if (!is_named && !is_complete && now < known.named_at + m_options.handover_time) {
+      continue;
+    }
+    known.grant = is_named ? std::optional(grant->second) : std::nullopt;
+    known.named_at = is_named ? now : known.named_at;
     // Instances that take over a rate must not all send at once, on top of the former ones.
     bool const has_share = known.grant && known.grant->share > 0.0;
     if (has_share && !had_share) {
--- a/libraries/proxy/endpoint_rate_limiter.h
+++ b/libraries/proxy/endpoint_rate_limiter.h
@@ -24,6 +24,8 @@
     double min_rate = 0.2;
     /// A statement that was not seen again for this long no longer applies.
     base::duration notice_lifetime = std::chrono::seconds(30);
+    /// A new leader grants no shares for this long, so that those of the former one may be used.
+    base::duration handover_time = std::chrono::seconds(2);
     /// Time after grants arrived until the instance is without a leader, at the latest. The random
     /// distances begin then: those that begin at the grants have ended for many instances at once.
     base::duration contact_timeout = std::chrono::milliseconds(1800);
@@ -40,8 +42,11 @@
   /// was sent: an answer to an older request does not end a limit.
   [[nodiscard]] change note_answer(endpoint_incarnation const& source, std::optional<double> rate,
                                    base::monotonic_time sent_at, base::monotonic_time now);
-  /// Replaces the shares that the leader grants.
-  void apply(std::vector<rate_grant> const& grants, base::monotonic_time now);
+  /// Replaces the shares that the leader grants. `is_complete` tells whether the leader has heard
+  /// of all endpoints; until then what it does not name keeps its share for the handover time, as
+  /// the former leader may have limited an endpoint that this one does not know yet.
+  void apply(std::vector<rate_grant> const& grants, base::monotonic_time now,
+             bool is_complete = true);
 
   /// Returns when the next request may be sent to the endpoint; a time in the past or present if it
   /// may be sent now. `is_connected` tells whether the leader's grants are current.
@@ -71,6 +76,8 @@
     std::optional<double> stated_rate;
     std::optional<base::monotonic_time> stated_at;
     std::optional<rate_grant> grant;
+    /// When an update last named the endpoint.
+    base::monotonic_time named_at{};
     base::monotonic_time learned_at{};
     /// When the last request was sent, or when the limit was learned.
     base::monotonic_time last_sent_at{};
--- a/libraries/proxy/router_state.cpp
+++ b/libraries/proxy/router_state.cpp
@@ -142,7 +142,7 @@
   m_overload.set_instances(entry_instances);
   auto const requested_at = update.loads ? m_reports.counted_since(*update.loads) : std::nullopt;
   if (m_grant_lease.note_update(requested_at)) {
-    m_notices.rates().apply(update.rate_grants, now);
+    m_notices.rates().apply(update.rate_grants, now, update.is_registry_complete);
   }
   m_quarantine.merge(update.evidence, now);
   if (!update.relay_peers.empty()) {
--- a/tests/libraries/proxy/endpoint_rate_limiter_test.cpp
+++ b/tests/libraries/proxy/endpoint_rate_limiter_test.cpp
@@ -51,6 +51,22 @@
   EXPECT_TRUE(may_send(start + 61s));
 }
 
+// A new leader that had not heard of a cold endpoint yet named no limit for it, and all instances
+// sent without one.
+TEST_F(rate_limiters, keep_a_share_that_a_new_leader_does_not_know_yet) {
+  m_limiter.apply({{.source = source, .rate = 2.0, .share = 0.0}}, start);
+  m_limiter.apply({}, start + 1s, false);
+  EXPECT_FALSE(may_send(start + 1s));
+  m_limiter.apply({}, start + 3s, false);
+  EXPECT_TRUE(may_send(start + 3s));
+}
+
+TEST_F(rate_limiters, end_a_share_that_a_leader_who_knows_all_does_not_name) {
+  m_limiter.apply({{.source = source, .rate = 2.0, .share = 0.0}}, start);
+  m_limiter.apply({}, start + 1s);
+  EXPECT_TRUE(may_send(start + 1s));
+}
+
 TEST_F(rate_limiters, use_a_part_of_the_rate_without_a_leader) {
   m_limiter.set_instances(10);
   m_limiter.apply({{.source = source, .rate = 2.0, .share = 0.0}}, start);
