warmup: Limit the requests that all entry instances send to a cold endpoint

No code read whether an endpoint is cold: up to 22 requests in one second reached an endpoint that sustains 20. An equal part for each of 75 entries is far below one request, so few instances must send.

The leader takes the cold endpoints from announcements, and their rates from the operator's text by a reader that platform/ provides. An endpoint that becomes cold gets a new revision, so that its limit is pushed. A grant is in force for 1.8 s from the subscription that it answers, no longer from its arrival, and grants of an earlier subscription do not replace later ones.

Changed for stated rates too, without a leader: random distances begin at the end of the contact, not at the last grants. A last grant of an endpoint that answers without a rate ends after 30 s, and the lower of statement and grant holds.

load_summary_test passes the time of a report, as load_reports now records it; what it checks is unchanged.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -86,6 +86,7 @@
       out.messages.push_back(make_subscription(*upstream));
     }
   }
+  update_cold_endpoints(now, out);
   relay_announcements(now, out);
   process_replica_output(now, out);
   announce_departure(out);
@@ -172,6 +173,7 @@
       !leader && subscription.is_entry && subscription.known.document_revision == 0;
   if (needs_last_known_state && m_state.revision() != 0) {
     if (auto state = m_publisher.last_known(m_state, m_registry, now)) {
+      withhold_cold(*state, now);
       out.messages.push_back({from, std::move(*state)});
     }
   }
@@ -209,6 +211,10 @@
   m_subscriber.note_update(update, from, now);
   for (auto const& record : update.endpoints) {
     m_registry.adopt(record, now);
+    auto const* adopted = m_registry.find(record.announcement.id);
+    if (adopted != nullptr && adopted->announcement == record.announcement) {
+      note_cold(record.announcement, now);
+    }
     apply_departure(record.announcement.id, out);
   }
   static_cast<void>(m_subscriber.advance(update));
@@ -283,6 +289,7 @@
   CATKINLANDING_VERIFY(m_state.revision() >= revision);
   m_evaluator.note(m_state.rollouts(), now);
   if (m_state.revision() > revision) {
+    read_cold_rates();
     out.events.push_back({control_event::document_applied, {}, {}, m_state.revision()});
   } else if (auto const* departed = std::get_if<record_departure>(&*decoded)) {
     apply_departure(departed->departure.source.endpoint, out);
@@ -321,6 +328,7 @@
   m_state = std::move(*state);
   m_applied = snapshot.index;
   m_bytes_applied = 0;
+  read_cold_rates();
   for (auto const& departure : m_state.departures().all()) {
     m_registry.note_departure(departure);
   }
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -58,6 +58,8 @@
     pending_calls::options calls;
     voter_manager::options voters;
     announcement_relay::options relay;
+    /// Reads the rates of cold endpoints from the operator's text; without it there are no limits.
+    warmup::rate_reader read_cold_rates;
   };
 
   [[nodiscard]] static control create(options options, consensus::recovered_state const& recovered,
@@ -71,6 +73,9 @@
   void complete_write(consensus::write_id id, base::monotonic_time now, control_effects& out);
   /// Prepares for a planned stop: gives up leadership, and tells the next leader so.
   void resign(base::monotonic_time now, control_effects& out);
+  /// Treats all endpoints of the zone as cold until they announce themselves again. Called when a
+  /// zone that was out of use is used again, as what is known of its endpoints is old.
+  void await_announcements(base::availability_zone_id const& zone);
   /// Replaces the other control instances that are named in the settings.
   void use_seeds(std::vector<base::instance_id> const& seeds);
 
@@ -78,6 +83,7 @@
   [[nodiscard]] consensus::replica const& replica() const { return m_replica; }
   [[nodiscard]] endpoint_registry const& registry() const { return m_registry; }
   [[nodiscard]] announcement_relay const& relay() const { return m_relay; }
+  [[nodiscard]] warmup::cold_endpoints const& cold_endpoints() const { return m_rates.cold(); }
 
 private:
   control(options options, consensus::recovered_state const& recovered, base::monotonic_time now);
@@ -172,6 +178,17 @@
   [[nodiscard]] state_publisher::source published(base::monotonic_time now);
   void note_endpoint(base::endpoint_id const& id, control_effects& out) const;
 
+  void note_cold(endpoint_announcement const& announcement, base::monotonic_time now);
+  /// Takes the rates from the document in force.
+  void read_cold_rates();
+  /// Forgets the cold endpoints that became warm or ended, and updates what the division of their
+  /// rates depends on.
+  void update_cold_endpoints(base::monotonic_time now, control_effects& out);
+  void log_cold_endpoints(base::monotonic_time now, control_effects& out);
+  /// Leaves out the cold endpoints that have a limit: the message has no grants, and its receiver
+  /// knows no leader to get them from.
+  void withhold_cold(last_known_state& state, base::monotonic_time now) const;
+
   options m_options;
   consensus::replica m_replica;
   replicated_state m_state;
@@ -181,6 +198,9 @@
   std::uint64_t m_last_subscription = 0;
   rollout_evaluator m_evaluator;
   rate_coordinator m_rates;
+  /// The cold endpoints of each service when they were last logged.
+  std::map<base::service_id, std::size_t> m_cold_logged;
+  base::monotonic_time m_cold_logged_at{};
   /// The evidence of all entry instances.
   request_quarantine m_quarantine;
   /// The rejection limits that all entry instances know.
--- a/libraries/proxy/control_calls.cpp
+++ b/libraries/proxy/control_calls.cpp
@@ -52,6 +52,9 @@
                                                     base::monotonic_time now,
                                                     control_effects& out) {
   auto const outcome = m_registry.announce(announcement, now);
+  if (outcome == announcement_outcome::refreshed || outcome == announcement_outcome::changed) {
+    note_cold(announcement, now);
+  }
   if (outcome == announcement_outcome::changed) {
     note_endpoint(announcement.id, out);
   }
--- a/libraries/proxy/control_event.h
+++ b/libraries/proxy/control_event.h
@@ -29,6 +29,8 @@
   /// An instance lacks the state that it was sent, and gets it again over another connection. The
   /// detail says what it holds, the number how often this happened; not logged for each one.
   state_repeated,
+  /// The subject names a service, the number counts its endpoints that are cold now.
+  cold_endpoints_changed,
 };
 
 /// A control event as it is logged.
--- a/libraries/proxy/downstream_table.cpp
+++ b/libraries/proxy/downstream_table.cpp
@@ -82,13 +82,18 @@
 
 void downstream_table::list_relays(base::monotonic_time now) {
   m_relays_listed_at = now;
-  m_relays.clear();
+  m_relays = live_entries(now);
+}
+
+std::vector<base::instance_id> downstream_table::live_entries(base::monotonic_time now) const {
+  std::vector<base::instance_id> live;
   for (auto const& [id, downstream] : m_downstreams) {
     bool const is_live = now < downstream.last_request_at + m_options.live_timeout;
     if (downstream.is_entry && !downstream.is_cut_off && is_live) {
-      m_relays.push_back(id);
+      live.push_back(id);
     }
   }
+  return live;
 }
 
 void downstream_table::forget(downstream const& lost) {
--- a/libraries/proxy/downstream_table.h
+++ b/libraries/proxy/downstream_table.h
@@ -77,6 +77,9 @@
   /// The loads that all instances reported, for one of them.
   [[nodiscard]] load_summary loads_for(downstream const& receiver, base::monotonic_time now);
 
+  /// The entry instances that were heard within the live timeout and reach endpoints, ordered by
+  /// id.
+  [[nodiscard]] std::vector<base::instance_id> live_entries(base::monotonic_time now) const;
   /// Some entry instances that reach the endpoints, others each time, without the receiver.
   [[nodiscard]] std::vector<base::instance_id> relay_peers_for(base::instance_id const& receiver,
                                                                base::monotonic_time now);
--- a/libraries/proxy/endpoint_notices.cpp
+++ b/libraries/proxy/endpoint_notices.cpp
@@ -51,7 +51,7 @@
     found = deferral{.source = source,
                      .kind = notice_kind::rate_limited,
                      .wait = wait,
-                     .spacing = m_rates.spacing(source, is_connected),
+                     .spacing = m_rates.spacing(source, is_connected, now),
                      .age = now - m_rates.learned_at(source).value_or(now)};
   }
   auto const pause = m_pauses.pause_of(source, now);
--- a/libraries/proxy/endpoint_rate_limiter.cpp
+++ b/libraries/proxy/endpoint_rate_limiter.cpp
@@ -1,6 +1,7 @@
 #include <libraries/proxy/endpoint_rate_limiter.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace catkinlanding::proxy {
@@ -76,7 +77,7 @@
   if (is_connected) {
     return awaits_grant(known, now) ? base::monotonic_time::max() : now;
   }
-  return known.stated_rate || known.grant ? next_without_leader(known) : now;
+  return is_limited_without_leader(known, now) ? next_without_leader(known) : now;
 }
 
 base::monotonic_time endpoint_rate_limiter::next_with_grant(limit const& known) const {
@@ -90,16 +91,25 @@
     return std::chrono::duration_cast<base::duration>(interval * part);
   };
   return std::max(known.last_sent_at + part_of_interval(min_isolated_distance + known.phase),
-                  m_granted_at + part_of_interval(known.phase));
+                  m_granted_at + m_options.contact_timeout + part_of_interval(known.phase));
 }
 
 double endpoint_rate_limiter::isolated_rate(limit const& known) const {
-  auto const rate = known.stated_rate ? *known.stated_rate : known.grant->rate;
+  auto const stated = known.stated_rate.value_or(std::numeric_limits<double>::infinity());
+  // A cold endpoint may be granted less than it states.
+  auto const rate = known.grant ? std::min(stated, known.grant->rate) : stated;
   return std::max(rate, m_options.min_rate) * isolated_share / m_instances;
 }
 
-base::duration endpoint_rate_limiter::spacing(endpoint_incarnation const& source,
-                                              bool is_connected) const {
+bool endpoint_rate_limiter::is_limited_without_leader(limit const& known,
+                                                      base::monotonic_time now) const {
+  bool const has_answered_without_rate = known.stated_at && !known.stated_rate;
+  bool const is_grant_old = now >= m_granted_at + m_options.notice_lifetime;
+  return known.stated_rate || (known.grant && !(has_answered_without_rate && is_grant_old));
+}
+
+base::duration endpoint_rate_limiter::spacing(endpoint_incarnation const& source, bool is_connected,
+                                              base::monotonic_time now) const {
   auto const found = m_limits.find(source);
   if (found == m_limits.end()) {
     return {};
@@ -109,8 +119,8 @@
     bool const has_share = known.grant && known.grant->share > 0.0;
     return has_share ? interval_at(known.grant->share) : base::duration::zero();
   }
-  bool const is_limited = known.stated_rate || known.grant;
-  return is_limited ? interval_at(isolated_rate(known)) : base::duration::zero();
+  return is_limited_without_leader(known, now) ? interval_at(isolated_rate(known))
+                                               : base::duration::zero();
 }
 
 std::optional<base::monotonic_time>
--- a/libraries/proxy/endpoint_rate_limiter.h
+++ b/libraries/proxy/endpoint_rate_limiter.h
@@ -24,6 +24,9 @@
     double min_rate = 0.2;
     /// A statement that was not seen again for this long no longer applies.
     base::duration notice_lifetime = std::chrono::seconds(30);
+    /// Time after grants arrived until the instance is without a leader, at the latest. The random
+    /// distances begin then: those that begin at the grants have ended for many instances at once.
+    base::duration contact_timeout = std::chrono::milliseconds(1800);
     std::uint64_t seed = 0;
   };
 
@@ -47,7 +50,8 @@
                                                   base::monotonic_time now) const;
   /// The mean time between two requests to the endpoint; zero if it is not limited, or if this
   /// instance has no share of its rate.
-  [[nodiscard]] base::duration spacing(endpoint_incarnation const& source, bool is_connected) const;
+  [[nodiscard]] base::duration spacing(endpoint_incarnation const& source, bool is_connected,
+                                       base::monotonic_time now) const;
   /// When this instance first learned of the endpoint's limit; empty if it knows of none.
   [[nodiscard]] std::optional<base::monotonic_time>
   learned_at(endpoint_incarnation const& source) const;
@@ -80,6 +84,10 @@
   [[nodiscard]] limit& limit_for(endpoint_incarnation const& source, base::monotonic_time now);
   [[nodiscard]] base::monotonic_time next_with_grant(limit const& known) const;
   [[nodiscard]] base::monotonic_time next_without_leader(limit const& known) const;
+  /// Whether an instance without a leader limits its requests. A last grant of which nothing is
+  /// heard any more ends with the time of a statement, if the endpoint itself states no rate: it
+  /// was cold, and a zone that is cut off must not use its part of a cold endpoint's rate for ever.
+  [[nodiscard]] bool is_limited_without_leader(limit const& known, base::monotonic_time now) const;
   /// The part of the rate that is safe for an instance without a leader, in requests a second.
   [[nodiscard]] double isolated_rate(limit const& known) const;
 
--- a/libraries/proxy/endpoint_registry.cpp
+++ b/libraries/proxy/endpoint_registry.cpp
@@ -48,10 +48,13 @@
   auto const state = stays_leaving ? endpoint_state::leaving : state_of(announcement);
   bool const is_change = state != known.record.state ||
                          !has_same_routing_fields(announcement, known.record.announcement);
+  bool const becomes_cold = state == endpoint_state::ready &&
+                            known.record.announcement.warmup_left == base::duration::zero() &&
+                            announcement.warmup_left > base::duration::zero();
   retire_previous_holder(announcement);
   known.last_announced_at = now;
   known.record.announcement = announcement;
-  if (is_change) {
+  if (is_change || becomes_cold) {
     set_state(known, state);
   }
   return is_change ? announcement_outcome::changed : announcement_outcome::refreshed;
--- a/libraries/proxy/endpoint_registry.h
+++ b/libraries/proxy/endpoint_registry.h
@@ -11,7 +11,8 @@
 
 /// The effect of an announcement on the registry.
 enum class announcement_outcome : std::uint8_t {
-  /// Only the time of the last announcement changed.
+  /// The record says the same, except that an endpoint which became cold has a new revision: its
+  /// limit is pushed with it, and followers learn of it.
   refreshed,
   /// The record changed, and the other instances must be notified.
   changed,
--- a/libraries/proxy/load_reports.cpp
+++ b/libraries/proxy/load_reports.cpp
@@ -17,11 +17,13 @@
 
 } // namespace
 
-load_reports::report const& load_reports::add(std::vector<endpoint_load> loads) {
+load_reports::report const& load_reports::add(std::vector<endpoint_load> loads,
+                                              base::monotonic_time now) {
   if (m_reports.size() >= max_reports) {
     m_reports.pop_front();
   }
-  return m_reports.emplace_back(report{.number = ++m_last_number, .loads = std::move(loads)});
+  return m_reports.emplace_back(
+      report{.number = ++m_last_number, .loads = std::move(loads), .sent_at = now});
 }
 
 std::vector<endpoint_load> load_reports::others_in(load_summary const& summary) const {
@@ -40,4 +42,9 @@
   return loads;
 }
 
+std::optional<base::monotonic_time> load_reports::counted_since(load_summary const& summary) const {
+  auto const counted = std::ranges::find(m_reports, summary.counted_report, &report::number);
+  return counted == m_reports.end() ? std::nullopt : std::optional(counted->sent_at);
+}
+
 } // namespace catkinlanding::proxy
--- a/libraries/proxy/load_reports.h
+++ b/libraries/proxy/load_reports.h
@@ -3,6 +3,7 @@
 #include <libraries/proxy/message.h>
 
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace catkinlanding::proxy {
@@ -15,12 +16,16 @@
     std::uint64_t number = 0;
     /// Ordered by endpoint.
     std::vector<endpoint_load> loads;
+    base::monotonic_time sent_at{};
   };
 
   /// Numbers a report that is about to be sent. The reference is valid until the next call.
-  report const& add(std::vector<endpoint_load> loads);
+  report const& add(std::vector<endpoint_load> loads, base::monotonic_time now);
   /// The summary without this instance's own part.
   [[nodiscard]] std::vector<endpoint_load> others_in(load_summary const& summary) const;
+  /// When the report that the summary contains was sent; empty if it contains none of this start.
+  [[nodiscard]] std::optional<base::monotonic_time>
+  counted_since(load_summary const& summary) const;
 
 private:
   /// A summary contains no older report than this many ago, unless reports were lost.
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -11,19 +11,20 @@
 namespace {
 
 /// The same time until news of the leader for all who tell callers of it.
-router::options with_news_interval(router::options options) {
+router::options with_subscriber_times(router::options options) {
   options.notices.news_interval = options.subscriber.urgent_interval;
   options.overload.news_interval = options.subscriber.urgent_interval;
+  options.notices.rates.contact_timeout = options.subscriber.contact_timeout();
   return options;
 }
 
 } // namespace
 
 router::router(options options)
-    : m_options(with_news_interval(std::move(options))), m_random(m_options.seed),
+    : m_options(with_subscriber_times(std::move(options))), m_random(m_options.seed),
       m_subscriber(m_options.subscriber), m_document_receiver(m_options.documents),
-      m_endpoints(m_options.endpoints), m_versions(m_options.versions),
-      m_notices(m_options.notices), m_overload(m_options.overload),
+      m_endpoints(m_options.endpoints), m_grant_lease(m_options.subscriber.contact_timeout()),
+      m_versions(m_options.versions), m_notices(m_options.notices), m_overload(m_options.overload),
       m_quarantine(m_options.quarantine),
       m_refusals({.recovery_time = max_election_time + m_options.subscriber.search_interval,
                   .announcement_interval = m_options.announcement_interval}),
@@ -300,12 +301,13 @@
 }
 
 endpoint_filter router::make_filter(base::monotonic_time now) const {
-  return endpoint_filter({.versions = m_versions,
-                          .notices = m_notices,
-                          .overload = m_overload,
-                          .is_connected = m_subscriber.is_connected(now),
-                          .news_interval = m_options.subscriber.urgent_interval,
-                          .now = now});
+  return endpoint_filter(
+      {.versions = m_versions,
+       .notices = m_notices,
+       .overload = m_overload,
+       .is_connected = m_subscriber.is_connected(now) && m_grant_lease.is_current(now),
+       .news_interval = m_options.subscriber.urgent_interval,
+       .now = now});
 }
 
 refusal router::refuse_unsent(active_request const& request, endpoint_filter const& filter,
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -8,6 +8,7 @@
 #include <libraries/proxy/endpoint_choice.h>
 #include <libraries/proxy/endpoint_filter.h>
 #include <libraries/proxy/endpoint_notices.h>
+#include <libraries/proxy/grant_lease.h>
 #include <libraries/proxy/load_reports.h>
 #include <libraries/proxy/overload_guard.h>
 #include <libraries/proxy/refusal_policy.h>
@@ -282,6 +283,7 @@
   std::optional<base::monotonic_time> m_document_since;
   endpoint_table m_endpoints;
   load_reports m_reports;
+  grant_lease m_grant_lease;
   version_policy m_versions;
   endpoint_notices m_notices;
   overload_guard m_overload;
--- a/libraries/proxy/router_state.cpp
+++ b/libraries/proxy/router_state.cpp
@@ -37,7 +37,7 @@
 
 outgoing router::make_subscription(base::instance_id const& upstream, base::monotonic_time now) {
   m_quarantine.note_reported();
-  auto const& reported = m_reports.add(m_endpoints.own_loads(now));
+  auto const& reported = m_reports.add(m_endpoints.own_loads(now), now);
   return {upstream,
           subscription{.known = m_subscriber.known(),
                        .is_entry = true,
@@ -140,7 +140,10 @@
   m_attempts.set_instances(entry_instances);
   m_notices.rates().set_instances(entry_instances);
   m_overload.set_instances(entry_instances);
-  m_notices.rates().apply(update.rate_grants, now);
+  auto const requested_at = update.loads ? m_reports.counted_since(*update.loads) : std::nullopt;
+  if (m_grant_lease.note_update(requested_at)) {
+    m_notices.rates().apply(update.rate_grants, now);
+  }
   m_quarantine.merge(update.evidence, now);
   if (!update.relay_peers.empty()) {
     m_relays.use_peers(update.relay_peers);
--- a/libraries/proxy/subscriber.cpp
+++ b/libraries/proxy/subscriber.cpp
@@ -125,7 +125,7 @@
 }
 
 bool subscriber::is_connected(base::monotonic_time now) const {
-  return m_has_update && now < m_last_update_at + 2 * m_options.upstream_timeout;
+  return m_has_update && now < m_last_update_at + m_options.contact_timeout();
 }
 
 void subscriber::switch_upstream(base::monotonic_time now) {
--- a/libraries/proxy/subscriber.h
+++ b/libraries/proxy/subscriber.h
@@ -32,6 +32,9 @@
     /// Replaces both of the above while no leader is known.
     base::duration search_interval = std::chrono::milliseconds(100);
     std::uint64_t seed = 0;
+
+    /// Time without a reply after which the leader's grants no longer apply.
+    [[nodiscard]] base::duration contact_timeout() const { return 2 * upstream_timeout; }
   };
 
   explicit subscriber(options options);
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -49,11 +49,11 @@
 }
 
 char const* name_of_event(control_event event) {
-  constexpr std::array<char const*, 14> names{
-      "leadership_won",    "leadership_lost", "document_applied", "rollout_changed",
-      "rollout_requested", "rollout_decided", "endpoint_changed", "voters_changed",
-      "voters_proposed",   "quorum_gained",   "quorum_lost",      "instance_joined",
-      "instance_lost",     "state_repeated"};
+  constexpr std::array<char const*, 15> names{
+      "leadership_won",    "leadership_lost", "document_applied",      "rollout_changed",
+      "rollout_requested", "rollout_decided", "endpoint_changed",      "voters_changed",
+      "voters_proposed",   "quorum_gained",   "quorum_lost",           "instance_joined",
+      "instance_lost",     "state_repeated",  "cold_endpoints_changed"};
   return names.at(static_cast<std::size_t>(event));
 }
 
@@ -102,6 +102,9 @@
   options.replica.peers = other_seed_instances(settings);
   options.evaluator.resend_timeout = settings.resend_timeout;
   options.replica.founders = seed_instances(settings);
+  options.read_cold_rates = [this](std::string const& source) {
+    return m_protocol_adapter.read_cold_rates(source);
+  };
   auto const recovered = m_data_folder->take_recovered();
   spdlog::info("process recovered entries={} snapshot={} term={} disk_id={:x} first_disk={}",
                recovered.log.entries.size(), recovered.log.snapshot.index,
@@ -135,6 +138,8 @@
             metrics.set_gauge("document_revision",
                               static_cast<double>(m_control->state().revision()));
             metrics.set_gauge("endpoints", static_cast<double>(m_control->registry().size()));
+            metrics.set_gauge("cold_endpoints",
+                              static_cast<double>(m_control->cold_endpoints().all().size()));
             metrics.set_gauge("term", static_cast<double>(m_control->replica().term()));
             bool const is_leader = m_control->replica().role() == consensus::role::leader;
             metrics.set_gauge("is_leader", is_leader ? 1.0 : 0.0);
--- a/services/proxy/protocol_adapter.h
+++ b/services/proxy/protocol_adapter.h
@@ -2,6 +2,7 @@
 
 #include <libraries/proxy/call.h>
 #include <libraries/proxy/request.h>
+#include <libraries/warmup/cold_endpoints.h>
 #include <services/proxy/http.h>
 
 #include <tl/expected.hpp>
@@ -102,6 +103,10 @@
                                                   std::string const& leader) const = 0;
   [[nodiscard]] virtual http_response write_call_error(call_error const& error) const = 0;
 
+  /// The rates that cold endpoints can sustain, by a document that was accepted before.
+  [[nodiscard]] virtual warmup::service_rates
+  read_cold_rates(std::string const& document) const = 0;
+
   /// Whether the target is the one that the platform's load balancer probes.
   [[nodiscard]] virtual bool is_readiness_check(std::string_view target) const = 0;
 };
--- a/tests/libraries/proxy/load_summary_test.cpp
+++ b/tests/libraries/proxy/load_summary_test.cpp
@@ -22,7 +22,7 @@
 
   void report(std::size_t number, std::vector<endpoint_load> const& loads,
               base::monotonic_time now) {
-    auto const& sent = reports.at(number).add(loads);
+    auto const& sent = reports.at(number).add(loads, now);
     table.note(instance(number), {.is_entry = true, .loads = sent.loads, .report = sent.number},
                now);
   }
--- a/tests/libraries/proxy/router_updates_test.cpp
+++ b/tests/libraries/proxy/router_updates_test.cpp
@@ -172,6 +172,24 @@
   EXPECT_FALSE(is_attempt(m_router.begin(number + 1, facts("/once/x"), later)));
 }
 
+// Guards against shares that are used after they went to other instances: an update arrives late,
+// as its receiver's machine was suspended.
+TEST_F(routers, count_the_time_of_a_grant_from_the_subscription_that_it_answers) {
+  receive_state({"a"});
+  auto const requested = m_router.tick(start);
+  ASSERT_EQ(requested.size(), 1U);
+  auto granted = make_update(1, 1, 0);
+  granted.loads =
+      load_summary{.counted_report = std::get<subscription>(requested.front().message).report};
+  granted.rate_grants = {{.source = {{"a"}, 1}, .rate = 4.0, .share = 4.0}};
+  granted.entry_instances = 1000;
+  std::ignore = m_router.receive({"control"}, granted, start);
+  EXPECT_TRUE(is_attempt(m_router.begin(number, facts("/once/x"), start + 300ms)));
+  // The same answer again, 5 s later.
+  std::ignore = m_router.receive({"control"}, granted, start + 5s);
+  EXPECT_FALSE(is_attempt(m_router.begin(number + 1, facts("/once/x"), start + 5300ms)));
+}
+
 TEST_F(routers, report_the_rate_that_an_endpoint_states) {
   receive_state({"a"});
   ASSERT_TRUE(is_attempt(begin("/once/x")));
--- a/tests/platform/http_protocol_adapter_test.cpp
+++ b/tests/platform/http_protocol_adapter_test.cpp
@@ -64,6 +64,24 @@
   EXPECT_EQ(read->limits.max_body_bytes, 99U);
 }
 
+// Guards against cold endpoints without a limit, and against limits that no operator stated.
+TEST(read_cold_rates, reads_the_rate_of_each_service_that_has_one) {
+  auto document = minimal_document();
+  document["services"] = {{{"name", "a"}, {"cold_per_s", 2.5}, {"cold_start_s", 8}},
+                          {{"name", "b"}, {"cold_per_s", 20}},
+                          {{"name", "none"}},
+                          {{"name", "zero"}, {"cold_per_s", 0}},
+                          {{"name", "wrong"}, {"cold_per_s", "many"}}};
+  EXPECT_EQ(read_cold_rates(document.dump()), (warmup::service_rates{{{"a"}, 2.5}, {{"b"}, 20.0}}));
+  EXPECT_TRUE(read_document(document.dump()).has_value());
+}
+
+// Guards against a control instance that fails on a text it has restored.
+TEST(read_cold_rates, finds_none_in_a_text_that_can_not_be_read) {
+  EXPECT_TRUE(read_cold_rates("").empty());
+  EXPECT_TRUE(read_cold_rates("[1]").empty());
+}
+
 TEST(read_document, ignores_unknown_fields) {
   auto grown = minimal_document();
   grown["later"] = {1, 2};
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -48,6 +48,7 @@
     }
   }
   options.replica.founders = m_seeds;
+  options.read_cold_rates = m_rate_reader;
   auto const recovered = storage::recover_log(disk.records);
   CATKINLANDING_VERIFY(recovered.has_value());
   return proxy::control::create(std::move(options), *recovered, m_now);
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -38,6 +38,9 @@
   /// Replaces the seeds that instances get when they start, as running instances may keep old ones.
   void use_seeds(std::vector<std::string> const& seeds);
 
+  /// Reads the rates of cold endpoints for instances that start later.
+  void use_rate_reader(warmup::rate_reader reader) { m_rate_reader = std::move(reader); }
+
   /// Starts an entry instance, whose updates are no longer recorded.
   void start_entry(std::string const& id);
   /// Keeps messages to the instance in order until `release`, as a full link does.
@@ -51,6 +54,7 @@
   void call(std::string const& id, proxy::call_number number, proxy::call_request const& request);
   void send(std::string const& from, std::string const& to, proxy::message const& message);
 
+  [[nodiscard]] proxy::control& node(std::string const& id) { return m_nodes.at({id}); }
   /// The instance that leads and holds a lease; empty if there is none.
   [[nodiscard]] std::string leader() const;
   [[nodiscard]] bool is_running(std::string const& id) const { return m_nodes.contains({id}); }
@@ -84,6 +88,7 @@
   void record(in_flight_message const& in_flight);
 
   std::vector<base::instance_id> m_seeds;
+  warmup::rate_reader m_rate_reader;
   std::map<base::instance_id, proxy::control> m_nodes;
   std::map<base::instance_id, proxy::router> m_entries;
   std::map<base::instance_id, std::deque<in_flight_message>> m_held;
