--- a/tests/libraries/consensus/founding_property.cpp
+++ b/tests/libraries/consensus/founding_property.cpp
@@ -1,3 +1,4 @@
+#include <libraries/base/verify.h>
 #include <tests/support/replica_group.h>
 #include <tests/support/seeded_runs.h>
 
@@ -26,6 +27,28 @@
   run_seeds(seed, runs_per_case, run);
 }
 
+/// The longest time to an acknowledgement from the start of the last founder that is needed.
+constexpr base::duration max_time_to_acknowledgement = std::chrono::seconds(3);
+/// Short enough for most losses to be in the founding.
+constexpr std::uint64_t max_steps_before_loss = 400;
+
+void run_with_losses(std::uint64_t seed) {
+  auto group = replica_group::unfounded_with_losses(seed);
+  for (std::uint64_t i = 0; i < seed * 7919 % max_steps_before_loss; ++i) {
+    group.step();
+  }
+  CATKINLANDING_VERIFY(group.acknowledges_without_lost_founders(max_time_to_acknowledgement));
+  group.heal();
+}
+
+// Guards against a group that waits for a founder which voted in its founding and died, while a
+// majority of the founders is there with their first disks, and against a second group or a lost
+// command when the lost founders return.
+RC_GTEST_PROP(founding, leaves_a_group_without_the_founders_that_may_be_lost,
+              (std::uint64_t seed)) {
+  run_seeds(seed, runs_per_case, run_with_losses);
+}
+
 } // namespace
 
 } // namespace catkinlanding::testing
--- a/tests/support/replica_group.cpp
+++ b/tests/support/replica_group.cpp
@@ -387,7 +387,7 @@
   return is_settled && !m_committed.empty() && leader->applied == m_committed.rbegin()->first;
 }
 
-void replica_group::heal() {
+void replica_group::end_faults() {
   m_is_fault_free = true;
   for (auto& node : m_nodes) {
     node.partition = 0;
@@ -399,17 +399,25 @@
     node.starts_at.reset();
     recover(node);
   }
+}
+
+void replica_group::run_without_faults() {
+  m_now += heal_tick_interval;
+  for (auto& node : m_nodes) {
+    tick(node);
+    sync(node);
+  }
+  for (auto const& in_flight_message : std::exchange(m_in_flight, {})) {
+    deliver(in_flight_message);
+  }
+  verify_invariants();
+}
+
+void replica_group::heal() {
+  end_faults();
   bootstrap();
   for (int round = 0; round < max_heal_rounds; ++round) {
-    m_now += heal_tick_interval;
-    for (auto& node : m_nodes) {
-      tick(node);
-      sync(node);
-    }
-    for (auto const& in_flight_message : std::exchange(m_in_flight, {})) {
-      deliver(in_flight_message);
-    }
-    verify_invariants();
+    run_without_faults();
     if (is_healed()) {
       m_is_fault_free = false;
       return;
--- a/tests/support/replica_group.h
+++ b/tests/support/replica_group.h
@@ -24,10 +24,17 @@
   /// after a disk was lost, and once again after the faults if nothing was founded.
   [[nodiscard]] static replica_group unfounded_until_ordered(std::uint64_t seed);
 
+  /// The same with three, five or eight founders, some of which are lost for a while: as many as
+  /// the deployment tolerates. Only these lose their disks.
+  [[nodiscard]] static replica_group unfounded_with_losses(std::uint64_t seed);
+
   /// Simulates one random event: a message, a tick, a sync, a proposal or a fault.
   void step();
   /// Ends all faults and runs until the group has converged, within a bounded number of rounds.
   void heal();
+  /// Ends all faults but kills the founders that may be lost. Returns whether a new command is
+  /// committed within the time.
+  [[nodiscard]] bool acknowledges_without_lost_founders(base::duration time);
 
 private:
   struct disk {
@@ -72,6 +79,12 @@
   void add_unstarted(std::size_t count);
   /// Draws what the group will have to bear, for this number of founders.
   void draw_founding_faults(std::size_t count);
+  /// Draws which founders may be lost, for this number of founders.
+  void draw_lost_founders(std::size_t count);
+  /// Starts and connects all nodes; one that is late starts as after the first start of all.
+  void end_faults();
+  /// Advances the time by a little. All nodes tick and sync, and all messages arrive.
+  void run_without_faults();
   void start_due_nodes();
   void inject_founding_fault();
   /// Kills all nodes at once, with or without what they hold in memory only.
@@ -94,6 +107,8 @@
   void restart(node& node);
   void lose_disk(node& node);
   [[nodiscard]] bool can_lose_disk() const;
+  /// Whether a founder may lose its disk while the group is founded.
+  [[nodiscard]] bool may_lose_disk(node const& node) const;
 
   /// Performs the effects one by one. With `can_crash` the node may crash between any two.
   void perform(node& node, consensus::effects effects, bool can_crash);
@@ -116,6 +131,8 @@
   /// How many more disks may be lost, and first starts aborted, while the group is founded.
   std::size_t m_disks_to_lose = 0;
   std::size_t m_starts_to_abort = 0;
+  /// The founders that may be lost; empty if any founder may lose its disk.
+  std::vector<base::instance_id> m_lost_founders;
   base::monotonic_time m_now{std::chrono::hours(1)};
   std::vector<node> m_nodes;
   std::vector<in_flight_message> m_in_flight;
--- a/tests/support/replica_group_founding.cpp
+++ b/tests/support/replica_group_founding.cpp
@@ -38,6 +38,48 @@
   return group;
 }
 
+replica_group replica_group::unfounded_with_losses(std::uint64_t seed) {
+  replica_group group{base::random_generator(seed)};
+  constexpr std::array<std::size_t, 4> counts{3, 3, 5, 8};
+  group.m_fault_percent = group.random_below(12);
+  group.m_effects_per_crash = 50 + group.random_below(2000);
+  group.m_max_tick_interval = std::chrono::milliseconds(2 + group.random_below(60));
+  auto const founders = counts.at(group.random_below(counts.size()));
+  group.add_unstarted(founders);
+  for (auto const& node : group.m_nodes) {
+    group.m_founders.push_back(node.id);
+  }
+  group.draw_lost_founders(founders);
+  return group;
+}
+
+void replica_group::draw_lost_founders(std::size_t count) {
+  m_lost_founders = m_founders;
+  std::ranges::shuffle(m_lost_founders, m_random);
+  m_lost_founders.resize(count == 3 ? 1 : 2);
+  m_disks_to_lose = m_lost_founders.size();
+}
+
+bool replica_group::acknowledges_without_lost_founders(base::duration time) {
+  end_faults();
+  for (auto const& id : m_lost_founders) {
+    crash(node_of(id));
+  }
+  auto const first = m_last_command;
+  auto const is_new_command = [&](auto const& item) {
+    auto const& command = item.second.command;
+    return !command.empty() && std::stoull(command.substr(command.find(' '))) > first;
+  };
+  for (auto const end = m_now + time; m_now < end;) {
+    run_without_faults();
+    std::ranges::for_each(m_nodes, [this](auto& node) { propose(node); });
+    if (std::ranges::any_of(m_committed, is_new_command)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void replica_group::order_founding(node& node) {
   if (!node.replica || node.is_frozen) {
     return;
@@ -82,6 +124,11 @@
   }
 }
 
+bool replica_group::may_lose_disk(node const& node) const {
+  return m_lost_founders.empty() ||
+         std::ranges::find(m_lost_founders, node.id) != m_lost_founders.end();
+}
+
 void replica_group::inject_founding_fault() {
   auto& node = fault_target();
   auto const kind = random_below(20);
@@ -89,7 +136,7 @@
     recover(random_node());
   } else if (kind < 11) {
     crash(node);
-  } else if (kind < 13 && m_disks_to_lose > 0 && !node.starts_at) {
+  } else if (kind < 13 && m_disks_to_lose > 0 && !node.starts_at && may_lose_disk(node)) {
     --m_disks_to_lose;
     lose_disk(node);
   } else if (kind < 14 && m_starts_to_abort > 0 && node.starts_at) {
