consensus: Let the first disks of absent founders vote for the group

A founder that voted and died before it stored the first configuration stopped the group for as long as it was away: the place of a founder that had not voted was filled only after the first entry was committed, and that needs the dead one's disk.

A place now stands for the first disk of its instance. Its vote counts in elections, and filling the place with it needs no committed entry, as no majority changes: all founders' first disks are one fixed set of voters. A disk that is not the first one replaces a place by growing and shrinking, as a vote of the lost one may be under way.

The id of a first disk contains a hash of the founders, so an instance that never joined doesn't found a second group if the seeds are exchanged for it.

--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -49,7 +49,7 @@
                    .command = {},
                    .configuration = std::move(first)});
   refresh_configuration();
-  track_members(now);
+  track_members(last_index() + 1, now);
   // Term and configuration go into one write: a crash that kept only the term would leave an
   // instance that can neither bootstrap a deployment nor join one.
   auto& write = add_write(out);
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -201,7 +201,8 @@
   [[nodiscard]] bool has_won_founding() const;
   /// Whether the group is one of two voters and is to have no more.
   [[nodiscard]] bool is_pair() const;
-  /// Whether this instance may become leader: as a voter, or with the votes of all instances.
+  /// Whether this instance may become leader: as a voter, as the disk that a place is held for, or
+  /// with the votes of all instances.
   [[nodiscard]] bool can_campaign() const;
   [[nodiscard]] std::size_t max_lost_disks_to_form_anew() const;
   /// Whether all instances of the group together may elect a leader that forms it anew, with the
@@ -209,10 +210,13 @@
   /// quorum whatever disks may be lost.
   [[nodiscard]] bool may_form_anew() const;
   [[nodiscard]] bool have_all_voted_to_form_anew() const;
-  /// How many of the voters of the configuration have voted.
-  [[nodiscard]] std::size_t votes_of_voters() const;
-  /// The first entry of a term: a new configuration if the group was founded or formed anew.
+  /// Whether a majority of the voters has voted, among them the disks that places are held for.
+  [[nodiscard]] bool has_majority_voted() const;
+  /// The first entry of a term: a new configuration if the group was founded or formed anew, or if
+  /// a disk has voted that a place is held for.
   [[nodiscard]] log_entry first_entry_of_term() const;
+  /// The configuration of a group that was founded or formed anew, with the disks that have voted.
+  [[nodiscard]] configuration formed_configuration() const;
   /// A leader without a lease gives way if only all instances together can elect one.
   void step_down_without_quorum(base::monotonic_time now);
 
@@ -225,6 +229,9 @@
   [[nodiscard]] tl::expected<log_index, propose_error>
   propose_configuration(configuration next, base::monotonic_time now, effects& out);
   void reconcile_configuration(base::monotonic_time now, effects& out);
+  /// Fills the places held for the disks that ask to join. Needs no earlier entry to be committed,
+  /// as no majority changes.
+  void fill_places(base::monotonic_time now, effects& out);
   [[nodiscard]] std::optional<configuration> next_configuration(base::monotonic_time now) const;
   [[nodiscard]] bool keeps_quorum(configuration const& next, base::monotonic_time now) const;
   void replicate(base::monotonic_time now, effects& out);
@@ -242,7 +249,9 @@
                            effects& out);
   void advance_commit(effects& out);
   void commit_to(log_index index, effects& out);
-  void track_members(base::monotonic_time now);
+  /// Tracks the members that the configuration names. What is sent to a new one begins at
+  /// `first_index`.
+  void track_members(log_index first_index, base::monotonic_time now);
 
   durable_write& add_write(effects& out);
   void send_when_durable(durable_write const& write, std::vector<outgoing> messages,
--- a/libraries/consensus/replica_elections.cpp
+++ b/libraries/consensus/replica_elections.cpp
@@ -178,7 +178,7 @@
   m_last_lease = now;
   m_progress.clear();
   m_join_requests.clear();
-  track_members(now);
+  track_members(last_index() + 1, now);
   append_as_leader(first_entry_of_term(), now, out);
 }
 
--- a/libraries/consensus/replica_founding.cpp
+++ b/libraries/consensus/replica_founding.cpp
@@ -1,4 +1,5 @@
 #include <libraries/base/verify.h>
+#include <libraries/consensus/disk_identity.h>
 #include <libraries/consensus/replica.h>
 
 #include <algorithm>
@@ -45,7 +46,7 @@
 }
 
 bool replica::can_vote_in_founding(base::monotonic_time now) const {
-  bool const may_be_replaced_disk = !m_options.self.has_first_disk();
+  bool const may_be_replaced_disk = !is_first_disk_of(m_options.self, m_options.founders);
   bool const has_waited = now >= m_started_at + founding_delay_of_later_disks && !m_has_heard_group;
   return last_index() == 0 && (!may_be_replaced_disk || has_waited);
 }
@@ -79,25 +80,25 @@
   m_votes.insert(v);
 }
 
-std::size_t replica::votes_of_voters() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      m_votes, [this](voter const& v) { return m_configuration.is_voter(v); }));
+bool replica::has_majority_voted() const {
+  auto const votes = std::ranges::count_if(
+      m_votes, [this](voter const& v) { return m_configuration.can_vote(v); });
+  return static_cast<std::size_t>(votes) >= m_configuration.quorum();
 }
 
 bool replica::has_won_election() const {
   if (is_founding()) {
     return has_won_founding();
   }
-  bool const has_quorum =
-      m_configuration.is_voter(m_options.self) && votes_of_voters() >= m_configuration.quorum();
+  bool const has_quorum = m_configuration.can_vote(m_options.self) && has_majority_voted();
   return has_quorum || have_all_voted_to_form_anew();
 }
 
 bool replica::has_won_founding() const {
   auto const count = m_options.founders.size();
   auto const quorum = count / 2 + 1;
-  auto const first_disks = static_cast<std::size_t>(
-      std::ranges::count_if(m_votes, [](voter const& v) { return v.has_first_disk(); }));
+  auto const first_disks = static_cast<std::size_t>(std::ranges::count_if(
+      m_votes, [this](voter const& v) { return is_first_disk_of(v, m_options.founders); }));
   // What a group acknowledged is on a quorum of the founders, so this many disks that were never
   // lost, and are empty, show that there was no group.
   bool const was_no_group = first_disks >= count - quorum + 1 && m_votes.size() >= quorum;
@@ -117,7 +118,7 @@
 }
 
 bool replica::can_campaign() const {
-  return m_configuration.is_voter(m_options.self) ||
+  return m_configuration.can_vote(m_options.self) ||
          (may_form_anew() && electors().contains(m_options.self.instance));
 }
 
@@ -149,11 +150,20 @@
                   .kind = entry_kind::no_op,
                   .command = {},
                   .configuration = {}};
-  bool const is_group_new = is_founding() || !m_configuration.is_voter(m_options.self) ||
-                            votes_of_voters() < m_configuration.quorum();
+  bool const is_group_new =
+      is_founding() || !m_configuration.can_vote(m_options.self) || !has_majority_voted();
+  auto next = is_group_new ? formed_configuration() : m_configuration;
   if (!is_group_new) {
-    return entry;
+    std::ranges::for_each(m_votes, [&](voter const& v) { next.fill_place(v); });
   }
+  if (next != m_configuration) {
+    entry.kind = entry_kind::configuration;
+    entry.configuration = std::move(next);
+  }
+  return entry;
+}
+
+configuration replica::formed_configuration() const {
   auto const instances = electors();
   auto formed = places_for({instances.begin(), instances.end()});
   for (auto& place : formed.voters) {
@@ -161,9 +171,7 @@
     place = vote == m_votes.end() ? place : *vote;
   }
   formed.desired_voters = is_founding() ? m_options.founders : m_configuration.desired_voters;
-  entry.kind = entry_kind::configuration;
-  entry.configuration = std::move(formed);
-  return entry;
+  return formed;
 }
 
 void replica::step_down_without_quorum(base::monotonic_time now) {
--- a/libraries/consensus/replica_membership.cpp
+++ b/libraries/consensus/replica_membership.cpp
@@ -30,6 +30,7 @@
     return now > last_seen + join_request_lifetime || m_configuration.is_voter(joining) ||
            m_configuration.is_learner(joining);
   });
+  fill_places(now, out);
   auto next = next_configuration(now);
   if (next) {
     // If the proposal is rejected because a change is pending, a later tick proposes it again.
@@ -37,6 +38,23 @@
   }
 }
 
+void replica::fill_places(base::monotonic_time now, effects& out) {
+  auto next = m_configuration;
+  for (auto const& [joining, last_seen] : m_join_requests) {
+    if (next.is_desired_voter(joining.instance)) {
+      next.fill_place(joining);
+    }
+  }
+  if (next != m_configuration) {
+    append_as_leader({.term = m_hard_state.term,
+                      .index = 0,
+                      .kind = entry_kind::configuration,
+                      .command = {},
+                      .configuration = std::move(next)},
+                     now, out);
+  }
+}
+
 std::optional<configuration> replica::next_configuration(base::monotonic_time now) const {
   auto next = m_configuration;
   for (auto const& [joining, last_seen] : m_join_requests) {
@@ -61,11 +79,10 @@
                               now < it->second.last_contact + m_options.election_timeout;
     if (is_caught_up) {
       std::erase(next.learners, learner);
-      // The place of a voter without a disk is filled in one step: as it has never voted, each
-      // majority before the change shares a disk with each majority after it.
-      voter const place{.instance = learner.instance, .disk_id = 0};
-      if (next.is_voter(place)) {
-        std::ranges::replace(next.voters, place, learner);
+      // A disk that is not the first one replaces a place like a lost disk: by growing, then
+      // shrinking. The first disk may still have a vote under way.
+      if (next.has_place_for(learner)) {
+        next.fill_place(learner);
       } else {
         next.voters.push_back(learner);
       }
--- a/libraries/consensus/replica_replication.cpp
+++ b/libraries/consensus/replica_replication.cpp
@@ -14,14 +14,16 @@
   m_log.push_back(std::move(entry));
   if (has_configuration) {
     refresh_configuration();
-    track_members(now);
+    // A founder whose log is empty can store the first configuration at once, as nothing precedes
+    // it.
+    track_members(index, now);
   }
   send_when_durable(write, {}, false);
   replicate(now, out);
   return index;
 }
 
-void replica::track_members(base::monotonic_time now) {
+void replica::track_members(log_index first_index, base::monotonic_time now) {
   auto const is_member = [this](voter const& v) {
     return v != m_options.self && v.has_disk() &&
            (m_configuration.is_voter(v) || m_configuration.is_learner(v));
@@ -30,7 +32,7 @@
   auto const track = [&](voter const& v) {
     if (is_member(v) && !m_progress.contains(v)) {
       progress fresh;
-      fresh.next_index = last_index() + 1;
+      fresh.next_index = first_index;
       fresh.last_contact = now;
       m_progress.emplace(v, fresh);
     }
--- a/libraries/consensus/types.h
+++ b/libraries/consensus/types.h
@@ -20,8 +20,8 @@
 /// A control instance together with the disk it writes to. An instance that lost its disk returns
 /// with a new disk id and therefore counts as a different voter.
 ///
-/// A voter without a disk id holds the place of an instance whose disk is not known yet. It counts
-/// for the size of a majority but never votes or stores anything.
+/// A voter without a disk id holds the place of an instance whose first disk is not known yet. It
+/// counts for the size of a majority. Only the first disk of the instance can fill the place.
 struct voter {
   base::instance_id instance;
   std::uint64_t disk_id = 0;
@@ -58,6 +58,20 @@
   [[nodiscard]] bool is_voter(voter const& v) const {
     return std::ranges::find(voters, v) != voters.end();
   }
+  /// Whether the disk is the one that a place is held for.
+  [[nodiscard]] bool has_place_for(voter const& v) const {
+    return v.has_first_disk() && is_voter({.instance = v.instance, .disk_id = 0});
+  }
+  /// Whether the vote of this disk counts. The disk that a place is held for is a voter by that, as
+  /// an instance has one first disk only.
+  [[nodiscard]] bool can_vote(voter const& v) const { return is_voter(v) || has_place_for(v); }
+  /// Fills the place that is held for the disk, if there is one. This changes no majority: it only
+  /// names a voter.
+  void fill_place(voter const& v) {
+    if (has_place_for(v)) {
+      std::ranges::replace(voters, voter{.instance = v.instance, .disk_id = 0}, v);
+    }
+  }
   [[nodiscard]] bool is_learner(voter const& v) const {
     return std::ranges::find(learners, v) != learners.end();
   }
--- a/services/proxy/control_process.cpp
+++ b/services/proxy/control_process.cpp
@@ -1,5 +1,6 @@
 #include <libraries/base/overloaded.h>
 #include <libraries/base/try.h>
+#include <libraries/consensus/disk_identity.h>
 #include <services/proxy/clock.h>
 #include <services/proxy/control_process.h>
 
@@ -92,10 +93,10 @@
   };
   auto const moved = settings.has_stable_inodes ? daemon::moved_file_policy::treat_as_copy
                                                 : daemon::moved_file_policy::treat_as_original;
-  m_data_folder = CATKINLANDING_TRY(
-      daemon::data_folder::open(settings.data_folder.value_or(""),
-                                consensus::make_disk_id(random_number(), settings.is_first_start),
-                                std::move(callbacks), moved));
+  m_data_folder = CATKINLANDING_TRY(daemon::data_folder::open(
+      settings.data_folder.value_or(""),
+      consensus::make_disk_id(random_number(), settings.is_first_start, seed_instances(settings)),
+      std::move(callbacks), moved));
   control::options options;
   options.replica.self = {.instance = settings.id(), .disk_id = m_data_folder->disk_id()};
   options.replica.seed = random_number();
--- a/tests/libraries/proxy/founding_test.cpp
+++ b/tests/libraries/proxy/founding_test.cpp
@@ -197,6 +197,50 @@
   EXPECT_EQ(put(group, 1, 1s), "a");
 }
 
+/// Replaces the seeds by instances of the first start that never joined the group, while its
+/// members are away. Returns what the group reads after they are back.
+std::string exchange_seeds(control_group& group, std::set<std::string> const& members,
+                           std::vector<std::string> const& others) {
+  for (auto const& id : members) {
+    group.stop(id);
+  }
+  group.use_seeds(others);
+  for (auto const& id : others) {
+    group.reconnect(id);
+    group.restart(id);
+  }
+  group.run(10s);
+  EXPECT_EQ(group.leader(), "");
+  for (auto const& id : members) {
+    group.restart(id);
+  }
+  group.run(recovery_time);
+  return read(group, 2);
+}
+
+// Guards against a second group, founded by instances of the first start that never joined, when
+// the seeds are exchanged for them.
+TEST(founding, does_not_happen_again_by_instances_that_never_joined) {
+  auto group = first_start_of({"a", "b", "c"}, {"a", "b", "c", "d", "e", "f"});
+  for (auto const* id : {"d", "e", "f"}) {
+    group.isolate(id);
+  }
+  ASSERT_TRUE(put(group, 1, recovery_time).has_value());
+  EXPECT_EQ(exchange_seeds(group, {"a", "b", "c"}, {"d", "e", "f"}), "seven");
+}
+
+// The same with a seed that never joined, and lost disks beside it.
+TEST(founding, does_not_happen_again_by_a_seed_that_never_joined) {
+  auto group = first_start_of({"a", "b", "c"}, {"a", "b", "c"});
+  group.isolate("c");
+  ASSERT_TRUE(put(group, 1, recovery_time).has_value());
+  group.start("d", 9);
+  group.start("e", 8);
+  group.stop("d");
+  group.stop("e");
+  EXPECT_EQ(exchange_seeds(group, {"a", "b"}, {"c", "d", "e"}), "seven");
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
--- a/tests/support/replica_group.h
+++ b/tests/support/replica_group.h
@@ -55,6 +55,9 @@
     /// The first start, if it is still to come.
     std::optional<base::monotonic_time> starts_at;
     bool is_frozen = false;
+    /// Set if it lost its disk and stays away until the faults end. If it died again just after its
+    /// return, the group would have to tolerate two losses.
+    bool stays_away = false;
     /// Nodes reach only nodes in the same partition.
     int partition = 0;
   };
@@ -77,6 +80,10 @@
   void order_founding(node& node);
   /// Adds instances that start for the first time at a random moment soon.
   void add_unstarted(std::size_t count);
+  /// Adds the instances that form the first group.
+  void add_founders(std::size_t count);
+  /// Gives each instance the id of a first disk.
+  void create_first_disks();
   /// Draws what the group will have to bear, for this number of founders.
   void draw_founding_faults(std::size_t count);
   /// Draws which founders may be lost, for this number of founders.
