tests: Number first disks as they are started

control_group reported the disks of voters by halving their ids, and the id of a first disk now has the mark of its founders in its lower half: three tests of control_test, one of even_control_groups_test and two of voter_changes_test compared with 1. voter_disks returns the number given to start again; no expectation changes.

--- a/tests/libraries/consensus/founding_loss_test.cpp
+++ b/tests/libraries/consensus/founding_loss_test.cpp
@@ -44,10 +44,10 @@
   /// Whether the lost founders return with empty disks.
   bool is_disk_lost = false;
 
-  friend void PrintTo(scenario const& s, std::ostream* out) {
-    *out << s.founder_count << " founders, early " << s.early << ", lost " << s.lost << " after "
-         << s.lost_after / 1ms << " ms, difference " << s.start_difference / 1ms
-         << " ms, restarted " << s.is_restarted << ", disks lost " << s.is_disk_lost;
+  friend std::ostream& operator<<(std::ostream& out, scenario const& s) {
+    return out << s.founder_count << " founders, early " << s.early << ", lost " << s.lost
+               << " after " << s.lost_after / 1ms << " ms, difference " << s.start_difference / 1ms
+               << " ms, restarted " << s.is_restarted << ", disks lost " << s.is_disk_lost;
   }
 };
 
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -166,7 +166,9 @@
 std::set<std::uint64_t> control_group::voter_disks() const {
   std::set<std::uint64_t> disks;
   for (auto const& voter : node(leader()).replica().current_configuration().voters) {
-    disks.insert(voter.disk_id / 2);
+    // The lower half of a first disk's id is the mark of its founders.
+    auto const random = voter.has_first_disk() ? voter.disk_id >> 32U : voter.disk_id;
+    disks.insert(random / 2);
   }
   return disks;
 }
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -60,7 +60,7 @@
   [[nodiscard]] std::optional<proxy::call_reply> reply(proxy::call_number number) const;
   [[nodiscard]] std::vector<proxy::update> const& updates(std::string const& id);
   [[nodiscard]] std::vector<proxy::last_known_state> const& last_known(std::string const& id);
-  /// The disks of the leader's voters.
+  /// The disks of the leader's voters, as numbered in `start`.
   [[nodiscard]] std::set<std::uint64_t> voter_disks() const;
 
 private:
