--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -1,4 +1,5 @@
 #include <libraries/base/verify.h>
+#include <libraries/consensus/disk_identity.h>
 #include <libraries/storage/journal.h>
 #include <tests/support/control_group.h>
 
@@ -27,7 +28,8 @@
     : m_seeds(instances_of(seeds)) {}
 
 void control_group::start(std::string const& id, std::uint64_t disk_id, bool is_first_start) {
-  m_disks[{id}] = {.id = consensus::make_disk_id(2 * disk_id, is_first_start), .records = {}};
+  m_disks[{id}] = {.id = consensus::make_disk_id(2 * disk_id, is_first_start, m_seeds),
+                   .records = {}};
   m_nodes.erase({id});
   m_nodes.emplace(base::instance_id{id}, recover({id}));
 }
@@ -165,7 +167,9 @@
 std::set<std::uint64_t> control_group::voter_disks() const {
   std::set<std::uint64_t> disks;
   for (auto const& voter : node(leader()).replica().current_configuration().voters) {
-    disks.insert(voter.disk_id / 2);
+    // The lower half of a first disk's id is the mark of its founders.
+    auto const random = voter.has_first_disk() ? voter.disk_id >> 32U : voter.disk_id;
+    disks.insert(random / 2);
   }
   return disks;
 }
--- a/tests/support/replica_group_founding.cpp
+++ b/tests/support/replica_group_founding.cpp
@@ -1,3 +1,4 @@
+#include <libraries/consensus/disk_identity.h>
 #include <tests/support/replica_group.h>
 
 #include <algorithm>
@@ -21,13 +22,11 @@
   group.m_effects_per_crash = 50 + group.random_below(2000);
   group.m_max_tick_interval = std::chrono::milliseconds(2 + group.random_below(60));
   auto const founders = counts.at(group.random_below(counts.size()));
-  group.add_unstarted(founders);
-  for (auto const& node : group.m_nodes) {
-    group.m_founders.push_back(node.id);
-  }
+  group.add_founders(founders);
   if (founders == 3 && group.random_below(3) == 0) {
     group.add_unstarted(1 + group.random_below(3));
   }
+  group.create_first_disks();
   group.draw_founding_faults(founders);
   return group;
 }
@@ -38,6 +37,46 @@
   return group;
 }
 
+replica_group replica_group::unfounded_with_losses(std::uint64_t seed) {
+  replica_group group{base::random_generator(seed)};
+  constexpr std::array<std::size_t, 4> counts{3, 3, 5, 8};
+  group.m_fault_percent = group.random_below(12);
+  group.m_effects_per_crash = 50 + group.random_below(2000);
+  group.m_max_tick_interval = std::chrono::milliseconds(2 + group.random_below(60));
+  auto const founders = counts.at(group.random_below(counts.size()));
+  group.add_founders(founders);
+  group.create_first_disks();
+  group.draw_lost_founders(founders);
+  return group;
+}
+
+void replica_group::draw_lost_founders(std::size_t count) {
+  m_lost_founders = m_founders;
+  std::ranges::shuffle(m_lost_founders, m_random);
+  m_lost_founders.resize(count == 3 ? 1 : 2);
+  m_disks_to_lose = m_lost_founders.size();
+}
+
+bool replica_group::acknowledges_without_lost_founders(base::duration time) {
+  end_faults();
+  for (auto const& id : m_lost_founders) {
+    crash(node_of(id));
+  }
+  auto const first = m_last_command;
+  auto const is_new_command = [&](auto const& item) {
+    auto const& command = item.second.command;
+    return !command.empty() && std::stoull(command.substr(command.find(' '))) > first;
+  };
+  for (auto const end = m_now + time; m_now < end;) {
+    run_without_faults();
+    std::ranges::for_each(m_nodes, [this](auto& node) { propose(node); });
+    if (std::ranges::any_of(m_committed, is_new_command)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void replica_group::order_founding(node& node) {
   if (!node.replica || node.is_frozen) {
     return;
@@ -53,12 +92,24 @@
     node fresh;
     fresh.id = {std::string(1, static_cast<char>('a' + m_nodes.size()))};
     fresh.clock_speed = 970 + static_cast<int>(random_below(61));
-    fresh.storage.id = consensus::make_disk_id(2 * ++m_last_disk, true);
     fresh.starts_at = m_now + std::chrono::milliseconds(random_below(max_start_difference_ms));
     m_nodes.push_back(std::move(fresh));
   }
 }
 
+void replica_group::add_founders(std::size_t count) {
+  add_unstarted(count);
+  for (auto const& node : m_nodes) {
+    m_founders.push_back(node.id);
+  }
+}
+
+void replica_group::create_first_disks() {
+  for (auto& node : m_nodes) {
+    node.storage.id = consensus::make_disk_id(2 * ++m_last_disk, true, m_founders);
+  }
+}
+
 void replica_group::draw_founding_faults(std::size_t count) {
   // As many as leave one disk of a majority. At least one first start is complete: the only one of
   // a single instance, and of a pair if it loses no disk.
@@ -82,6 +133,11 @@
   }
 }
 
+bool replica_group::may_lose_disk(node const& node) const {
+  return m_lost_founders.empty() ||
+         std::ranges::find(m_lost_founders, node.id) != m_lost_founders.end();
+}
+
 void replica_group::inject_founding_fault() {
   auto& node = fault_target();
   auto const kind = random_below(20);
@@ -89,9 +145,10 @@
     recover(random_node());
   } else if (kind < 11) {
     crash(node);
-  } else if (kind < 13 && m_disks_to_lose > 0 && !node.starts_at) {
+  } else if (kind < 13 && m_disks_to_lose > 0 && !node.starts_at && may_lose_disk(node)) {
     --m_disks_to_lose;
     lose_disk(node);
+    node.stays_away = !m_lost_founders.empty();
   } else if (kind < 14 && m_starts_to_abort > 0 && node.starts_at) {
     --m_starts_to_abort;
     abort_first_start(node);
