--- a/tests/libraries/proxy/process_settings_test.cpp
+++ b/tests/libraries/proxy/process_settings_test.cpp
@@ -59,8 +59,7 @@
   auto const settings = parse_settings(settings_with(R"({}, "replaced_answers": "by_capacity")"));
   ASSERT_TRUE(settings.has_value());
   EXPECT_EQ(settings->replaced_answers, replaced_answers::by_capacity);
-  EXPECT_FALSE(
-      parse_settings(settings_with(R"({}, "replaced_answers": "sometimes")")).has_value());
+  EXPECT_FALSE(parse_settings(settings_with(R"({}, "replaced_answers": "sometimes")")).has_value());
 }
 
 } // namespace
