--- a/libraries/cascade/model_choice.h
+++ b/libraries/cascade/model_choice.h
@@ -10,7 +10,7 @@
 enum class choice_reason : std::uint8_t {
   /// The largest model is asked to take its place.
   replaced,
-  /// It is less doubtful than those that the free capacity is kept for.
+  /// Its confidence is not below the limit that follows from the idle capacity.
   short_of_capacity,
   /// The retry limit allows no second run.
   short_of_retries,
--- a/libraries/consensus/disk_identity.h
+++ b/libraries/consensus/disk_identity.h
@@ -5,8 +5,8 @@
 namespace catkinlanding::consensus {
 
 /// The id of a new disk, from a random number. The id of a first disk contains a hash of the
-/// founders, so that it votes in no founding by other instances. Builds before this one read it as
-/// the id of a first disk too.
+/// founders, so that it votes in no founding by other instances. Versions without the hash check
+/// only that the id is odd, so they read it as a first disk too.
 [[nodiscard]] std::uint64_t make_disk_id(std::uint64_t random, bool is_first_start,
                                          std::vector<base::instance_id> founders);
 
--- a/libraries/consensus/types.h
+++ b/libraries/consensus/types.h
@@ -58,7 +58,8 @@
   [[nodiscard]] bool is_voter(voter const& v) const {
     return std::ranges::find(voters, v) != voters.end();
   }
-  /// Whether the disk is the one that a place is held for.
+  /// Whether a place is held for this instance, and the disk is a first one by its id. Relies on
+  /// each instance having one first disk only, as a second one would be counted too.
   [[nodiscard]] bool has_place_for(voter const& v) const {
     return v.has_first_disk() && is_voter({.instance = v.instance, .disk_id = 0});
   }
@@ -66,8 +67,8 @@
   /// an instance has one first disk only.
   [[nodiscard]] bool can_vote(voter const& v) const { return is_voter(v) || has_place_for(v); }
   /// Fills the place that is held for the disk, if there is one. This changes no majority: it only
-  /// names a voter. The previous build made such a disk a learner first, and a learner that is a
-  /// voter would be promoted to a second place.
+  /// names a voter. The disk may also be a learner, in a log that an older version wrote; it is
+  /// removed there, as its promotion would make it a voter twice.
   void fill_place(voter const& v) {
     if (has_place_for(v)) {
       std::erase(learners, v);
--- a/libraries/evacuations/order.h
+++ b/libraries/evacuations/order.h
@@ -6,8 +6,8 @@
 
 namespace catkinlanding::evacuations {
 
-/// Orders the changes of all zones. Odd while the zone is out of use; 0 for a zone without an
-/// order.
+/// Sequence number, shared by the orders of all zones. Odd: the zone is out of use. 0: no order for
+/// the zone is known.
 using order_number = std::uint64_t;
 
 [[nodiscard]] constexpr bool takes_out_of_use(order_number number) {
--- a/libraries/evacuations/zone_table.h
+++ b/libraries/evacuations/zone_table.h
@@ -16,7 +16,7 @@
   /// Bounds the memory that orders for unknown zones can take up; no deployment has as many zones.
   static constexpr std::size_t max_zones = 256;
 
-  /// Records an order unless a later one for the zone is known, or too many zones are out of use.
+  /// Records an order unless a later one for the zone is known, or the table is full.
   /// Returns whether that changed anything.
   bool record(order const& order);
 
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -79,8 +79,8 @@
                                  std::optional<double> confidence) const {
     return confidence && m_models.is_doubtful(*confidence) && may_be_escalated(request);
   }
-  /// Decides whether the largest model should answer instead of the current one, whose confidence
-  /// is this, and takes a retry for it.
+  /// Decides whether the largest model should replace the current answer, which has this
+  /// confidence, and takes a retry for it.
   [[nodiscard]] cascade::choice try_escalate(active_request const& request, double confidence,
                                              service_endpoints const& endpoints,
                                              base::monotonic_time now);
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -335,7 +335,7 @@
 void control::apply_order(evacuations::order const& order, control_effects& out) {
   bool const is_put_back = !evacuations::takes_out_of_use(order.number);
   m_registry.set_zones_out_of_use(m_state.zones().zones_out_of_use());
-  // Announcements arrive at the leader, so only there does the wait end.
+  // Other instances receive no announcements, so they could not tell when an endpoint has sent one.
   if (is_put_back && m_replica.role() == consensus::role::leader) {
     await_announcements(order.zone);
   }
--- a/libraries/proxy/endpoint_rate_limiter.h
+++ b/libraries/proxy/endpoint_rate_limiter.h
@@ -24,10 +24,11 @@
     double min_rate = 0.2;
     /// A statement that was not seen again for this long no longer applies.
     base::duration notice_lifetime = std::chrono::seconds(30);
-    /// A new leader grants no shares for this long, so that those of the former one may be used.
+    /// A new leader grants no shares for this long after its election. Shares that it does not name
+    /// are kept meanwhile.
     base::duration handover_time = std::chrono::seconds(2);
-    /// Time after grants arrived until the instance is without a leader, at the latest. The random
-    /// distances begin then: those that begin at the grants have ended for many instances at once.
+    /// The longest time after grants arrived until this instance counts as without a leader. Random
+    /// distances are measured from its end: measured from the grants, many would already be over.
     base::duration contact_timeout = std::chrono::milliseconds(1800);
     std::uint64_t seed = 0;
   };
@@ -91,9 +92,9 @@
   [[nodiscard]] limit& limit_for(endpoint_incarnation const& source, base::monotonic_time now);
   [[nodiscard]] base::monotonic_time next_with_grant(limit const& known) const;
   [[nodiscard]] base::monotonic_time next_without_leader(limit const& known) const;
-  /// Whether an instance without a leader limits its requests. A last grant of which nothing is
-  /// heard any more ends with the time of a statement, if the endpoint itself states no rate: it
-  /// was cold, and a zone that is cut off must not use its part of a cold endpoint's rate for ever.
+  /// Whether an instance without a leader limits its requests. Its last grant limits them too, until
+  /// `notice_lifetime` is over if the endpoint's answers state no rate: the endpoint was limited
+  /// only while it was cold.
   [[nodiscard]] bool is_limited_without_leader(limit const& known, base::monotonic_time now) const;
   /// The part of the rate that is safe for an instance without a leader, in requests a second.
   [[nodiscard]] double isolated_rate(limit const& known) const;
--- a/libraries/proxy/endpoint_registry.h
+++ b/libraries/proxy/endpoint_registry.h
@@ -12,8 +12,8 @@
 
 /// The effect of an announcement on the registry.
 enum class announcement_outcome : std::uint8_t {
-  /// The record says the same, except that an endpoint which became cold has a new revision: its
-  /// limit is pushed with it, and followers learn of it.
+  /// No routing field and no state changed. The record still gets a new revision if the endpoint
+  /// became cold, or if entry instances must get it again (see `must_repeat`).
   refreshed,
   /// The record changed, and the other instances must be notified.
   changed,
@@ -70,8 +70,8 @@
   /// Marks silent endpoints and forgets those that ended long ago. Returns whether any record
   /// changed.
   bool tick(base::monotonic_time now);
-  /// Restarts the silence timers of all endpoints. Called when this instance becomes the leader,
-  /// since it received no announcements before.
+  /// Restarts all silence timers, and forgets which endpoints announced themselves here. Called
+  /// when this instance becomes the leader, since it received no announcements before.
   void reset_silence_timers(base::monotonic_time now);
   /// Replaces the zones that are out of use. Their ready endpoints are shown to entry instances as
   /// leaving. The endpoints of each zone for which that changes get a new revision.
--- a/libraries/proxy/grant_lease.h
+++ b/libraries/proxy/grant_lease.h
@@ -26,7 +26,8 @@
     return true;
   }
 
-  /// A lease that no answer has begun yet does not end either: the contact decides alone.
+  /// Also true before the first update that answers a known subscription. Until then only
+  /// `subscriber::is_connected` limits how long grants are used.
   [[nodiscard]] bool is_current(base::monotonic_time now) const {
     return !m_requested_at || now < *m_requested_at + m_duration;
   }
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// The same time until news of the leader for all who tell callers of it.
+/// Copies the subscriber's intervals to the parts whose behaviour depends on them.
 router::options with_subscriber_times(router::options options) {
   options.notices.news_interval = options.subscriber.urgent_interval;
   options.overload.news_interval = options.subscriber.urgent_interval;
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -137,7 +137,7 @@
   [[nodiscard]] relay_tally hand_over(request_number number);
 
   /// Gives back the slot of an endpoint whose whole answer has arrived, while its caller has not
-  /// read it.
+  /// read it. Does nothing while another attempt is held.
   void release_slot(request_number number);
   /// Records that the request was answered completely and with success.
   void note_completed(request_number number, base::monotonic_time now);
--- a/libraries/warmup/share_holders.h
+++ b/libraries/warmup/share_holders.h
@@ -18,13 +18,13 @@
 /// grant has surely ended.
 class share_holders {
 public:
-  /// Requests of a window of one second are at most one for each share, and the rate. With 4 shares
-  /// that is below one and a half times the rate, and 5, for every rate.
+  /// Shares that an endpoint's rate is divided into. In any second an endpoint gets at most
+  /// `shares + rate` requests. With 4 shares this stays below `1.5 * rate + 5` for every rate.
   static constexpr std::size_t shares = 4;
 
   struct options {
-    /// After its last grant an instance may use a share for 1.8 s. The rest of this time covers the
-    /// delay of that grant's message.
+    /// An instance may use a share for 1.8 s from the subscription that the grant answers
+    /// (`grant_lease`). The rest is a margin for updates that answer no known subscription.
     base::duration grant_lifetime = std::chrono::seconds(3);
   };
 
--- a/services/daemon/waiting_connections.h
+++ b/services/daemon/waiting_connections.h
@@ -7,14 +7,14 @@
 
 namespace catkinlanding::daemon {
 
-/// The connections of a server that wait for a request or have received a part of one. When there
-/// are too many connections, the one that has waited longest gives way to a new one.
+/// The connections of a server that wait for a request or have received a part of one. When the
+/// connection limit is reached, the one that has waited longest is closed in favour of a new one.
 class waiting_connections {
 public:
   /// `server` is the component's name in the log.
   explicit waiting_connections(char const* server) : m_server(server) {}
 
-  /// Lists a connection for as long as it lives.
+  /// Lists a connection until the entry is destroyed or `close_longest` chooses it.
   class entry {
   public:
     entry(waiting_connections& all, tcp_stream& stream);
@@ -31,9 +31,10 @@
     std::list<entry*>::iterator m_place;
   };
 
-  /// Ends the wait of the connection that has waited longest. Returns whether there was one.
+  /// Cancels the reads of the connection that has waited longest, which makes its coroutine close
+  /// it. Returns whether there was one.
   [[nodiscard]] bool close_longest();
-  /// Connections whose wait was ended.
+  /// Number of connections closed in this way.
   [[nodiscard]] std::uint64_t closed() const { return m_closed; }
 
 private:
--- a/services/proxy/entry_process.cpp
+++ b/services/proxy/entry_process.cpp
@@ -27,15 +27,15 @@
 constexpr double permille = 1000.0;
 /// Shortest time between two lines about outdated updates, which may come in series.
 constexpr std::chrono::seconds outdated_line_interval{1};
-/// Readiness checks have no bodies of use.
+/// Bodies of readiness checks are ignored, so a small bound is enough.
 constexpr std::uint32_t max_check_bytes = 64 * 1024;
 constexpr std::size_t max_check_memory = 1024UL * 1024;
 /// The part of the process's memory that answers may take up in buffers: one in this many bytes.
 /// Each open request takes up more, in proportion to their number.
 constexpr std::size_t answer_memory_divisor = 10;
-/// The same for the bodies of callers' requests.
+/// Divides the process's memory: the part for the bodies of callers' requests.
 constexpr std::size_t body_memory_divisor = 5;
-/// The same for the headers and the framing of requests.
+/// Divides the process's memory: the part for the headers and the framing of requests.
 constexpr std::size_t buffer_memory_divisor = 20;
 
 std::vector<base::instance_id> seed_instances(process_settings const& settings) {
--- a/services/proxy/exchange.h
+++ b/services/proxy/exchange.h
@@ -84,8 +84,9 @@
     return m_is_expired ? attempt_failure::expired : failure;
   }
   void watch_for_caller_disconnect();
-  /// Called when the time of the request is over. A caller that does not read must not keep an
-  /// endpoint busy.
+  /// Called at the request's deadline. Cancels the connection if the answer is still arriving while
+  /// a write to the caller is pending, and frees the endpoint's slot if it has arrived whole: a
+  /// caller that does not read must not keep an endpoint busy.
   void end_unread_answer();
   void start_deadline_timer(base::monotonic_time deadline);
   /// Looks for a replacement when the router declares the current attempt stalled, not before the
