--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -170,8 +170,8 @@
   void change_role(base::monotonic_time now);
   void apply(consensus::log_entry const& entry, base::monotonic_time now, control_effects& out);
   void restore(consensus::snapshot const& snapshot);
-  /// Applies a committed order for a zone: updates the registry, logs the change and, at the leader,
-  /// treats the endpoints of a zone that is put back as cold.
+  /// Applies a committed order for a zone: updates the registry, logs the change and, at the
+  /// leader, treats the endpoints of a zone that is put back as cold.
   void apply_order(evacuations::order const& order, control_effects& out);
   /// Answers the call that asked for the order, if there is one, once the entry instances know.
   void answer_order(evacuations::order const& order, std::optional<call_number> pending,
--- a/libraries/proxy/endpoint_rate_limiter.h
+++ b/libraries/proxy/endpoint_rate_limiter.h
@@ -92,9 +92,9 @@
   [[nodiscard]] limit& limit_for(endpoint_incarnation const& source, base::monotonic_time now);
   [[nodiscard]] base::monotonic_time next_with_grant(limit const& known) const;
   [[nodiscard]] base::monotonic_time next_without_leader(limit const& known) const;
-  /// Whether an instance without a leader limits its requests. Its last grant limits them too, until
-  /// `notice_lifetime` is over if the endpoint's answers state no rate: the endpoint was limited
-  /// only while it was cold.
+  /// Whether an instance without a leader limits its requests. Its last grant limits them too,
+  /// until `notice_lifetime` is over if the endpoint's answers state no rate: the endpoint was
+  /// limited only while it was cold.
   [[nodiscard]] bool is_limited_without_leader(limit const& known, base::monotonic_time now) const;
   /// The part of the rate that is safe for an instance without a leader, in requests a second.
   [[nodiscard]] double isolated_rate(limit const& known) const;
