tests: Give the lone founder a first disk's id of its founders

A first disk's id contains a hash of the founders since, so the id 1 stood for no first disk, and the instance under test founded no group: control_subscription_test and document_delivery_property failed with it. They check as much as before.

--- a/tests/libraries/proxy/control_subscription_test.cpp
+++ b/tests/libraries/proxy/control_subscription_test.cpp
@@ -1,3 +1,4 @@
+#include <libraries/consensus/disk_identity.h>
 #include <libraries/proxy/control.h>
 
 #include <gtest/gtest.h>
@@ -12,7 +13,8 @@
 
 control make_control(bool is_founder) {
   control::options options;
-  options.replica.self = {.instance = {"self"}, .disk_id = 1};
+  options.replica.self = {.instance = {"self"},
+                          .disk_id = consensus::make_disk_id(2, true, {{"self"}})};
   if (!is_founder) {
     options.replica.peers = {{"leader"}};
   }
--- a/tests/libraries/proxy/document_delivery_property.cpp
+++ b/tests/libraries/proxy/document_delivery_property.cpp
@@ -1,5 +1,6 @@
 #include <libraries/base/random.h>
 #include <libraries/base/verify.h>
+#include <libraries/consensus/disk_identity.h>
 #include <libraries/proxy/control.h>
 #include <libraries/proxy/router.h>
 
@@ -82,7 +83,8 @@
 
   [[nodiscard]] control make_control() const {
     control::options options;
-    options.replica.self = {.instance = {"control"}, .disk_id = 1};
+    options.replica.self = {.instance = {"control"},
+                            .disk_id = consensus::make_disk_id(2, true, {{"control"}})};
     options.replica.founders = {{"control"}};
     return control::create(std::move(options), {}, m_now);
   }
