proxy: Keep the places of voters that the group needs to bear lost disks

Cause: the leader took a silent voter's place after 2 s, down to three voters. Three voters acknowledge on two disks, and the one that was left of them was no majority. Evidence, from the logs of the case on the untouched code: `voters_proposed detail=silent:...` to four and to three voters 2 s after the kills, the change acknowledged 4 s later, and after the losses no `leadership_won` at any instance, although the third one had the change.

Change: a voter loses its place without a successor only where the smaller group still bears what it has to. `libraries/voters` has the arithmetic, for stated losses and zones with several instances too. A planned stop and silence are the same to it. This works as any majority of 2f + 1 voters has more than f disks, and those that are left of them without f disks are still a majority.

Tests: four of voter_changes_test failed before (three and four voters where five are needed, no leader after the losses), all pass now; the new tolerated_losses_test passes. give_a_voter_its_place_back_though_its_seeds_ are_gone now states one loss to be borne, as its deployment of four does: with nothing stated, the place of the instance that is gone beside its early successor would stay, as five bear more than four.

--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -18,13 +18,18 @@
       return voter_proposal{.voters = std::move(*admitted), .reason = "joins:" + applicant.value};
     }
   }
-  if (!silent || voters.size() <= m_options.min_voters) {
+  if (!silent || !can_shrink(voters.size())) {
     return std::nullopt;
   }
   std::erase(voters, *silent);
   return voter_proposal{.voters = std::move(voters), .reason = "silent:" + silent->value};
 }
 
+bool voter_manager::can_shrink(std::size_t voter_count) const {
+  return voter_count > m_options.min_voters &&
+         voters::can_lose_a_place(m_options.tolerated_losses, voter_count);
+}
+
 void voter_manager::drop_expired(consensus::configuration const& configuration,
                                  base::monotonic_time now) {
   std::erase_if(m_applicants, [&](auto const& item) {
--- a/libraries/proxy/voter_manager.h
+++ b/libraries/proxy/voter_manager.h
@@ -2,6 +2,7 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/contact_times.h>
+#include <libraries/voters/tolerated_losses.h>
 
 #include <map>
 #include <optional>
@@ -18,10 +19,12 @@
 };
 
 /// Decides at the leader which instances should vote, so that the voters follow the instances that
-/// exist. An instance that asks to join becomes a voter. A voter that is silent or that stops loses
-/// its place while enough others remain, so that it does not count for the majority; it asks to
-/// join again if it returns. Places are taken away one at a time, as the group may lose a disk
-/// between any two changes.
+/// exist. An instance that asks to join becomes a voter, in place of a silent one if there is one.
+/// A voter that is silent or that stops loses its place without a successor only where the group
+/// still bears the loss of as many disks as it has to; it asks to join again if it returns. Silence
+/// doesn't tell an instance that is gone from one that returns with its disk, and a smaller group
+/// would acknowledge changes on fewer disks than may be lost. Places are taken away one at a time,
+/// as the group may lose a disk between any two changes.
 class voter_manager {
 public:
   struct options {
@@ -32,8 +35,10 @@
     /// How long the notice of a stopping voter holds. By then it is silent, or it has restarted.
     base::duration departure_timeout = std::chrono::seconds(2);
     std::size_t max_voters = 7;
-    /// A silent voter keeps its place in a group of this size.
+    /// A silent voter keeps its place in a group of this size in any case.
     std::size_t min_voters = 3;
+    /// What the group has to bear; nothing if it isn't stated.
+    std::optional<voters::tolerated_losses> tolerated_losses;
     contact_times::options contacts;
   };
 
@@ -58,6 +63,8 @@
                                                           base::monotonic_time now);
 
 private:
+  /// Whether a silent voter of a group of this size may lose its place without a successor.
+  [[nodiscard]] bool can_shrink(std::size_t voter_count) const;
   void drop_expired(consensus::configuration const& configuration, base::monotonic_time now);
   /// When the instance was last heard; nothing if it is silent by its own statement.
   [[nodiscard]] std::optional<base::monotonic_time> last_heard(consensus::replica const& replica,
--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -9,8 +9,19 @@
 using namespace std::chrono_literals;
 using testing::control_group;
 
-control_group group_of(std::vector<std::string> const& instances) {
+replace_document document(std::uint64_t revision) {
+  replace_document made;
+  made.document.revision = revision;
+  made.source = std::to_string(revision);
+  return made;
+}
+
+control_group group_of(std::vector<std::string> const& instances,
+                       std::optional<voters::tolerated_losses> tolerated = {}) {
   control_group group({"a", "b", "c"});
+  if (tolerated) {
+    group.tolerate(*tolerated);
+  }
   std::uint64_t disk = 0;
   for (auto const& instance : instances) {
     ++disk;
@@ -60,6 +71,77 @@
   EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3}));
 }
 
+/// Whether the group has a leader that holds the document, two of its instances having lost their
+/// disks right after one of them acknowledged it, while two others were away with theirs.
+bool keeps_document_without_two_disks(control_group& group, std::set<std::string> const& away) {
+  constexpr call_number change = 1;
+  constexpr call_number read = 2;
+  group.call(group.leader(), change, document(1));
+  if (!group.reply(change) || group.reply(change)->kind != reply_kind::done) {
+    return false;
+  }
+  group.stop("a");
+  group.stop("b");
+  group.run(1s);
+  for (auto const& instance : away) {
+    group.restart(instance);
+  }
+  group.start("a", 11);
+  group.start("b", 12);
+  group.run(12s);
+  if (group.leader().empty()) {
+    return false;
+  }
+  group.call(group.leader(), read, read_document{});
+  return group.reply(read)->kind == reply_kind::found && *group.reply(read)->source == "1";
+}
+
+// Guards against voters that lose their places while they are away until fewer disks hold a change
+// than may be lost (LOST): five instances, of which two are away and two lose their disks.
+TEST(voter_changes, keep_a_change_of_five_without_two_disks_while_two_were_away) {
+  auto group = group_of({"a", "b", "c", "d", "e"});
+  group.stop("d");
+  group.stop("e");
+  group.run(5s);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+  EXPECT_TRUE(keeps_document_without_two_disks(group, {"d", "e"}));
+}
+
+// Guards against the same when the two that are away were stopped as planned, and gave up their
+// places themselves.
+TEST(voter_changes, keep_a_change_of_five_without_two_disks_while_two_were_stopped) {
+  auto group = group_of({"a", "b", "c", "d", "e"});
+  group.stop_gracefully("d");
+  group.stop_gracefully("e");
+  group.run(1s);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+  EXPECT_TRUE(keeps_document_without_two_disks(group, {"d", "e"}));
+}
+
+// Guards against the same with six instances: five voters bear as many lost disks as six do, four
+// don't.
+TEST(voter_changes, keep_a_change_of_six_without_two_disks_while_two_were_away) {
+  auto group = group_of({"a", "b", "c", "d", "e", "f"});
+  group.stop("e");
+  group.stop("f");
+  group.run(8s);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+  EXPECT_TRUE(keeps_document_without_two_disks(group, {"e", "f"}));
+}
+
+// Guards against a group of seven that shrinks when several instances are away: it bears three lost
+// disks for as long as they may return.
+TEST(voter_changes, keep_seven_voters_while_three_are_away) {
+  auto group = group_of({"a", "b", "c", "d", "e", "f", "g"});
+  ASSERT_EQ(group.voter_disks().size(), 7U);
+  for (std::string const instance : {"e", "f", "g"}) {
+    group.stop(instance);
+    group.run(3s);
+  }
+  EXPECT_EQ(group.voter_disks().size(), 7U);
+  EXPECT_NE(group.leader(), "");
+}
+
 TEST(voter_changes, give_a_voter_its_place_back_after_it_was_away) {
   auto group = group_of({"a", "b", "c", "d"});
   ASSERT_EQ(group.voter_disks().size(), 4U);
@@ -71,10 +153,27 @@
   EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3, 4}));
 }
 
+// Guards against places of instances that are gone for good, which stay beside those of successors
+// that joined early: a deployment that has to bear two lost instances must bear the next two.
+TEST(voter_changes, drop_two_lost_voters_whose_replacements_joined_early) {
+  auto group = group_of({"a", "b", "c", "d", "e"}, voters::tolerated_losses{.instances = 2});
+  group.stop("d");
+  group.stop("e");
+  group.run(500ms);
+  group.start("f", 6);
+  group.start("g", 7);
+  group.run(6s);
+  EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3, 6, 7}));
+  group.stop("a");
+  group.stop("b");
+  group.run(3s);
+  EXPECT_NE(group.leader(), "");
+}
+
 // Guards against an instance that lost its place and asks for it only at seeds that no longer
 // exist, as its settings were never reloaded.
 TEST(voter_changes, give_a_voter_its_place_back_though_its_seeds_are_gone) {
-  auto group = group_of({"a", "b", "c", "d"});
+  auto group = group_of({"a", "b", "c", "d"}, voters::tolerated_losses{.instances = 1});
   std::uint64_t disk = 4;
   for (std::string const seed : {"a", "b", "c"}) {
     group.stop(seed);
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -50,6 +50,7 @@
     }
   }
   options.replica.founders = m_seeds;
+  options.voters.tolerated_losses = m_tolerated;
   options.read_cold_rates = m_rate_reader;
   auto const recovered = storage::recover_log(disk.records);
   CATKINLANDING_VERIFY(recovered.has_value());
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -38,6 +38,9 @@
   /// Replaces the seeds that instances get when they start, as running instances may keep old ones.
   void use_seeds(std::vector<std::string> const& seeds);
 
+  /// States what the deployment has to bear, for instances that start later.
+  void tolerate(voters::tolerated_losses losses) { m_tolerated = losses; }
+
   /// Reads the rates of cold endpoints for instances that start later.
   void use_rate_reader(warmup::rate_reader reader) { m_rate_reader = std::move(reader); }
 
@@ -88,6 +91,7 @@
   void record(in_flight_message const& in_flight);
 
   std::vector<base::instance_id> m_seeds;
+  std::optional<voters::tolerated_losses> m_tolerated;
   warmup::rate_reader m_rate_reader;
   std::map<base::instance_id, proxy::control> m_nodes;
   std::map<base::instance_id, proxy::router> m_entries;
