proxy: Let instances with new disks find a group that none of their seeds is in

All of their seeds were each other or the eighth instance, which has no place among seven voters. It got no messages of the log, so it knew no leader to pass the requests to join on to, although the leader's updates reached it.

An instance also asks whoever sent it a message of an existing group: the leader still sends to a lost disk for as long as that is a voter.

--- a/libraries/consensus/replica.cpp
+++ b/libraries/consensus/replica.cpp
@@ -91,6 +91,9 @@
   for (auto const& voter : m_configuration.voters) {
     targets.insert(voter.instance);
   }
+  if (m_last_member) {
+    targets.insert(*m_last_member);
+  }
   targets.erase(m_options.self.instance);
   return targets;
 }
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -294,6 +294,9 @@
   base::monotonic_time m_founding_due{};
   /// When this leader last held a lease, or when it was elected.
   base::monotonic_time m_last_lease{};
+  /// Who last sent a message of an existing group. It may be addressed to a disk that this instance
+  /// has lost, and be the only sign of a group that none of the peers belongs to.
+  std::optional<base::instance_id> m_last_member;
   /// Whether an instance other than the founders has sent a message of an existing group.
   bool m_has_heard_group = false;
   /// A restarted voter doesn't know which leader's lease it supported, so it denies votes until
--- a/libraries/consensus/replica_founding.cpp
+++ b/libraries/consensus/replica_founding.cpp
@@ -59,6 +59,9 @@
   bool const is_founder = std::ranges::find(m_options.founders, from) != m_options.founders.end();
   // A founder that has a log takes part in no founding, so it prevents one by itself.
   m_has_heard_group = m_has_heard_group || (has_log && !is_founder);
+  if (has_log) {
+    m_last_member = from;
+  }
 }
 
 std::set<base::instance_id> replica::electors() const {
--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -191,6 +191,48 @@
   EXPECT_EQ(group.voter_disks(), (std::set<std::uint64_t>{4, 5, 6, 7}));
 }
 
+// Guards against instances that lost their disks and never join again, as all of their seeds are
+// outside the group: each other, and an instance that got no place as there were enough voters.
+TEST(voter_changes, give_places_back_to_lost_disks_whose_seeds_are_outside_the_group) {
+  auto group = group_of({"a", "b", "c", "d", "e", "f", "g", "h"}, voters::tolerated_losses{2});
+  group.stop("c");
+  group.run(5s);
+  group.use_seeds({"a", "b", "i"});
+  group.start("i", 9);
+  group.run(5s);
+  ASSERT_FALSE(group.voter_disks().contains(9));
+  group.stop("a");
+  group.stop("b");
+  group.run(5s);
+  group.start("a", 10);
+  group.start("b", 11);
+  group.run(6s);
+  EXPECT_EQ(group.voter_disks().size(), 7U);
+  EXPECT_TRUE(group.voter_disks().contains(10));
+}
+
+// Guards against the same when no seed knows the group any more: the leader still sends to the lost
+// disks, as they are voters.
+TEST(voter_changes, give_places_back_to_lost_disks_that_only_the_leader_reaches) {
+  auto group = group_of({"a", "b", "c", "d", "e", "f", "g", "h"});
+  group.stop("c");
+  group.run(5s);
+  group.use_seeds({"a", "b", "i"});
+  group.start("i", 9);
+  group.run(5s);
+  ASSERT_FALSE(group.voter_disks().contains(9));
+  for (std::string const instance : {"a", "b", "i"}) {
+    group.stop(instance);
+  }
+  group.run(5s);
+  group.start("a", 10);
+  group.start("b", 11);
+  group.restart("i");
+  group.run(6s);
+  EXPECT_EQ(group.voter_disks().size(), 7U);
+  EXPECT_TRUE(group.voter_disks().contains(10));
+}
+
 } // namespace
 
 } // namespace catkinlanding::proxy
