proxy: Run a request that may run once only a single time

Cause: `may_be_escalated` asked for a larger model and an attempt left, not whether the route allows a second run. A stalled attempt or a retry after a failure, the other ways to a second run, would show without regard to the confidence, and both asked `is_repeatable`.

Change: one question of the request, `may_run`, which second runs of doubtful answers, replaced stalled attempts, retries and relays to other entry instances go through; `begin_attempt` asks it again for each of them.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -5,6 +5,12 @@
 
 namespace catkinlanding::proxy {
 
+bool active_request::may_run() const {
+  bool const can_have_run =
+      may_have_run || is_attempting || is_relaying || held || current.has_answer;
+  return !can_have_run || route->is_repeatable();
+}
+
 void active_request::choose_model() {
   if (!current.model && !facts.model && !route->models.empty()) {
     current.model = route->models.front();
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -61,6 +61,9 @@
   /// Whether any attempt may have executed the request.
   bool may_have_run = false;
 
+  /// Whether an endpoint may be asked to execute the request: none can have executed it, or its
+  /// route allows several runs. Each way to a run depends on this, the attempts themselves too.
+  [[nodiscard]] bool may_run() const;
   /// Chooses the smallest model of the route, unless the caller named one or one was chosen before.
   void choose_model();
   /// Begins an attempt at the endpoint, and describes it without what is known of the registry.
@@ -87,6 +90,8 @@
   /// How many further endpoints its route allows.
   [[nodiscard]] std::uint32_t attempts_left() const;
   [[nodiscard]] bool has_attempts_left() const { return attempts_left() > 0; }
+  /// Whether a further endpoint may be asked to execute the request.
+  [[nodiscard]] bool may_run_again() const { return may_run() && has_attempts_left(); }
   /// The work of processing this many prompt tokens, weighted by the request's model.
   [[nodiscard]] std::uint64_t work_of(std::uint64_t tokens) const;
   /// The tokens of the prompt without the part that belongs to the request alone.
--- a/libraries/proxy/attempt_monitor.cpp
+++ b/libraries/proxy/attempt_monitor.cpp
@@ -57,8 +57,7 @@
     return is_answer_held ? std::min(due, latest_delivery(request)) : due;
   }
   auto const& route = *request.route;
-  bool const may_repeat = route.is_repeatable() && request.has_attempts_left();
-  if (!may_repeat || !request.is_attempting) {
+  if (!request.is_attempting || !request.may_run_again()) {
     return std::nullopt;
   }
   return m_options.stalls.deadline(route,
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -9,7 +9,7 @@
   auto const& models = request.route->models;
   bool const has_larger =
       request.current.model && !models.empty() && *request.current.model != models.back();
-  return has_larger && request.has_attempts_left() && !request.has_delivered;
+  return has_larger && request.may_run_again() && !request.has_delivered;
 }
 
 bool can_escalate(active_request const& request, answer_times const& times,
--- a/libraries/proxy/relay_policy.cpp
+++ b/libraries/proxy/relay_policy.cpp
@@ -7,7 +7,7 @@
 bool relay_policy::is_needed(active_request const& request) const {
   bool const is_unreachable =
       m_reachability.is_cut_off() || request.unreached.size() >= m_options.max_unreached;
-  return is_unreachable && !request.facts.is_relayed && request.has_attempts_left() &&
+  return is_unreachable && !request.facts.is_relayed && request.may_run_again() &&
          request.relays.size() < m_options.max_peers && !candidates(request).empty();
 }
 
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -200,10 +200,10 @@
   if (!can_end && !request.may_have_run) {
     return refuse_stopping(request);
   }
-  bool const may_repeat = (!request.may_have_run || route.is_repeatable()) &&
-                          m_quarantine.may_try_again(request.traits, request.endings);
+  bool const may_repeat =
+      request.may_run_again() && m_quarantine.may_try_again(request.traits, request.endings);
   bool const may_continue = !next.was_delivered || route.kind == route_kind::resumable_stream;
-  bool const is_possible = can_end && may_repeat && may_continue && request.has_attempts_left();
+  bool const is_possible = can_end && may_repeat && may_continue;
   if (!is_possible || (next.needs_retry && !m_attempts.try_retry(request, now))) {
     return std::nullopt;
   }
--- a/libraries/proxy/router_attempts.cpp
+++ b/libraries/proxy/router_attempts.cpp
@@ -42,6 +42,9 @@
 
 std::optional<attempt> router::begin_attempt(active_request& request, endpoint_filter const& filter,
                                              base::monotonic_time now) {
+  if (!request.may_run()) {
+    return std::nullopt;
+  }
   request.choose_model();
   request.current.model_weight = m_attempts.relative_work(request);
   choice_criteria const criteria{.own_zone = m_options.zone,
--- a/tests/libraries/proxy/escalation_policy_test.cpp
+++ b/tests/libraries/proxy/escalation_policy_test.cpp
@@ -73,6 +73,22 @@
   EXPECT_FALSE(should_escalate());
 }
 
+// Guards against a second run of a request that may run once only, as a small model doubts its
+// answer (TWICE).
+TEST_F(escalations, need_a_route_whose_requests_may_run_again) {
+  document made = m_request.routes->document();
+  for (auto const kind : {route_kind::stream, route_kind::at_most_once}) {
+    made.routes.front().kind = kind;
+    m_request.routes = std::make_shared<route_table const>(made);
+    m_request.route = &m_request.routes->document().routes.front();
+    EXPECT_FALSE(should_escalate());
+  }
+  made.routes.front().kind = route_kind::idempotent;
+  m_request.routes = std::make_shared<route_table const>(made);
+  m_request.route = &m_request.routes->document().routes.front();
+  EXPECT_TRUE(should_escalate());
+}
+
 TEST_F(escalations, need_another_attempt) {
   m_request.tried = {{"first"}, {"a"}, {"b"}};
   EXPECT_FALSE(should_escalate());
