proxy: Ask the largest model first where one run is allowed

Such a request now goes to the largest model at once if that is as possible as a second run would be: its whole answer fits the time left, as far as known, and an endpoint is idle. Routes that allow a second run choose as before, without the cost of looking at the endpoints.

--- a/libraries/proxy/active_request.cpp
+++ b/libraries/proxy/active_request.cpp
@@ -11,10 +11,8 @@
   return !can_have_run || route->is_repeatable();
 }
 
-void active_request::choose_model() {
-  if (!current.model && !facts.model && !route->models.empty()) {
-    current.model = route->models.front();
-  }
+bool active_request::needs_model() const {
+  return !current.model && !facts.model && !route->models.empty();
 }
 
 attempt active_request::begin_attempt(known_endpoint const& chosen, base::monotonic_time now) {
--- a/libraries/proxy/active_request.h
+++ b/libraries/proxy/active_request.h
@@ -64,8 +64,9 @@
   /// Whether an endpoint may be asked to execute the request: none can have executed it, or its
   /// route allows several runs. Each way to a run depends on this, the attempts themselves too.
   [[nodiscard]] bool may_run() const;
-  /// Chooses the smallest model of the route, unless the caller named one or one was chosen before.
-  void choose_model();
+  /// Whether a model of the route is to be chosen: the caller named none, and none was chosen
+  /// before.
+  [[nodiscard]] bool needs_model() const;
   /// Begins an attempt at the endpoint, and describes it without what is known of the registry.
   [[nodiscard]] attempt begin_attempt(known_endpoint const& chosen, base::monotonic_time now);
   /// Passes the request on to another entry instance.
--- a/libraries/proxy/document.h
+++ b/libraries/proxy/document.h
@@ -74,6 +74,8 @@
   [[nodiscard]] bool is_repeatable() const {
     return kind == route_kind::idempotent || kind == route_kind::resumable_stream;
   }
+  /// Whether an answer can be replaced by that of another endpoint.
+  [[nodiscard]] bool allows_second_run() const { return is_repeatable() && max_attempts > 1; }
 
   template<class Archive>
   void serialize(Archive& archive) {
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -24,6 +24,13 @@
          });
 }
 
+base::model_id const& only_model(active_request const& request, answer_times const& times,
+                                 std::vector<known_endpoint const*> const& endpoints,
+                                 base::monotonic_time now) {
+  auto const& models = request.route->models;
+  return can_escalate(request, times, endpoints, now) ? models.back() : models.front();
+}
+
 cascade::capacity capacity_of(std::vector<known_endpoint const*> const& endpoints,
                               std::uint32_t slots) {
   auto const idle = std::ranges::count_if(
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -71,7 +71,7 @@
                                .facts = std::move(facts),
                                .default_timeout = m_options.default_timeout},
                               now);
-  request.choose_model();
+  choose_model(request, now);
   if (!may_begin_attempt(request, now)) {
     return refuse_stopping(request);
   }
@@ -297,6 +297,18 @@
   m_requests.erase(found);
 }
 
+void router::choose_model(active_request& request, base::monotonic_time now) const {
+  if (!request.needs_model()) {
+    return;
+  }
+  auto const& route = *request.route;
+  // An instance that stops may not have the time that the largest model takes.
+  bool const is_smallest_first = route.allows_second_run() || m_stop.is_stopping();
+  request.current.model =
+      is_smallest_first ? route.models.front()
+                        : m_attempts.only_model(request, endpoints_for(request, now).others, now);
+}
+
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
   if (auto quarantined = m_quarantine.find_quarantined(request.traits, now)) {
     auto refused = request.describe(m_refusals.make(refusal_kind::quarantined));
--- a/libraries/proxy/router.h
+++ b/libraries/proxy/router.h
@@ -220,6 +220,8 @@
   [[nodiscard]] std::vector<outgoing> request_document(base::monotonic_time now);
   /// Whether the document, or a ready endpoint for the request, is missing.
   [[nodiscard]] bool is_missing_state_for(request_facts const& facts) const;
+  /// Chooses the model that the request is sent to first, if it needs one.
+  void choose_model(active_request& request, base::monotonic_time now) const;
   [[nodiscard]] decision attempt_next(active_request& request, base::monotonic_time now);
   /// Begins an attempt at one of the endpoints that `filter` lets through; nothing if there is
   /// none.
--- a/libraries/proxy/router_attempts.cpp
+++ b/libraries/proxy/router_attempts.cpp
@@ -45,7 +45,6 @@
   if (!request.may_run()) {
     return std::nullopt;
   }
-  request.choose_model();
   request.current.model_weight = m_attempts.relative_work(request);
   choice_criteria const criteria{.own_zone = m_options.zone,
                                  .affinity = affinity_of(request.facts.prompt),
--- a/libraries/proxy/router_stop.cpp
+++ b/libraries/proxy/router_stop.cpp
@@ -46,7 +46,7 @@
                                .facts = facts,
                                .default_timeout = m_options.default_timeout},
                               now);
-  request.choose_model();
+  choose_model(request, now);
   return m_stop.limit(m_stop.latest_begin(work_of(request, now)));
 }
 
--- a/tests/libraries/proxy/escalations_property.cpp
+++ b/tests/libraries/proxy/escalations_property.cpp
@@ -26,7 +26,10 @@
     drafts.timeout = drafts_timeout;
     drafts.target_latency = 3s;
     drafts.models = {{"small"}, {"large"}};
-    received.document->routes = {drafts};
+    auto orders = drafts;
+    orders.name = orders.path_prefix = "/orders/";
+    orders.kind = route_kind::at_most_once;
+    received.document->routes = {drafts, orders};
     std::vector<endpoint_record> records;
     for (auto const* id : {"a", "b", "c"}) {
       endpoint_announcement const announcement{.id = {id},
@@ -108,6 +111,26 @@
   RC_ASSERT(is_escalated(number, left) == (left >= work));
 }
 
+// Guards against the small model's answer as the last one where no second run may follow, however
+// doubtful it is, although the largest model's answer would fit the time left.
+RC_GTEST_FIXTURE_PROP(escalations, give_way_to_the_largest_model_where_one_run_is_allowed, ()) {
+  auto const work = std::chrono::milliseconds(*rc::gen::inRange(1, 20'000));
+  auto const left = std::chrono::milliseconds(*rc::gen::inRange(40, 40'000));
+  auto order = draft(1h);
+  order.path = "/orders/x";
+  constexpr request_number first = 2;
+  auto const sent = m_router.begin(first, order, start);
+  RC_ASSERT(std::get<attempt>(sent).model == base::model_id{"large"});
+  RC_ASSERT(!m_router.note_answer(first, doubtful, start));
+  m_router.note_completed(first, start + work);
+  m_router.end(first, start + work);
+  order.caller_timeout = left;
+  auto const second = m_router.begin(first + 1, order, start);
+  auto const* made = std::get_if<attempt>(&second);
+  RC_ASSERT(made != nullptr);
+  RC_ASSERT(made->model == base::model_id{left >= work ? "large" : "small"});
+}
+
 // An answer was discarded for one of the largest model, whose endpoint then rejected the request,
 // and its caller got none.
 TEST_F(escalations, keep_the_answer_until_the_other_endpoint_accepts_the_request) {
