instance: Refuse an order of voters that bears no lost disk any more

Such an order is now refused where the group bears the loss of a disk. It is refused as `malformed`, as a catkinctl of the build before can't read further kinds of refusals. An operator may still make five voters three.

--- a/libraries/instance/control.cpp
+++ b/libraries/instance/control.cpp
@@ -1,8 +1,10 @@
 #include <libraries/base/overloaded.h>
 #include <libraries/base/verify.h>
 #include <libraries/instance/control.h>
+#include <libraries/voters/tolerated_losses.h>
 
 #include <algorithm>
+#include <set>
 
 namespace catkinlanding::instance {
 
@@ -22,6 +24,14 @@
   return {operators::refusal_kind::outcome_unknown};
 }
 
+/// Whether a group that bears the loss of a disk would bear none with these voters. Operators may
+/// make a group smaller, but an order with a name left out or named twice must not end that.
+bool bears_no_loss_any_more(std::vector<base::instance_id> const& present,
+                            std::vector<base::instance_id> const& ordered) {
+  std::set<base::instance_id> const distinct(ordered.begin(), ordered.end());
+  return voters::max_lost_disks(present.size()) > 0 && voters::max_lost_disks(distinct.size()) == 0;
+}
+
 } // namespace
 
 control control::create(options options, consensus::recovered_state const& recovered,
@@ -154,7 +164,11 @@
           [&](operators::found_deployment const& found) {
             return done(m_replica.initialise(found.voters, now, out.log));
           },
-          [&](operators::set_voters const& set) {
+          [&](operators::set_voters const& set) -> operators::reply {
+            auto const& present = m_replica.current_configuration().desired_voters;
+            if (bears_no_loss_any_more(present, set.voters)) {
+              return operators::refusal{operators::refusal_kind::malformed};
+            }
             return done(m_replica.propose_desired_voters(set.voters, now, out.log));
           },
           [](auto const&) -> operators::reply {
