--- a/tests/libraries/proxy/escalations_property.cpp
+++ b/tests/libraries/proxy/escalations_property.cpp
@@ -30,17 +30,7 @@
     orders.name = orders.path_prefix = "/orders/";
     orders.kind = route_kind::at_most_once;
     received.document->routes = {drafts, orders};
-    std::vector<endpoint_record> records;
-    for (auto const* id : {"a", "b", "c"}) {
-      endpoint_announcement const announcement{.id = {id},
-                                               .service = {"s"},
-                                               .address = {.ip = "10.0.0.1", .port = 80},
-                                               .zone = {"here"},
-                                               .number = {.incarnation = 1, .sequence = 1}};
-      records.push_back(
-          {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
-    }
-    received.endpoints = std::move(records);
+    received.endpoints = ready_endpoints({"a", "b", "c"});
     std::ignore = m_router.receive({"control"}, received, start);
   }
 
--- a/tests/libraries/proxy/single_runs_property.cpp
+++ b/tests/libraries/proxy/single_runs_property.cpp
@@ -45,17 +45,7 @@
       route.models = {{"small"}, {"large"}};
     }
     received.relay_peers = {{"10.0.0.8:1"}, {"10.0.0.9:1"}};
-    std::vector<endpoint_record> records;
-    for (auto const* id : {"a", "b", "c", "d"}) {
-      endpoint_announcement const announcement{.id = {id},
-                                               .service = {"s"},
-                                               .address = {.ip = "10.0.0.1", .port = 80},
-                                               .zone = {"here"},
-                                               .number = {.incarnation = 1, .sequence = 1}};
-      records.push_back(
-          {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
-    }
-    received.endpoints = std::move(records);
+    received.endpoints = ready_endpoints({"a", "b", "c", "d"});
     std::ignore = m_router.receive({"control"}, received, start);
   }
 
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -36,6 +36,21 @@
     return made;
   }
 
+  /// Records of endpoints of the service in the router's zone.
+  static std::vector<endpoint_record> ready_endpoints(std::vector<std::string> const& ids) {
+    std::vector<endpoint_record> records;
+    for (auto const& id : ids) {
+      endpoint_announcement const announcement{.id = {id},
+                                               .service = {"s"},
+                                               .address = {.ip = "10.0.0.1", .port = 80},
+                                               .zone = {"here"},
+                                               .number = {.incarnation = 1, .sequence = 1}};
+      records.push_back(
+          {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
+    }
+    return records;
+  }
+
   void receive_state(std::vector<std::string> const& endpoints) {
     update received;
     received.state = {.document_revision = 1, .registry_term = 1, .registry_revision = 1};
@@ -47,17 +62,7 @@
                                  make_route("/again/", route_kind::idempotent, 2),
                                  make_route("/stream/", route_kind::stream, 3),
                                  make_route("/resume/", route_kind::resumable_stream, 3)};
-    std::vector<endpoint_record> records;
-    for (auto const& id : endpoints) {
-      endpoint_announcement const announcement{.id = {id},
-                                               .service = {"s"},
-                                               .address = {.ip = "10.0.0.1", .port = 80},
-                                               .zone = {"here"},
-                                               .number = {.incarnation = 1, .sequence = 1}};
-      records.push_back(
-          {.announcement = announcement, .state = endpoint_state::ready, .revision = 1});
-    }
-    received.endpoints = std::move(records);
+    received.endpoints = ready_endpoints(endpoints);
     ASSERT_TRUE(m_router.receive({"control"}, received, start).is_changed);
   }
 
