--- a/tests/libraries/instance/voter_orders_test.cpp
+++ b/tests/libraries/instance/voter_orders_test.cpp
@@ -11,7 +11,12 @@
 constexpr base::monotonic_time start{1h};
 
 std::vector<base::instance_id> named(std::vector<std::string> const& names) {
-  return {names.begin(), names.end()};
+  std::vector<base::instance_id> instances;
+  instances.reserve(names.size());
+  for (auto const& name : names) {
+    instances.push_back({name});
+  }
+  return instances;
 }
 
 /// A control instance that has founded a group which is to have three voters.
--- a/tests/libraries/proxy/lost_disks_property.cpp
+++ b/tests/libraries/proxy/lost_disks_property.cpp
@@ -71,6 +71,14 @@
   std::string const& target_of(random_action const& action) const {
     return m_instances[action.parameter % m_instances.size()];
   }
+  /// All instances, beginning with one of them.
+  [[nodiscard]] std::vector<std::string> instances_from(std::size_t first) const {
+    std::vector<std::string> order;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+      order.push_back(m_instances[(first + i) % m_instances.size()]);
+    }
+    return order;
+  }
   [[nodiscard]] bool is_present(std::string const& id) const {
     return m_group.is_running(id) && !m_unreachable.contains(id);
   }
@@ -127,8 +135,7 @@
   /// Splits the instances in two for a while, and changes the document meanwhile.
   void split(random_action const& action) {
     auto const size = static_cast<std::ptrdiff_t>(m_instances.size() / 2);
-    auto order = m_instances;
-    std::ranges::rotate(order, order.begin() + action.parameter % order.size());
+    auto const order = instances_from(action.parameter);
     m_group.split({order.begin(), order.begin() + size});
     m_group.run(action.steps * 20ms);
     change();
@@ -155,8 +162,7 @@
 
   void lose(random_action const& action, bool is_power_lost) {
     change();
-    auto order = m_instances;
-    std::ranges::rotate(order, order.begin() + action.parameter % order.size());
+    auto const order = instances_from(action.parameter);
     use_voters_as_seeds(order.front());
     for (std::size_t i = 0; i < m_tolerated; ++i) {
       bring_back(order[i]);
--- a/tests/libraries/voters/tolerated_losses_test.cpp
+++ b/tests/libraries/voters/tolerated_losses_test.cpp
@@ -18,8 +18,8 @@
 TEST(tolerated_losses, keep_enough_voters_for_what_is_stated) {
   struct expectation {
     tolerated_losses losses;
-    std::size_t voters;
-    std::size_t smallest;
+    std::size_t voters = 0;
+    std::size_t smallest = 0;
   };
   constexpr expectation expectations[]{
       {{.instances = 1, .availability_zones = 1, .zone_count = 3}, 3, 3},
