voters: Wait for voters on account of stated instances only

Found on reading the diff: a deployment in two zones that states the loss of one waited 15 s at its founding for voters that no number could be, as half of any group is in one zone. The places of silent voters still depend on zones. tolerated_losses_test has a case, which failed to hold by the old function (three voters, two zones).

--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -34,7 +34,8 @@
                                   base::monotonic_time now) const {
   auto const& losses = m_options.tolerated_losses;
   auto const voters = replica.current_configuration().voters.size();
-  return losses && voters >= m_options.min_voters_to_wait && !voters::bears(*losses, voters) &&
+  return losses && voters >= m_options.min_voters_to_wait &&
+         !voters::bears_lost_instances(*losses, voters) &&
          now < m_leader_since + m_options.max_wait_for_voters;
 }
 
--- a/libraries/voters/tolerated_losses.cpp
+++ b/libraries/voters/tolerated_losses.cpp
@@ -27,9 +27,8 @@
   return borne_without >= std::min(borne, stated.value_or(borne));
 }
 
-bool bears(tolerated_losses const& losses, std::size_t voter_count) {
-  auto const lost = disks_lost_at_once(losses, voter_count).value_or(losses.instances);
-  return max_lost_disks(voter_count) >= lost;
+bool bears_lost_instances(tolerated_losses const& losses, std::size_t voter_count) {
+  return max_lost_disks(voter_count) >= losses.instances;
 }
 
 } // namespace catkinlanding::voters
--- a/libraries/voters/tolerated_losses.h
+++ b/libraries/voters/tolerated_losses.h
@@ -31,7 +31,9 @@
 [[nodiscard]] bool can_lose_a_place(std::optional<tolerated_losses> const& losses,
                                     std::size_t voter_count);
 
-/// Whether a group of this size bears the loss of as many disks as is stated.
-[[nodiscard]] bool bears(tolerated_losses const& losses, std::size_t voter_count);
+/// Whether a group of this size bears the loss of as many instances as is stated. Says nothing
+/// about zones: which voters are in one isn't known, and no group bears the loss of one of two
+/// zones.
+[[nodiscard]] bool bears_lost_instances(tolerated_losses const& losses, std::size_t voter_count);
 
 } // namespace catkinlanding::voters
--- a/tests/libraries/voters/tolerated_losses_test.cpp
+++ b/tests/libraries/voters/tolerated_losses_test.cpp
@@ -59,9 +59,17 @@
 // Guards against a group too small for what is stated that shrinks further.
 TEST(tolerated_losses, do_not_shrink_a_group_that_bears_too_little) {
   tolerated_losses const losses{.instances = 3};
-  EXPECT_FALSE(bears(losses, 5));
+  EXPECT_FALSE(bears_lost_instances(losses, 5));
   EXPECT_FALSE(can_lose_a_place(losses, 5));
-  EXPECT_TRUE(bears(losses, 7));
+  EXPECT_TRUE(bears_lost_instances(losses, 7));
+}
+
+// Guards against a deployment in two zones that waits at each founding for voters that would bear
+// the loss of one of them: no number does.
+TEST(tolerated_losses, wait_for_no_voters_on_account_of_zones) {
+  tolerated_losses const losses{.instances = 1, .availability_zones = 1, .zone_count = 2};
+  EXPECT_TRUE(bears_lost_instances(losses, 3));
+  EXPECT_FALSE(can_lose_a_place(losses, 3));
 }
 
 } // namespace
