voters: Let the first change wait a second where nothing is stated

Found on reading the whole change: the wait of the first change held only where the new setting is given. Now the first change waits for a second after the election, and until all desired voters have joined, 15 s at most. The largest number of voters follows the stated losses where these need more than seven.

--- a/libraries/instance/control.cpp
+++ b/libraries/instance/control.cpp
@@ -24,10 +24,10 @@
   return {operators::refusal_kind::outcome_unknown};
 }
 
-/// Whether a group that bears the loss of a disk would bear none with these voters. Operators may
-/// make a group smaller, but an order with a name left out or named twice must not end that.
-bool bears_no_loss_any_more(std::vector<base::instance_id> const& present,
-                            std::vector<base::instance_id> const& ordered) {
+/// Whether a group that tolerates the loss of a disk would tolerate none with these voters.
+/// Operators may make a group smaller, but not by an order that leaves a name out or has one twice.
+bool ends_fault_tolerance(std::vector<base::instance_id> const& present,
+                          std::vector<base::instance_id> const& ordered) {
   std::set<base::instance_id> const distinct(ordered.begin(), ordered.end());
   return voters::max_lost_disks(present.size()) > 0 && voters::max_lost_disks(distinct.size()) == 0;
 }
@@ -166,7 +166,7 @@
           },
           [&](operators::set_voters const& set) -> operators::reply {
             auto const& present = m_replica.current_configuration().desired_voters;
-            if (bears_no_loss_any_more(present, set.voters)) {
+            if (ends_fault_tolerance(present, set.voters)) {
               return operators::refusal{operators::refusal_kind::malformed};
             }
             return done(m_replica.propose_desired_voters(set.voters, now, out.log));
--- a/libraries/proxy/attempt_monitor.h
+++ b/libraries/proxy/attempt_monitor.h
@@ -49,10 +49,11 @@
     return m_times.of(request).whole.longest_usual();
   }
   /// The model for a request that may run once only, at one of these endpoints.
-  [[nodiscard]] base::model_id only_model(active_request const& request,
-                                          std::vector<known_endpoint const*> const& endpoints,
-                                          base::monotonic_time now) const {
-    return proxy::only_model(request, m_times, endpoints, now);
+  [[nodiscard]] base::model_id
+  model_for_single_attempt(active_request const& request,
+                           std::vector<known_endpoint const*> const& endpoints,
+                           base::monotonic_time now) const {
+    return proxy::model_for_single_attempt(request, m_times, endpoints, now);
   }
   /// How many times as long the request's model takes for a prompt as the smallest of its route.
   [[nodiscard]] double relative_work(active_request const& request) const {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -77,7 +77,7 @@
   /// Treats all endpoints of the zone as cold until they announce themselves again. Called when a
   /// zone that was out of use is used again, as what is known of its endpoints is old.
   void await_announcements(base::availability_zone_id const& zone);
-  /// Replaces what the deployment has to bear, as the settings state it.
+  /// Replaces what the deployment has to tolerate, as the settings state it.
   void use_tolerated_losses(std::optional<voters::tolerated_losses> losses) {
     m_voters.use_tolerated_losses(losses);
   }
--- a/libraries/proxy/control_event.h
+++ b/libraries/proxy/control_event.h
@@ -36,8 +36,8 @@
   state_repeated,
   /// The subject names a service, the number counts its endpoints that are cold now.
   cold_endpoints_changed,
-  /// The leader refuses the first change, as the group doesn't bear yet what it has to; the subject
-  /// names the voters.
+  /// The leader refuses the first change, as the group doesn't tolerate yet what it has to; the
+  /// subject names the voters.
   voters_awaited,
 };
 
--- a/libraries/proxy/escalation_policy.cpp
+++ b/libraries/proxy/escalation_policy.cpp
@@ -24,9 +24,10 @@
          });
 }
 
-base::model_id const& only_model(active_request const& request, answer_times const& times,
-                                 std::vector<known_endpoint const*> const& endpoints,
-                                 base::monotonic_time now) {
+base::model_id const& model_for_single_attempt(active_request const& request,
+                                               answer_times const& times,
+                                               std::vector<known_endpoint const*> const& endpoints,
+                                               base::monotonic_time now) {
   auto const& models = request.route->models;
   return can_escalate(request, times, endpoints, now) ? models.back() : models.front();
 }
--- a/libraries/proxy/escalation_policy.h
+++ b/libraries/proxy/escalation_policy.h
@@ -22,10 +22,10 @@
 
 /// The model for a request of a route that allows one run only, so that no better answer can
 /// replace a doubtful one: the largest, as far as `can_escalate` allows it, otherwise the smallest.
-[[nodiscard]] base::model_id const& only_model(active_request const& request,
-                                               answer_times const& times,
-                                               std::vector<known_endpoint const*> const& endpoints,
-                                               base::monotonic_time now);
+[[nodiscard]] base::model_id const&
+model_for_single_attempt(active_request const& request, answer_times const& times,
+                         std::vector<known_endpoint const*> const& endpoints,
+                         base::monotonic_time now);
 
 /// What the endpoints have left. `slots` is the number of concurrent requests of an endpoint that
 /// announces none; 0 if unknown.
--- a/libraries/proxy/router.cpp
+++ b/libraries/proxy/router.cpp
@@ -305,8 +305,9 @@
   // An instance that stops may not have the time that the largest model takes.
   bool const is_smallest_first = route.allows_second_run() || m_stop.is_stopping();
   request.current.model =
-      is_smallest_first ? route.models.front()
-                        : m_attempts.only_model(request, endpoints_for(request, now).others, now);
+      is_smallest_first
+          ? route.models.front()
+          : m_attempts.model_for_single_attempt(request, endpoints_for(request, now).others, now);
 }
 
 decision router::attempt_next(active_request& request, base::monotonic_time now) {
--- a/libraries/proxy/settings.h
+++ b/libraries/proxy/settings.h
@@ -67,7 +67,7 @@
   /// Interval between the announcements of an endpoint.
   base::duration announcement_interval = std::chrono::seconds(1);
   proxy::replaced_answers replaced_answers = proxy::replaced_answers::all;
-  /// What the deployment has to bear at once; nothing if it isn't stated.
+  /// What the deployment has to tolerate at once; nothing if it isn't stated.
   std::optional<voters::tolerated_losses> tolerated_losses;
   std::string log_level = "info";
 
--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -13,7 +13,7 @@
   auto const silent = longest_silent(replica, now);
   if (!m_applicants.empty()) {
     auto const& applicant = m_applicants.begin()->first;
-    auto admitted = admit_voter(voters, applicant, silent, m_options.max_voters);
+    auto admitted = admit_voter(voters, applicant, silent, max_voters());
     if (admitted) {
       return voter_proposal{.voters = std::move(*admitted), .reason = "joins:" + applicant.value};
     }
@@ -27,16 +27,29 @@
 
 bool voter_manager::can_shrink(std::size_t voter_count) const {
   return voter_count > m_options.min_voters &&
-         voters::can_lose_a_place(m_options.tolerated_losses, voter_count);
+         voters::can_remove_voter(m_options.tolerated_losses, voter_count);
+}
+
+std::size_t voter_manager::max_voters() const {
+  auto const& losses = m_options.tolerated_losses;
+  auto const needed = losses ? voters::min_voters(losses->instances) : 0;
+  return std::max(m_options.max_voters, needed);
 }
 
 bool voter_manager::awaits_voters(consensus::replica const& replica,
                                   base::monotonic_time now) const {
-  auto const& losses = m_options.tolerated_losses;
-  auto const voters = replica.current_configuration().voters.size();
-  return losses && voters >= m_options.min_voters_to_wait &&
-         !voters::bears_lost_instances(*losses, voters) &&
-         now < m_leader_since + m_options.max_wait_for_voters;
+  auto const& configuration = replica.current_configuration();
+  auto const count = configuration.voters.size();
+  bool const may_wait =
+      count >= m_options.min_voters_to_wait && now < m_leader_since + m_options.max_wait_for_voters;
+  if (!may_wait) {
+    return false;
+  }
+  if (auto const& losses = m_options.tolerated_losses) {
+    return !voters::tolerates_lost_instances(*losses, count);
+  }
+  return now < m_leader_since + m_options.settling_time ||
+         count < configuration.desired_voters.size();
 }
 
 void voter_manager::drop_expired(consensus::configuration const& configuration,
--- a/libraries/proxy/voter_manager.h
+++ b/libraries/proxy/voter_manager.h
@@ -21,10 +21,10 @@
 /// Decides at the leader which instances should vote, so that the voters follow the instances that
 /// exist. An instance that asks to join becomes a voter, in place of a silent one if there is one.
 /// A voter that is silent or that stops loses its place without a successor only where the group
-/// still bears the loss of as many disks as it has to; it asks to join again if it returns. Silence
-/// doesn't tell an instance that is gone from one that returns with its disk, and a smaller group
-/// would acknowledge changes on fewer disks than may be lost. Places are taken away one at a time,
-/// as the group may lose a disk between any two changes.
+/// still tolerates the loss of as many disks as it has to; it asks to join again if it returns.
+/// Silence doesn't tell an instance that is gone from one that returns with its disk, and a smaller
+/// group would acknowledge changes on fewer disks than may be lost. Places are taken away one at a
+/// time, as the group may lose a disk between any two changes.
 class voter_manager {
 public:
   struct options {
@@ -37,11 +37,14 @@
     std::size_t max_voters = 7;
     /// A silent voter keeps its place in a group of this size in any case.
     std::size_t min_voters = 3;
-    /// What the group has to bear; nothing if it isn't stated.
+    /// What the group has to tolerate; nothing if it isn't stated.
     std::optional<voters::tolerated_losses> tolerated_losses;
     /// The first change waits for enough voters for this long after the leader was elected. A
     /// deployment may have fewer instances than it needs for what it states.
     base::duration max_wait_for_voters = std::chrono::seconds(15);
+    /// If nothing is stated, the first change waits for this long for instances that join: all
+    /// start within 0.3 s of each other, and ask each 0.5 s.
+    base::duration settling_time = std::chrono::seconds(1);
     /// A smaller group was founded by all instances that there are.
     std::size_t min_voters_to_wait = 3;
     contact_times::options contacts;
@@ -49,13 +52,13 @@
 
   explicit voter_manager(options options) : m_options(options), m_contacts(options.contacts) {}
 
-  /// Replaces what the group has to bear.
+  /// Replaces what the group has to tolerate.
   void use_tolerated_losses(std::optional<voters::tolerated_losses> losses) {
     m_options.tolerated_losses = losses;
   }
   /// Whether the first change has to wait for further voters: instances that start together join
-  /// one after another, and the group would lose what it acknowledged before if the disks were lost
-  /// that it has to bear the loss of.
+  /// one after another, and what a smaller group acknowledges is lost with fewer disks than the
+  /// deployment has to tolerate the loss of.
   [[nodiscard]] bool awaits_voters(consensus::replica const& replica,
                                    base::monotonic_time now) const;
 
@@ -78,6 +81,8 @@
                                                           base::monotonic_time now);
 
 private:
+  /// As in the options, or more if the stated losses need more.
+  [[nodiscard]] std::size_t max_voters() const;
   /// Whether a silent voter of a group of this size may lose its place without a successor.
   [[nodiscard]] bool can_shrink(std::size_t voter_count) const;
   void drop_expired(consensus::configuration const& configuration, base::monotonic_time now);
--- a/libraries/voters/tolerated_losses.cpp
+++ b/libraries/voters/tolerated_losses.cpp
@@ -8,8 +8,12 @@
   return voter_count == 0 ? 0 : (voter_count - 1) / 2;
 }
 
-std::optional<std::size_t> disks_lost_at_once(tolerated_losses const& losses,
-                                              std::size_t voter_count) {
+std::size_t min_voters(std::size_t lost_disks) {
+  return 2 * lost_disks + 1;
+}
+
+std::optional<std::size_t> lost_disks_to_tolerate(tolerated_losses const& losses,
+                                                  std::size_t voter_count) {
   if (losses.availability_zones == 0) {
     return losses.instances;
   }
@@ -20,14 +24,14 @@
   return std::max(losses.instances, losses.availability_zones * voters_in_zone);
 }
 
-bool can_lose_a_place(std::optional<tolerated_losses> const& losses, std::size_t voter_count) {
-  auto const borne = max_lost_disks(voter_count);
-  auto const borne_without = voter_count == 0 ? 0 : max_lost_disks(voter_count - 1);
-  auto const stated = losses ? disks_lost_at_once(*losses, voter_count) : std::nullopt;
-  return borne_without >= std::min(borne, stated.value_or(borne));
+bool can_remove_voter(std::optional<tolerated_losses> const& losses, std::size_t voter_count) {
+  auto const tolerated = max_lost_disks(voter_count);
+  auto const tolerated_without_one = voter_count == 0 ? 0 : max_lost_disks(voter_count - 1);
+  auto const stated = losses ? lost_disks_to_tolerate(*losses, voter_count) : std::nullopt;
+  return tolerated_without_one >= std::min(tolerated, stated.value_or(tolerated));
 }
 
-bool bears_lost_instances(tolerated_losses const& losses, std::size_t voter_count) {
+bool tolerates_lost_instances(tolerated_losses const& losses, std::size_t voter_count) {
   return max_lost_disks(voter_count) >= losses.instances;
 }
 
--- a/tests/libraries/proxy/single_runs_property.cpp
+++ b/tests/libraries/proxy/at_most_once_property.cpp
@@ -29,9 +29,9 @@
 /// One request on a route of a drawn kind with a small and a large model, and what becomes of its
 /// attempts: answers in which the model has little or much confidence, silence, and failures of
 /// each kind, at endpoints and at entry instances that it is passed on to.
-class single_runs : public routers {
+class at_most_once : public routers {
 protected:
-  single_runs() {
+  at_most_once() {
     update received;
     received.state = {.document_revision = 1, .registry_term = 1, .registry_revision = 1};
     received.document.emplace();
@@ -56,11 +56,11 @@
     made.prompt_tokens = 100;
     made.is_relayed = is_relayed;
     note(m_router.begin(number, made, m_now));
-    using step = void (single_runs::*)();
-    constexpr std::array<step, 7> steps{&single_runs::answer,          &single_runs::wait,
-                                        &single_runs::replace_stalled, &single_runs::fail_latest,
-                                        &single_runs::accept_beside,   &single_runs::fail_beside,
-                                        &single_runs::send_events};
+    using step = void (at_most_once::*)();
+    constexpr std::array<step, 7> steps{&at_most_once::answer,          &at_most_once::wait,
+                                        &at_most_once::replace_stalled, &at_most_once::fail_latest,
+                                        &at_most_once::accept_beside,   &at_most_once::fail_beside,
+                                        &at_most_once::send_events};
     constexpr int max_steps = 30;
     for (int i = 0; i < max_steps && m_is_open; ++i) {
       (this->*steps.at(*rc::gen::inRange<std::size_t>(0, steps.size())))();
@@ -152,7 +152,7 @@
 
 /// Guards against a request that may run once only and that a second endpoint is asked to execute
 /// (TWICE): beside a doubtful or a silent answer, after a failure, or by another entry instance.
-RC_GTEST_FIXTURE_PROP(single_runs, hold_for_every_way_to_a_second_run, ()) {
+RC_GTEST_FIXTURE_PROP(at_most_once, hold_for_every_way_to_a_second_run, ()) {
   auto const kind = *rc::gen::elementOf(paths);
   play(kind, *rc::gen::arbitrary<bool>());
 }
--- a/tests/libraries/proxy/founding_test.cpp
+++ b/tests/libraries/proxy/founding_test.cpp
@@ -182,7 +182,7 @@
 
 // Guards against a second group, founded by a seed that was cut off all the time and two that lost
 // their disks, in the second before the members that kept theirs are back. The seed has lost its
-// place, as the group bears what is stated without it.
+// place, as the group tolerates what is stated without it.
 TEST(founding, waits_for_members_beyond_the_seeds_before_lost_disks_take_part) {
   auto group = first_start_of({"a", "b", "c"}, {"a", "b", "c", "d", "e", "f", "g"},
                               voters::tolerated_losses{.instances = 2});
--- a/tests/libraries/proxy/lost_disks_property.cpp
+++ b/tests/libraries/proxy/lost_disks_property.cpp
@@ -12,8 +12,8 @@
 using namespace std::chrono_literals;
 
 /// Three to eight control instances, any of which are away at times with their disks. As many disks
-/// as the deployment has to bear are lost at once, whoever else is away, from the first change on.
-/// After all are back, there must be a leader that holds the newest acknowledged document.
+/// as the deployment has to tolerate are lost at once, whoever else is away, from the first change
+/// on. After all are back, there must be a leader that holds the newest acknowledged document.
 class lost_disks {
 public:
   explicit lost_disks(std::uint64_t seed) : m_group({"a", "b", "c"}) {
@@ -33,7 +33,7 @@
     auto const early = are_some_late ? count - m_tolerated : count;
     std::for_each_n(m_instances.begin(), early, [this](auto const& id) { start_first(id); });
     if (!is_founded_early) {
-      // The group can't know what it has to bear, so it has all voters before the first change.
+      // The group can't know what it has to tolerate, so it has all voters before the first change.
       m_group.run(start_time);
     }
     change();
@@ -248,7 +248,7 @@
 };
 
 // Guards against an acknowledged change that is gone, or a group that never has a leader again,
-// after no more disks were lost than the deployment has to bear (LOST).
+// after no more disks were lost than the deployment has to tolerate (LOST).
 RC_GTEST_PROP(lost_disks, leave_what_was_acknowledged_whoever_else_is_away, ()) {
   run_random_actions<lost_disks>();
 }
--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -118,8 +118,8 @@
   EXPECT_TRUE(keeps_document_without_two_disks(group, {"d", "e"}));
 }
 
-// Guards against the same with six instances: five voters bear as many lost disks as six do, four
-// don't.
+// Guards against the same with six instances: five voters tolerate as many lost disks as six do,
+// four don't.
 TEST(voter_changes, keep_a_change_of_six_without_two_disks_while_two_were_away) {
   auto group = group_of({"a", "b", "c", "d", "e", "f"});
   group.stop("e");
@@ -129,8 +129,8 @@
   EXPECT_TRUE(keeps_document_without_two_disks(group, {"e", "f"}));
 }
 
-// Guards against a group of seven that shrinks when several instances are away: it bears three lost
-// disks for as long as they may return.
+// Guards against a group of seven that shrinks when several instances are away: it tolerates three
+// lost disks for as long as they may return.
 TEST(voter_changes, keep_seven_voters_while_three_are_away) {
   auto group = group_of({"a", "b", "c", "d", "e", "f", "g"});
   ASSERT_EQ(group.voter_disks().size(), 7U);
@@ -154,7 +154,8 @@
 }
 
 // Guards against places of instances that are gone for good, which stay beside those of successors
-// that joined early: a deployment that has to bear two lost instances must bear the next two.
+// that joined early: a deployment that has to tolerate two lost instances must tolerate the next
+// two.
 TEST(voter_changes, drop_two_lost_voters_whose_replacements_joined_early) {
   auto group = group_of({"a", "b", "c", "d", "e"}, voters::tolerated_losses{.instances = 2});
   group.stop("d");
@@ -257,7 +258,7 @@
 }
 
 // Guards against a deployment that never takes a change, as it states more losses than so few
-// instances can bear.
+// instances can tolerate.
 TEST(voter_changes, take_the_first_change_after_a_while_if_there_are_too_few_instances) {
   auto group = group_of({"a", "b", "c"}, voters::tolerated_losses{.instances = 2});
   EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -38,7 +38,7 @@
   /// Replaces the seeds that instances get when they start, as running instances may keep old ones.
   void use_seeds(std::vector<std::string> const& seeds);
 
-  /// States what the deployment has to bear, for instances that start later.
+  /// States what the deployment has to tolerate, for instances that start later.
   void tolerate(voters::tolerated_losses losses) { m_tolerated = losses; }
 
   /// Reads the rates of cold endpoints for instances that start later.
