--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -257,6 +257,43 @@
   EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
 }
 
+// Guards against the same where nothing is stated: instances that start together are still joining.
+TEST(voter_changes, take_no_first_change_while_instances_join) {
+  control_group group({"a", "b", "c"});
+  std::uint64_t disk = 0;
+  for (std::string const instance : {"a", "b", "c", "d", "e"}) {
+    group.start(instance, ++disk, true);
+  }
+  group.run(200ms);
+  ASSERT_NE(group.leader(), "");
+  ASSERT_EQ(group.voter_disks().size(), 3U);
+  EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
+  group.run(1s);
+  EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+}
+
+// Guards against settings that change while an instance runs, and a leader that goes by what was
+// stated at its start.
+TEST(voter_changes, follow_what_is_stated_now) {
+  auto group = group_of({"a", "b", "c", "d", "e"}, voters::tolerated_losses{.instances = 1});
+  for (std::string const instance : {"a", "b", "c"}) {
+    group.node(instance).use_tolerated_losses(voters::tolerated_losses{.instances = 2});
+  }
+  group.stop("d");
+  group.stop("e");
+  group.run(8s);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+}
+
+// Guards against a limit of the voters below what the stated losses need.
+TEST(voter_changes, let_as_many_vote_as_the_stated_losses_need) {
+  auto group = group_of({"a", "b", "c", "d", "e", "f", "g", "h", "i"},
+                        voters::tolerated_losses{.instances = 4});
+  group.run(12s);
+  EXPECT_EQ(group.voter_disks().size(), 9U);
+}
+
 // Guards against a deployment that never takes a change, as it states more losses than so few
 // instances can tolerate.
 TEST(voter_changes, take_the_first_change_after_a_while_if_there_are_too_few_instances) {
