--- a/tests/libraries/proxy/at_most_once_property.cpp
+++ b/tests/libraries/proxy/at_most_once_property.cpp
@@ -58,6 +58,11 @@
     // With no endpoint idle the small model is asked first, also where one run is allowed.
     report_loads(*rc::gen::arbitrary<bool>() ? 1 : 0);
     note(m_router.begin(number, made, m_now));
+    // After two endpoints that can't be reached the request is passed on.
+    auto const unreached = *rc::gen::inRange(0, 3);
+    for (int i = 0; i < unreached && m_is_open; ++i) {
+      fail_as(attempt_failure::unreachable);
+    }
     using step = void (at_most_once::*)();
     constexpr std::array<step, 8> steps{&at_most_once::answer,          &at_most_once::wait,
                                         &at_most_once::replace_stalled, &at_most_once::fail_latest,
@@ -135,7 +140,10 @@
       m_router.note_relay_tally(number,
                                 {.attempts = before.attempts + 1, .endings = before.endings});
     }
-    auto const failure = *rc::gen::elementOf(failures);
+    fail_as(*rc::gen::elementOf(failures));
+  }
+
+  void fail_as(attempt_failure failure) {
     forget_run(failure);
     note(m_router.fail(number, failure, m_has_events, m_now));
   }
