proxy: Tell instances that lost their places who leads

Instances whose disks were lost never joined again when the leader had dropped them, and all of their seeds were each other or a restarted instance that never had a place: nobody they knew knew the group. Each control instance now remembers for ten minutes which instances lost their places, as it sees that in the log, and the leader sends these the referral that it sends to subscribers, each second; who gets one asks the named leader to join.

--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -83,6 +83,8 @@
   /// Replaces the log up to `index`, which must be committed, by a snapshot with `state`.
   void compact(log_index index, std::string state, effects& out);
 
+  /// Join requests are also sent to this instance, which is said to be a member of the group.
+  void note_member(base::instance_id const& instance) { m_last_member = instance; }
   /// Replaces the control instances to which join requests are sent.
   void set_peers(std::vector<base::instance_id> peers) { m_options.peers = std::move(peers); }
 
@@ -294,8 +296,9 @@
   base::monotonic_time m_founding_due{};
   /// When this leader last held a lease, or when it was elected.
   base::monotonic_time m_last_lease{};
-  /// Who last sent a message of an existing group. It may be addressed to a disk that this instance
-  /// has lost, and be the only sign of a group that none of the peers belongs to.
+  /// The last known member of an existing group: who sent a message of one, which may be addressed
+  /// to a disk that this instance has lost, or whom another instance named. It may be the only sign
+  /// of a group that none of the peers belongs to.
   std::optional<base::instance_id> m_last_member;
   /// Whether an instance other than the founders has sent a message of an existing group.
   bool m_has_heard_group = false;
--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -79,6 +79,7 @@
   process_replica_output(now, out);
   if (m_replica.role() == consensus::role::leader) {
     manage_voters(now, out);
+    inform_former_voters(now, out);
     advance_rollouts(now, out);
     drop_silent_downstreams(now, out);
     m_rates.tick(now);
@@ -237,6 +238,9 @@
 
 void control::handle(base::instance_id const& from, referral const& referral,
                      base::monotonic_time now, control_effects& out) {
+  if (referral.leader && *referral.leader != m_replica.self().instance) {
+    m_replica.note_member(*referral.leader);
+  }
   if (auto const upstream = m_subscriber.follow(referral, from, now)) {
     out.messages.push_back(make_subscription(*upstream));
   }
@@ -268,6 +272,7 @@
   }
   m_evaluator.note(m_state.rollouts(), now);
   m_monitor.note_voters(m_replica, out.events);
+  m_voters.note_voters(m_replica.current_configuration(), now);
   push_changes(now, out);
   answer_pending_calls(now, out);
 }
@@ -398,6 +403,15 @@
   }
 }
 
+void control::inform_former_voters(base::monotonic_time now, control_effects& out) {
+  if (!is_serving_leader(m_replica, now)) {
+    return;
+  }
+  for (auto& instance : m_voters.take_former_voters(now)) {
+    out.messages.push_back({std::move(instance), referral{m_replica.self().instance}});
+  }
+}
+
 void control::announce_departure(control_effects& out) const {
   auto const leader = other_leader(m_replica);
   if (m_is_stopping && leader) {
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -189,6 +189,8 @@
   /// Marks the endpoint in the registry according to its departure in the log, if there is one.
   void apply_departure(base::endpoint_id const& id, control_effects& out);
   void manage_voters(base::monotonic_time now, control_effects& out);
+  /// Tells instances that lost their places who leads.
+  void inform_former_voters(base::monotonic_time now, control_effects& out);
   void announce_departure(control_effects& out) const;
   void advance_rollouts(base::monotonic_time now, control_effects& out);
   void answer_pending_calls(base::monotonic_time now, control_effects& out);
--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -62,6 +62,37 @@
                 [&](auto const& item) { return now >= item.second + m_options.departure_timeout; });
 }
 
+void voter_manager::note_voters(consensus::configuration const& configuration,
+                                base::monotonic_time now) {
+  if (configuration.voters == m_voters) {
+    return;
+  }
+  for (auto const& v : m_voters) {
+    if (m_former_voters.size() < m_options.max_former_voters) {
+      m_former_voters.emplace(v.instance, now);
+    }
+  }
+  m_voters = configuration.voters;
+  for (auto const& v : m_voters) {
+    m_former_voters.erase(v.instance);
+  }
+}
+
+std::vector<base::instance_id> voter_manager::take_former_voters(base::monotonic_time now) {
+  std::erase_if(m_former_voters, [&](auto const& item) {
+    return now >= item.second + m_options.former_voter_retention;
+  });
+  std::vector<base::instance_id> former;
+  if (now < m_former_voters_told_at + m_options.former_voter_interval) {
+    return former;
+  }
+  m_former_voters_told_at = now;
+  for (auto const& [id, since] : m_former_voters) {
+    former.push_back(id);
+  }
+  return former;
+}
+
 std::optional<base::monotonic_time> voter_manager::last_heard(consensus::replica const& replica,
                                                               base::instance_id const& id) const {
   if (m_departures.contains(id)) {
--- a/libraries/proxy/voter_manager.h
+++ b/libraries/proxy/voter_manager.h
@@ -47,6 +47,11 @@
     base::duration settling_time = std::chrono::seconds(1);
     /// A smaller group was founded by all instances that there are.
     std::size_t min_voters_to_wait = 3;
+    /// How long, and how often, an instance that lost its place is told who leads.
+    base::duration former_voter_retention = std::chrono::minutes(10);
+    base::duration former_voter_interval = std::chrono::seconds(1);
+    /// The number of such instances that are remembered.
+    std::size_t max_former_voters = 64;
     contact_times::options contacts;
   };
 
@@ -71,6 +76,11 @@
   void note_departure(base::instance_id const& instance, base::monotonic_time now) {
     m_departures[instance] = now;
   }
+  /// Records which instances have a place, to know which ones had one before.
+  void note_voters(consensus::configuration const& configuration, base::monotonic_time now);
+  /// The instances that lost their places lately and are to be told who leads, if that is due. One
+  /// that returns with a new disk knows the group by its seeds only, which may all be outside it.
+  [[nodiscard]] std::vector<base::instance_id> take_former_voters(base::monotonic_time now);
   /// Called when this instance becomes leader. No voter counts as silent for the first
   /// `voter_timeout` of a term.
   void begin_term(base::monotonic_time now) { m_leader_since = now; }
@@ -96,6 +106,10 @@
   options m_options;
   contact_times m_contacts;
   base::monotonic_time m_leader_since{};
+  std::vector<consensus::voter> m_voters;
+  /// When they lost their places.
+  std::map<base::instance_id, base::monotonic_time> m_former_voters;
+  base::monotonic_time m_former_voters_told_at{};
   /// Instances that asked to become voters, and voters that said that they stop, with the time.
   std::map<base::instance_id, base::monotonic_time> m_applicants;
   std::map<base::instance_id, base::monotonic_time> m_departures;
--- a/tests/libraries/proxy/lost_disks_property.cpp
+++ b/tests/libraries/proxy/lost_disks_property.cpp
@@ -153,7 +153,7 @@
     bring_all_back();
     m_group.run(recovery_time);
     auto& target = m_instances[action.parameter % m_instances.size()];
-    use_voters_as_seeds(target);
+    use_seeds_without(target);
     m_group.stop(target);
     m_group.run(action.steps * 20ms);
     target = "n" + std::to_string(++m_disks);
@@ -169,7 +169,7 @@
   void lose(random_action const& action, bool is_power_lost) {
     change();
     auto const order = instances_from(action.parameter);
-    use_voters_as_seeds(order.front());
+    use_seeds_without(order.front());
     for (std::size_t i = 0; i < m_tolerated; ++i) {
       bring_back(order[i]);
       m_group.stop(order[i]);
@@ -189,20 +189,11 @@
 
   void start_empty(std::string const& id) { m_group.start(id, ++m_disks); }
 
-  /// Instances that start from now on get three other voters as their seeds. A group that none of
-  /// the seeds has ever belonged to may not be found: seeds_outside_group_test, KNOWN-RED.txt.
-  void use_voters_as_seeds(std::string const& lost) {
+  /// Instances that start from now on get three others as their seeds.
+  void use_seeds_without(std::string const& lost) {
     constexpr std::size_t seed_count = 3;
-    auto const leader = m_group.leader();
-    if (leader.empty()) {
-      return;
-    }
-    std::vector<std::string> seeds;
-    for (auto const& v : m_group.node(leader).replica().current_configuration().voters) {
-      if (v.instance.value != lost) {
-        seeds.push_back(v.instance.value);
-      }
-    }
+    auto seeds = m_instances;
+    std::erase(seeds, lost);
     seeds.resize(std::min(seeds.size(), seed_count));
     m_group.use_seeds(seeds);
   }
