--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -117,13 +117,6 @@
   m_subscriber.use_seeds(upstream_candidates(m_options.replica));
 }
 
-std::optional<base::instance_id> control::known_leader(base::monotonic_time now) const {
-  bool const is_subscribed =
-      m_replica.role() != consensus::role::leader && m_subscriber.is_connected(now);
-  auto const leader = other_leader(m_replica);
-  return leader || !is_subscribed ? leader : m_subscriber.leader();
-}
-
 // Messages from other instances.
 
 void control::handle(base::instance_id const& from, consensus::message const& message,
@@ -137,7 +130,7 @@
 void control::process_request(consensus::join_request const& request, base::instance_id const& from,
                               base::monotonic_time now, control_effects& out) {
   m_voters.note_applicant(request.voter.instance, now);
-  auto const leader = known_leader(now);
+  auto const leader = other_leader(m_replica);
   // The joining instance may not know the leader, so the request is forwarded to it.
   if (leader && *leader != from) {
     out.messages.push_back({*leader, consensus::message{request}});
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -149,9 +149,6 @@
   /// Whether the call is accepted although another instance leads: an announcement that changes
   /// nothing which its endpoint relies on.
   [[nodiscard]] bool accept_for_leader(call_request const& request);
-  /// The leader that this instance knows, unless it is this one. An instance without a place among
-  /// the voters knows it from its subscription only.
-  [[nodiscard]] std::optional<base::instance_id> known_leader(base::monotonic_time now) const;
   /// Passes the accepted announcements on to the leader.
   void relay_announcements(base::monotonic_time now, control_effects& out);
   announcement_outcome register_announcement(endpoint_announcement const& announcement,
