voters: Let only the first leader wait where nothing is stated

Cause: counted the second for which the first change waits from each election, also of a group that is long founded. Without a document each new leader refused departures, withdrawals and orders for a second.

Now the second counts from the first leader that the instance knew, and an instance that starts with the group's disk doesn't wait: the time in which instances join after the founding is over. Stated losses are unaffected.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -35,6 +35,9 @@
       m_evaluator(m_options.evaluator), m_rates(m_options.rates),
       m_quarantine(m_options.quarantine), m_publisher(m_options.publisher),
       m_calls(m_options.calls), m_voters(m_options.voters), m_relay(m_options.relay) {
+  if (!m_replica.current_configuration().voters.empty()) {
+    m_voters.note_earlier_start();
+  }
   restore(recovered.snapshot);
 }
 
@@ -266,6 +269,9 @@
   m_evaluator.note(m_state.rollouts(), now);
   m_monitor.note_voters(m_replica, out.events);
   m_voters.note_voters(m_replica.current_configuration(), now);
+  if (m_replica.leader()) {
+    m_voters.note_leader(now);
+  }
   push_changes(now, out);
   answer_pending_calls(now, out);
 }
--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -48,7 +48,7 @@
   if (auto const& losses = m_options.tolerated_losses) {
     return !voters::tolerates_lost_instances(*losses, count);
   }
-  return now < m_leader_since + m_options.settling_time ||
+  return now - m_options.settling_time < m_first_leader_at ||
          count < configuration.desired_voters.size();
 }
 
--- a/libraries/proxy/voter_manager.h
+++ b/libraries/proxy/voter_manager.h
@@ -4,6 +4,7 @@
 #include <libraries/proxy/contact_times.h>
 #include <libraries/voters/tolerated_losses.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -42,8 +43,9 @@
     /// The first change waits for enough voters for this long after the leader was elected. A
     /// deployment may have fewer instances than it needs for what it states.
     base::duration max_wait_for_voters = std::chrono::seconds(15);
-    /// If nothing is stated, the first change waits for this long for instances that join: all
-    /// start within 0.3 s of each other, and ask each 0.5 s.
+    /// If nothing is stated, the first change waits for this long after the group's first leader
+    /// was elected, for instances that join: all start within 0.3 s of each other, and ask each
+    /// 0.5 s.
     base::duration settling_time = std::chrono::seconds(1);
     /// A smaller group was founded by all instances that there are.
     std::size_t min_voters_to_wait = 3;
@@ -81,6 +83,12 @@
   /// The instances that lost their places lately and are to be told who leads, if that is due. One
   /// that returns with a new disk knows the group by its seeds only, which may all be outside it.
   [[nodiscard]] std::vector<base::instance_id> take_former_voters(base::monotonic_time now);
+  /// Called while an instance, this one or another, is known to lead.
+  void note_leader(base::monotonic_time now) {
+    m_first_leader_at = std::min(m_first_leader_at, now);
+  }
+  /// Called at a start with a disk that knows the group: it has had leaders before.
+  void note_earlier_start() { m_first_leader_at = base::monotonic_time::min(); }
   /// Called when this instance becomes leader. No voter counts as silent for the first
   /// `voter_timeout` of a term.
   void begin_term(base::monotonic_time now) { m_leader_since = now; }
@@ -106,6 +114,8 @@
   options m_options;
   contact_times m_contacts;
   base::monotonic_time m_leader_since{};
+  /// When this instance first knew of a leader.
+  base::monotonic_time m_first_leader_at = base::monotonic_time::max();
   std::vector<consensus::voter> m_voters;
   /// When they lost their places.
   std::map<base::instance_id, base::monotonic_time> m_former_voters;
