tests: Found groups of control instances in one place

Thirteen tests started the instances of a group one by one, or in a loop, with disks numbered from one on. `control_group::found` does that; what the tests do is unchanged.

--- a/tests/libraries/proxy/announcement_relay_test.cpp
+++ b/tests/libraries/proxy/announcement_relay_test.cpp
@@ -11,9 +11,7 @@
 
 control_group founded_group() {
   control_group made({"a", "b", "c"});
-  made.start("a", 1, true);
-  made.start("b", 2);
-  made.start("c", 3);
+  made.found({"a", "b", "c"});
   made.run(8s);
   return made;
 }
--- a/tests/libraries/proxy/cold_control_test.cpp
+++ b/tests/libraries/proxy/cold_control_test.cpp
@@ -21,9 +21,7 @@
       return source == "limited" ? warmup::service_rates{{{"s"}, cold_rate}}
                                  : warmup::service_rates{};
     });
-    m_group.start("a", 1, true);
-    m_group.start("b", 2);
-    m_group.start("c", 3);
+    m_group.found({"a", "b", "c"});
     // The first leader grants nothing for 2 s after its election.
     m_group.run(8s);
     replace_document limited;
--- a/tests/libraries/proxy/control_test.cpp
+++ b/tests/libraries/proxy/control_test.cpp
@@ -22,9 +22,7 @@
 /// A group of three voters.
 control_group founded_group() {
   control_group made({"a", "b", "c"});
-  made.start("a", 1, true);
-  made.start("b", 2);
-  made.start("c", 3);
+  made.found({"a", "b", "c"});
   made.run(5s);
   return made;
 }
@@ -100,10 +98,7 @@
 // request must still reach the leader.
 TEST(control_groups, readmit_an_instance_whose_seeds_do_not_include_the_leader) {
   control_group group({"a", "b", "c"});
-  group.start("a", 1, true);
-  group.start("b", 2);
-  group.start("c", 3);
-  group.start("d", 4);
+  group.found({"a", "b", "c", "d"});
   group.run(6s);
   ASSERT_EQ(group.voter_disks(), (std::set<std::uint64_t>{1, 2, 3, 4}));
   for (std::uint64_t i = 0; group.leader() != "d" && i < 20; ++i) {
--- a/tests/libraries/proxy/document_transfer_test.cpp
+++ b/tests/libraries/proxy/document_transfer_test.cpp
@@ -39,9 +39,7 @@
 /// A group of three voters and two entry instances that know one endpoint.
 control_group founded_group() {
   control_group made({"a", "b", "c"});
-  made.start("a", 1, true);
-  made.start("b", 2);
-  made.start("c", 3);
+  made.found({"a", "b", "c"});
   made.start_entry("entry");
   made.start_entry("other");
   made.run(8s);
--- a/tests/libraries/proxy/ending_requests_property.cpp
+++ b/tests/libraries/proxy/ending_requests_property.cpp
@@ -22,9 +22,7 @@
 public:
   explicit ending_endpoints(std::uint64_t seed)
       : m_culprit(static_cast<culprit>(seed % culprit_count)), m_group({"a", "b", "c"}) {
-    m_group.start("a", 1, true);
-    m_group.start("b", 2);
-    m_group.start("c", 3);
+    m_group.found({"a", "b", "c"});
     for (auto const& entry : m_entries) {
       m_group.start_entry(entry);
     }
--- a/tests/libraries/proxy/leaving_endpoints_property.cpp
+++ b/tests/libraries/proxy/leaving_endpoints_property.cpp
@@ -16,10 +16,7 @@
 class leaving_endpoints {
 public:
   explicit leaving_endpoints(std::uint64_t seed) : m_group({"a", "b", "c"}) {
-    std::uint64_t disk = seed % 1000;
-    for (auto const& instance : m_instances) {
-      m_group.start(instance, ++disk, instance == m_instances.front());
-    }
+    m_group.found(m_instances, seed % 1000 + 1);
     m_group.run(8s);
   }
 
--- a/tests/libraries/proxy/leaving_endpoints_test.cpp
+++ b/tests/libraries/proxy/leaving_endpoints_test.cpp
@@ -12,11 +12,7 @@
 /// A group of five voters.
 control_group founded_group() {
   control_group made({"a", "b", "c"});
-  made.start("a", 1, true);
-  made.start("b", 2);
-  made.start("c", 3);
-  made.start("d", 4);
-  made.start("e", 5);
+  made.found({"a", "b", "c", "d", "e"});
   made.run(8s);
   return made;
 }
--- a/tests/libraries/proxy/suspended_leader_test.cpp
+++ b/tests/libraries/proxy/suspended_leader_test.cpp
@@ -22,9 +22,7 @@
 class suspended_leader : public ::testing::Test {
 protected:
   void SetUp() override {
-    m_group.start("a", 1, true);
-    m_group.start("b", 2);
-    m_group.start("c", 3);
+    m_group.found({"a", "b", "c"});
     m_group.run(5s);
     ASSERT_EQ(m_group.leader(), "a");
     m_group.call("a", 1, document(7, "old"));
--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -22,11 +22,7 @@
   if (tolerated) {
     group.tolerate(*tolerated);
   }
-  std::uint64_t disk = 0;
-  for (auto const& instance : instances) {
-    ++disk;
-    group.start(instance, disk, disk == 1);
-  }
+  group.found(instances);
   group.run(6s);
   return group;
 }
--- a/tests/libraries/proxy/withdrawals_property.cpp
+++ b/tests/libraries/proxy/withdrawals_property.cpp
@@ -15,10 +15,7 @@
 class withdrawals {
 public:
   explicit withdrawals(std::uint64_t /*seed*/) : m_group({"a", "b", "c"}) {
-    std::uint64_t disk = 0;
-    for (auto const& instance : m_instances) {
-      m_group.start(instance, ++disk, instance == m_instances.front());
-    }
+    m_group.found(m_instances);
     m_group.run(8s);
   }
 
--- a/tests/libraries/proxy/withdrawals_test.cpp
+++ b/tests/libraries/proxy/withdrawals_test.cpp
@@ -16,9 +16,7 @@
 class withdrawals : public ::testing::Test {
 protected:
   void SetUp() override {
-    m_group.start("a", 1, true);
-    m_group.start("b", 2);
-    m_group.start("c", 3);
+    m_group.found({"a", "b", "c"});
     m_group.run(8s);
   }
 
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -34,6 +34,13 @@
   m_nodes.emplace(base::instance_id{id}, recover({id}));
 }
 
+void control_group::found(std::vector<std::string> const& instances, std::uint64_t first_disk) {
+  auto disk = first_disk;
+  for (auto const& instance : instances) {
+    start(instance, disk++, instance == instances.front());
+  }
+}
+
 void control_group::restart(std::string const& id) {
   m_nodes.erase({id});
   m_nodes.emplace(base::instance_id{id}, recover({id}));
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -20,6 +20,9 @@
 
   /// Starts an instance with an empty disk, at the first start of the whole group or later.
   void start(std::string const& id, std::uint64_t disk_id, bool is_first_start = false);
+  /// Starts these instances at the first start of the group, which the first of them founds. Their
+  /// disks are numbered from `first_disk` on.
+  void found(std::vector<std::string> const& instances, std::uint64_t first_disk = 1);
   /// Starts a stopped instance with the disk it had.
   void restart(std::string const& id);
   void stop(std::string const& id);
