voters: Remember the latest former voters at instances that follow

Found on reading the whole change: only a leader dropped the former voters that it had remembered for long enough, and from 64 on no further one was remembered. So an instance that had followed through 64 replacements and then led told none of the latest ones who leads, and one with a new disk and seeds outside the group would not have found it again.

Now what is too old is dropped with each change of the voters, and of more than 64 the oldest. It is a class of its own beside tolerated_losses.

--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -2,6 +2,7 @@
 #include <libraries/proxy/voter_policy.h>
 
 #include <algorithm>
+#include <set>
 
 namespace catkinlanding::proxy {
 
@@ -68,30 +69,12 @@
   if (configuration.voters == m_voters) {
     return;
   }
-  for (auto const& v : m_voters) {
-    if (m_former_voters.size() < m_options.max_former_voters) {
-      m_former_voters.emplace(v.instance, now);
-    }
-  }
   m_voters = configuration.voters;
+  std::set<base::instance_id> instances;
   for (auto const& v : m_voters) {
-    m_former_voters.erase(v.instance);
-  }
-}
-
-std::vector<base::instance_id> voter_manager::take_former_voters(base::monotonic_time now) {
-  std::erase_if(m_former_voters, [&](auto const& item) {
-    return now >= item.second + m_options.former_voter_retention;
-  });
-  std::vector<base::instance_id> former;
-  if (now < m_former_voters_told_at + m_options.former_voter_interval) {
-    return former;
-  }
-  m_former_voters_told_at = now;
-  for (auto const& [id, since] : m_former_voters) {
-    former.push_back(id);
+    instances.insert(v.instance);
   }
-  return former;
+  m_former_voters.note(instances, now);
 }
 
 std::optional<base::monotonic_time> voter_manager::last_heard(consensus::replica const& replica,
--- a/libraries/proxy/voter_manager.h
+++ b/libraries/proxy/voter_manager.h
@@ -2,6 +2,7 @@
 
 #include <libraries/consensus/replica.h>
 #include <libraries/proxy/contact_times.h>
+#include <libraries/voters/former_voters.h>
 #include <libraries/voters/tolerated_losses.h>
 
 #include <algorithm>
@@ -48,15 +49,12 @@
     base::duration settling_time = std::chrono::seconds(1);
     /// A smaller group was founded by all instances that there are.
     std::size_t min_voters_to_wait = 3;
-    /// How long, and how often, an instance that lost its place is told who leads.
-    base::duration former_voter_retention = std::chrono::minutes(10);
-    base::duration former_voter_interval = std::chrono::seconds(1);
-    /// The number of such instances that are remembered.
-    std::size_t max_former_voters = 64;
+    voters::former_voters::options former_voters;
     contact_times::options contacts;
   };
 
-  explicit voter_manager(options options) : m_options(options), m_contacts(options.contacts) {}
+  explicit voter_manager(options options)
+      : m_options(options), m_contacts(options.contacts), m_former_voters(options.former_voters) {}
 
   /// Replaces what the group has to tolerate.
   void use_tolerated_losses(std::optional<voters::tolerated_losses> losses) {
@@ -79,9 +77,10 @@
   }
   /// Records which instances have a place, to know which ones had one before.
   void note_voters(consensus::configuration const& configuration, base::monotonic_time now);
-  /// The instances that lost their places lately and are to be told who leads, if that is due. One
-  /// that returns with a new disk knows the group by its seeds only, which may all be outside it.
-  [[nodiscard]] std::vector<base::instance_id> take_former_voters(base::monotonic_time now);
+  /// The instances that lost their places lately and are to be told who leads, if that is due.
+  [[nodiscard]] std::vector<base::instance_id> take_former_voters(base::monotonic_time now) {
+    return m_former_voters.take_due(now);
+  }
   /// Called while an instance, this one or another, is known to lead.
   void note_leader(base::monotonic_time now) {
     m_first_leader_at = std::min(m_first_leader_at, now);
@@ -116,9 +115,7 @@
   /// When this instance first knew of a leader.
   base::monotonic_time m_first_leader_at = base::monotonic_time::max();
   std::vector<consensus::voter> m_voters;
-  /// When they lost their places.
-  std::map<base::instance_id, base::monotonic_time> m_former_voters;
-  base::monotonic_time m_former_voters_told_at{};
+  voters::former_voters m_former_voters;
   /// Instances that asked to become voters, and voters that said that they stop, with the time.
   std::map<base::instance_id, base::monotonic_time> m_applicants;
   std::map<base::instance_id, base::monotonic_time> m_departures;
