proxy: Take any change for the first one

Found on reading the whole change: the wait of the first change ended with the first document only. In a deployment without one, that has fewer instances than the stated losses need, each new leader refused departures and orders for up to 15 s, though earlier ones were acknowledged.

--- a/libraries/proxy/control.cpp
+++ b/libraries/proxy/control.cpp
@@ -298,6 +298,7 @@
   if (entry.kind != consensus::entry_kind::command) {
     return;
   }
+  m_has_changes = true;
   auto const decoded = decode_command(entry.command);
   CATKINLANDING_VERIFY(decoded.has_value());
   auto const* started = std::get_if<start_rollout>(&*decoded);
@@ -379,6 +380,8 @@
   auto state = replicated_state::from_snapshot(snapshot.state);
   CATKINLANDING_VERIFY(state.has_value());
   m_state = std::move(*state);
+  // There is a snapshot only once there were changes.
+  m_has_changes = true;
   m_applied = snapshot.index;
   m_bytes_applied = 0;
   m_registry.set_zones_out_of_use(m_state.zones().zones_out_of_use());
--- a/libraries/proxy/control.h
+++ b/libraries/proxy/control.h
@@ -236,6 +236,8 @@
   /// a further order depends on it.
   std::set<base::service_id> m_ordered_services;
   evacuations::proposals m_proposed_orders;
+  /// Whether the log had a change: a document, a rollout, a departure or an order for a zone.
+  bool m_has_changes = false;
   /// Whether this leader has refused a change for want of voters.
   bool m_has_awaited_voters = false;
   bool m_is_stopping = false;
--- a/libraries/proxy/control_calls.cpp
+++ b/libraries/proxy/control_calls.cpp
@@ -149,7 +149,7 @@
 }
 
 bool control::refuses_first_change(base::monotonic_time now, control_effects& out) {
-  if (m_state.revision() != 0 || !m_voters.awaits_voters(m_replica, now)) {
+  if (m_has_changes || !m_voters.awaits_voters(m_replica, now)) {
     return false;
   }
   auto const& voters = m_replica.current_configuration().voters;
