--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -314,22 +314,45 @@
   EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
 }
 
+/// What the leader replies within a second to a departure.
+reply_kind reply_to_departure(control_group& group, call_number number) {
+  group.call(group.leader(), number,
+             withdraw_endpoint{.endpoint = {"e" + std::to_string(number)}, .incarnation = 1});
+  group.run(1s);
+  return group.reply(number)->kind;
+}
+
 // Guards against a deployment without a document in which each new leader refuses departures, as it
 // has fewer instances than what it states needs: the departures before were its first change.
 TEST(voter_changes, wait_for_no_voters_after_the_first_departure) {
   auto group = group_of({"a", "b", "c"}, voters::tolerated_losses{.instances = 2});
   group.run(15s);
-  auto const reply_to_departure = [&group](call_number number) {
-    group.call(group.leader(), number,
-               withdraw_endpoint{.endpoint = {"e" + std::to_string(number)}, .incarnation = 1});
-    group.run(1s);
-    return group.reply(number)->kind;
-  };
-  ASSERT_EQ(reply_to_departure(1), reply_kind::done);
+  ASSERT_EQ(reply_to_departure(group, 1), reply_kind::done);
   group.stop(group.leader());
   group.run(3s);
   ASSERT_NE(group.leader(), "");
-  EXPECT_EQ(reply_to_departure(2), reply_kind::done);
+  EXPECT_EQ(reply_to_departure(group, 2), reply_kind::done);
+}
+
+// Guards against the same for instances whose log no longer has the changes, but a snapshot.
+TEST(voter_changes, wait_for_no_voters_after_a_snapshot) {
+  constexpr std::size_t bytes_until_snapshot = 600 * 1024;
+  auto group = group_of({"a", "b", "c"}, voters::tolerated_losses{.instances = 2});
+  group.run(15s);
+  auto large = document(1);
+  large.source = std::string(bytes_until_snapshot, 'x');
+  group.call(group.leader(), 1, large);
+  group.run(1s);
+  ASSERT_EQ(group.reply(1)->kind, reply_kind::done);
+  for (std::string const instance : {"a", "b", "c"}) {
+    group.stop(instance);
+  }
+  for (std::string const instance : {"a", "b", "c"}) {
+    group.restart(instance);
+  }
+  group.run(3s);
+  ASSERT_NE(group.leader(), "");
+  EXPECT_EQ(reply_to_departure(group, 2), reply_kind::done);
 }
 
 } // namespace
