tests: Tell the two waits of the first change apart

Cause: the first change waits for a second from the first leader, and for the instances that asked to join.

voter_changes_test has a case for each: the first change right after the election, and one while an instance that asked takes no messages. `starting_group_of` starts the groups of three older cases too.

--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -237,14 +237,24 @@
   return group.reply(number) ? group.reply(number)->kind : reply_kind::unavailable;
 }
 
+/// A group whose instances start for the first time, with disks numbered from one on.
+control_group starting_group_of(std::vector<std::string> const& instances,
+                                std::optional<voters::tolerated_losses> tolerated = {}) {
+  control_group group({"a", "b", "c"});
+  if (tolerated) {
+    group.tolerate(*tolerated);
+  }
+  std::uint64_t disk = 0;
+  for (auto const& instance : instances) {
+    group.start(instance, ++disk, true);
+  }
+  return group;
+}
+
 // Guards against a first change that three of five instances hold, as the other two have not joined
 // yet, and that is gone with two disks (LOST).
 TEST(voter_changes, take_no_first_change_before_enough_voters_have_joined) {
-  control_group group({"a", "b", "c"});
-  group.tolerate({.instances = 2});
-  for (std::uint64_t disk = 1; disk <= 3; ++disk) {
-    group.start(std::string(1, static_cast<char>('a' + disk - 1)), disk, true);
-  }
+  auto group = starting_group_of({"a", "b", "c"}, voters::tolerated_losses{.instances = 2});
   group.run(3s);
   EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
   group.start("d", 4, true);
@@ -255,14 +265,7 @@
 
 /// Whether five instances that start together take the first change only once all have joined.
 void expect_first_change_of_five(std::optional<voters::tolerated_losses> tolerated) {
-  control_group group({"a", "b", "c"});
-  if (tolerated) {
-    group.tolerate(*tolerated);
-  }
-  std::uint64_t disk = 0;
-  for (std::string const instance : {"a", "b", "c", "d", "e"}) {
-    group.start(instance, ++disk, true);
-  }
+  auto group = starting_group_of({"a", "b", "c", "d", "e"}, tolerated);
   group.run(200ms);
   ASSERT_NE(group.leader(), "");
   ASSERT_EQ(group.voter_disks().size(), 3U);
@@ -284,6 +287,34 @@
       voters::tolerated_losses{.instances = 1, .availability_zones = 1, .zone_count = 3});
 }
 
+// Guards against a first change right after the election, before the others have asked to join.
+TEST(voter_changes, take_no_first_change_before_instances_have_asked_to_join) {
+  auto group = starting_group_of({"a", "b", "c"});
+  group.run(200ms);
+  ASSERT_NE(group.leader(), "");
+  EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
+  group.start("d", 4, true);
+  group.start("e", 5, true);
+  group.run(1500ms);
+  EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+}
+
+// Guards against a first change while instances that asked to join have no place yet, as one of
+// them is slow to take the log.
+TEST(voter_changes, take_no_first_change_before_a_slow_instance_has_joined) {
+  auto group = starting_group_of({"a", "b", "c", "d", "e"});
+  group.hold("d");
+  group.run(1500ms);
+  ASSERT_NE(group.leader(), "");
+  ASSERT_LT(group.voter_disks().size(), 5U);
+  EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
+  group.release("d");
+  group.run(1s);
+  EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
+  EXPECT_EQ(group.voter_disks().size(), 5U);
+}
+
 // Guards against settings that change while an instance runs, and a leader that goes by what was
 // stated at its start.
 TEST(voter_changes, follow_what_is_stated_now) {
