voters: Let the first change wait in groups of one or two voters too

Five instances with one seed or two, that state two lost instances, acknowledged the first change on one disk or two, and had lost it with these (LOST).

Now the size doesn't matter. Only a single instance whose settings state nothing goes on at once, as it may be all that there is (founding.of_one_instance_needs_no_other).

voter_changes_test has a case for one seed and for two, red before (the reply was `done` in both).

--- a/libraries/proxy/voter_manager.cpp
+++ b/libraries/proxy/voter_manager.cpp
@@ -41,16 +41,16 @@
                                   base::monotonic_time now) const {
   auto const& configuration = replica.current_configuration();
   auto const count = configuration.voters.size();
-  bool const may_wait =
-      count >= m_options.min_voters_to_wait && now < m_leader_since + m_options.max_wait_for_voters;
-  if (!may_wait) {
+  if (now >= m_leader_since + m_options.max_wait_for_voters) {
     return false;
   }
   auto const& losses = m_options.tolerated_losses;
   bool const is_too_small = losses && !voters::tolerates_lost_instances(*losses, count);
+  // A single instance whose settings state nothing may be all that there is.
+  bool const is_settling =
+      (count > 1 || losses.has_value()) && now - m_options.settling_time < m_first_leader_at;
   // Which zones the voters are in isn't known, so that all instances that start have to join.
-  bool const are_some_joining = now - m_options.settling_time < m_first_leader_at ||
-                                count < configuration.desired_voters.size();
+  bool const are_some_joining = is_settling || count < configuration.desired_voters.size();
   return is_too_small || are_some_joining;
 }
 
--- a/libraries/proxy/voter_manager.h
+++ b/libraries/proxy/voter_manager.h
@@ -47,8 +47,6 @@
     /// The first change waits for this long after the group's first leader was elected, for
     /// instances that join: all start within 0.3 s of each other, and ask each 0.5 s.
     base::duration settling_time = std::chrono::seconds(1);
-    /// A smaller group was founded by all instances that there are.
-    std::size_t min_voters_to_wait = 3;
     voters::former_voters::options former_voters;
     contact_times::options contacts;
   };
--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -263,6 +263,26 @@
   EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
 }
 
+// Guards against the same where fewer than three instances are seeds, so that one disk, or two,
+// hold the change.
+TEST(voter_changes, take_no_first_change_of_one_or_two_seeds) {
+  using names = std::vector<std::string>;
+  for (auto const& seeds : {names{"a"}, names{"a", "b"}}) {
+    control_group group(seeds);
+    group.tolerate({.instances = 2});
+    group.start("a", 1, true);
+    group.start("b", 2, true);
+    group.run(3s);
+    ASSERT_NE(group.leader(), "");
+    EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
+    group.start("c", 3, true);
+    group.start("d", 4, true);
+    group.start("e", 5, true);
+    group.run(3s);
+    EXPECT_EQ(reply_to_change(group, 2), reply_kind::done);
+  }
+}
+
 /// Whether five instances that start together take the first change only once all have joined.
 void expect_first_change_of_five(std::optional<voters::tolerated_losses> tolerated) {
   auto group = starting_group_of({"a", "b", "c", "d", "e"}, tolerated);
