tests: Start the instances of a group together in one place

Cause: three tests had the same loop for instances that start for the first time at once, and a fourth was about to. `control_group::start_together` does it; what they do is unchanged. A name says "tolerate" as the code does.

--- a/tests/libraries/proxy/late_instances_test.cpp
+++ b/tests/libraries/proxy/late_instances_test.cpp
@@ -14,9 +14,7 @@
 TEST(late_instances, do_not_leave_a_group_that_can_not_work) {
   control_group group({"a", "b", "c"});
   group.tolerate({.instances = 2});
-  for (std::uint64_t disk = 1; disk <= 3; ++disk) {
-    group.start(std::string(1, static_cast<char>('a' + disk - 1)), disk, true);
-  }
+  group.start_together({"a", "b", "c"});
   group.run(1s);
   group.stop("a");
   group.stop("b");
--- a/tests/libraries/proxy/process_settings_test.cpp
+++ b/tests/libraries/proxy/process_settings_test.cpp
@@ -73,7 +73,7 @@
   EXPECT_FALSE(parse_settings(settings_with(R"({}, "replaced_answers": "sometimes")")).has_value());
 }
 
-TEST(process_settings, know_what_the_deployment_has_to_bear) {
+TEST(process_settings, know_what_the_deployment_has_to_tolerate) {
   auto const settings = parse_settings(settings_with(
       R"({}, "tolerated_losses": {"instances": 2, "availability_zones": 1, "zones": ["a", "b"]})"));
   ASSERT_TRUE(settings.has_value());
--- a/tests/libraries/proxy/seeds_outside_group_test.cpp
+++ b/tests/libraries/proxy/seeds_outside_group_test.cpp
@@ -14,10 +14,8 @@
 TEST(seeds_outside_group, do_not_keep_instances_with_new_disks_out) {
   control_group group({"a", "b", "c"});
   group.tolerate({.instances = 2});
-  std::uint64_t disk = 0;
-  for (std::string const instance : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
-    group.start(instance, ++disk, true);
-  }
+  std::uint64_t disk = 8;
+  group.start_together({"a", "b", "c", "d", "e", "f", "g", "h"});
   group.run(6s);
   group.stop("c");
   group.run(5s);
--- a/tests/libraries/proxy/voter_changes_test.cpp
+++ b/tests/libraries/proxy/voter_changes_test.cpp
@@ -244,10 +244,7 @@
   if (tolerated) {
     group.tolerate(*tolerated);
   }
-  std::uint64_t disk = 0;
-  for (auto const& instance : instances) {
-    group.start(instance, ++disk, true);
-  }
+  group.start_together(instances);
   return group;
 }
 
@@ -270,8 +267,7 @@
   for (auto const& seeds : {names{"a"}, names{"a", "b"}}) {
     control_group group(seeds);
     group.tolerate({.instances = 2});
-    group.start("a", 1, true);
-    group.start("b", 2, true);
+    group.start_together({"a", "b"});
     group.run(3s);
     ASSERT_NE(group.leader(), "");
     EXPECT_EQ(reply_to_change(group, 1), reply_kind::unavailable);
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -41,6 +41,13 @@
   }
 }
 
+void control_group::start_together(std::vector<std::string> const& instances) {
+  std::uint64_t disk = 0;
+  for (auto const& instance : instances) {
+    start(instance, ++disk, true);
+  }
+}
+
 void control_group::restart(std::string const& id) {
   m_nodes.erase({id});
   m_nodes.emplace(base::instance_id{id}, recover({id}));
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -23,6 +23,9 @@
   /// Starts these instances at the first start of the group, which the first of them founds. Their
   /// disks are numbered from `first_disk` on.
   void found(std::vector<std::string> const& instances, std::uint64_t first_disk = 1);
+  /// Starts these instances for the first time, all at once, as the platform does: any of the seeds
+  /// may found the group. Their disks are numbered from one on.
+  void start_together(std::vector<std::string> const& instances);
   /// Starts a stopped instance with the disk it had.
   void restart(std::string const& id);
   void stop(std::string const& id);
