proxy: Refuse settings that state losses without counting them

Cause: `tolerated_losses` whose `instances` is left out was read as no lost instance, so that five voters could shrink to three, which is fewer than where nothing is stated.

Change: both counts have to be there where the object is. The check of a negative count states the other one, so that it is still refused for its own reason.

--- a/libraries/proxy/settings.cpp
+++ b/libraries/proxy/settings.cpp
@@ -135,7 +135,8 @@
 std::size_t read_count(object_reader& reader, char const* name) {
   constexpr double max_count = 1000.0;
   double number = 0.0;
-  reader.optional(name, number);
+  // One that is left out would read as no loss at all.
+  reader.required(name, number);
   if (!(number >= 0.0 && number <= max_count)) {
     reader.fail(name, "must be from 0 to 1000");
     return 0;
--- a/tests/libraries/proxy/process_settings_test.cpp
+++ b/tests/libraries/proxy/process_settings_test.cpp
@@ -81,7 +81,19 @@
             (voters::tolerated_losses{.instances = 2, .availability_zones = 1, .zone_count = 2}));
   EXPECT_FALSE(parse_settings(settings_with("{}"))->tolerated_losses.has_value());
   EXPECT_FALSE(
-      parse_settings(settings_with(R"({}, "tolerated_losses": {"instances": -1})")).has_value());
+      parse_settings(
+          settings_with(R"({}, "tolerated_losses": {"instances": -1, "availability_zones": 1})"))
+          .has_value());
+}
+
+// Guards against a count that was forgotten and reads as no loss at all, which lets five voters
+// shrink to three.
+TEST(process_settings, need_both_counts_of_what_is_tolerated) {
+  for (auto const* losses :
+       {"{}", R"({"zones": ["a"]})", R"({"instances": 2})", R"({"availability_zones": 1})"}) {
+    auto const text = std::string(R"({}, "tolerated_losses": )") + losses;
+    EXPECT_FALSE(parse_settings(settings_with(text)).has_value()) << losses;
+  }
 }
 
 } // namespace
