connections: Let a new connection wait a moment for a place

Beside it: what was refused was listed among those that may give way, so that it gave a place it didn't have to the next one, which was then served beyond the limit.

Change: connections::places holds the limit for both programs. Up to 8 connections wait 500 ms for a place, as requests do for memory; a connection whose request has been answered ends in favour of the one that has waited longest.

--- a/services/daemon/caller_connection.h
+++ b/services/daemon/caller_connection.h
@@ -3,6 +3,7 @@
 #include <libraries/base/time.h>
 #include <services/daemon/body_reader.h>
 #include <services/daemon/caller_headers.h>
+#include <services/daemon/connections/places.h>
 
 namespace catkinlanding::daemon {
 
@@ -17,8 +18,10 @@
 /// The reads end with the time that is set at the stream.
 struct caller_connection {
   caller_connection(tcp_socket socket, std::shared_ptr<connections::open_connections> all,
+                    std::shared_ptr<connections::places> all_places, bool has_place,
                     base::memory_share socket_share)
-      : stream(std::move(socket)), entry(std::move(all), stream), buffer(entry),
+      : stream(std::move(socket)), entry(std::move(all), stream),
+        place(std::move(all_places), entry, has_place), buffer(entry),
         socket_memory(std::move(socket_share)) {}
 
   /// Reads the body after the header. The caller may want to be asked for it first. Fails as
@@ -30,6 +33,7 @@
 
   tcp_stream stream;
   connections::open_connections::entry entry;
+  connections::places::holder place;
   request_buffer buffer;
   /// What the kernel may receive for it.
   base::memory_share socket_memory;
--- a/services/daemon/caller_server.cpp
+++ b/services/daemon/caller_server.cpp
@@ -47,6 +47,7 @@
             context, connections::open_connections::options{.server = "callers",
                                                             .request_bytes = options.request_bytes,
                                                             .answer_bytes = options.answer_bytes})),
+        m_places(std::make_shared<connections::places>(context, m_open, options.max_connections)),
         m_sockets(options.socket_bytes), m_turns(context) {}
 
   void start() {
@@ -103,21 +104,17 @@
   }
 
   void handle_connection(tcp_socket socket) {
-    bool const has_room = m_connections < m_options.max_connections || m_open->close_one();
-    if (!has_room && m_rejected_connections >= resources::max_rejected_connections) {
+    bool const has_place = m_places->make_place();
+    if (!has_place && !m_places->may_wait()) {
       return;
     }
     boost::system::error_code ignored;
     socket.non_blocking(true, ignored);
     socket.set_option(tcp::no_delay(true), ignored);
     auto share = m_sockets.bound(socket);
-    auto accepted =
-        std::make_shared<caller_connection>(std::move(socket), m_open, std::move(share));
-    if (has_room) {
-      spawn(m_context, "callers", serve(shared_from_this(), std::move(accepted)));
-    } else {
-      spawn(m_context, "callers", reject_connection(shared_from_this(), std::move(accepted)));
-    }
+    auto accepted = std::make_shared<caller_connection>(std::move(socket), m_open, m_places,
+                                                        has_place, std::move(share));
+    spawn(m_context, "callers", serve(shared_from_this(), std::move(accepted)));
   }
 
   void note_cut_answer(char const* reason) {
@@ -131,7 +128,15 @@
 
   static awaitable<void> serve(std::shared_ptr<implementation> self,
                                std::shared_ptr<caller_connection> connection) {
-    scoped_count const open(self->m_connections);
+    bool const has_place = co_await connection->place.wait();
+    if (has_place) {
+      co_await self->serve_requests(connection);
+    } else {
+      co_await self->reject_connection(*connection);
+    }
+  }
+
+  awaitable<void> serve_requests(std::shared_ptr<caller_connection> const& connection) {
     auto& stream = connection->stream;
     bool keeps_alive = true;
     while (keeps_alive) {
@@ -139,13 +144,12 @@
       entry.begin(connection->has_been_served ? resources::connection_phase::resting
                                               : resources::connection_phase::unused);
       request_parser parser;
-      parser.body_limit(self->m_options.max_body_size);
-      auto const& timeout = self->m_options.read_timeout;
-      auto const head_error = co_await read_header(stream, connection->buffer, parser,
-                                                   {.max_bytes = self->m_options.max_header_size,
-                                                    .idle_timeout = timeout,
-                                                    .timeout = timeout});
-      scoped_count const busy(self->m_busy_connections);
+      parser.body_limit(m_options.max_body_size);
+      auto const& timeout = m_options.read_timeout;
+      auto const head_error = co_await read_header(
+          stream, connection->buffer, parser,
+          {.max_bytes = m_options.max_header_size, .idle_timeout = timeout, .timeout = timeout});
+      scoped_count const busy(m_busy_connections);
       auto const arrived_at = now();
       if (!head_error) {
         // Nobody waits for the rest of a body beyond the deadline that its caller states.
@@ -155,18 +159,20 @@
       }
       auto const error = head_error ? head_error : co_await connection->read_body(parser);
       if (error) {
-        co_await self->send_parse_error(*connection, error);
+        co_await send_parse_error(*connection, error);
         break;
       }
       entry.serve();
       incoming_request request{.message = take_request(parser), .arrived_at = arrived_at};
-      keeps_alive = co_await self->handle_request(connection, std::move(request));
+      keeps_alive = co_await handle_request(connection, std::move(request));
       connection->has_been_served = true;
       entry.release_body();
       entry.release_answer();
+      // Whoever waits for a place goes before the next request on a connection that has had one.
+      keeps_alive = keeps_alive && !connection->place.give_way();
       if (keeps_alive && connection->buffer.storage().size() > 0) {
         entry.begin(resources::connection_phase::reading);
-        co_await self->m_turns.wait();
+        co_await m_turns.wait();
       }
       keeps_alive = keeps_alive && !entry.closing();
     }
@@ -175,14 +181,12 @@
   }
 
   /// Answers a caller beyond the connection limit with 503. When there is room is not known.
-  static awaitable<void> reject_connection(std::shared_ptr<implementation> self,
-                                           std::shared_ptr<caller_connection> connection) {
-    scoped_count const active(self->m_rejected_connections);
-    auto& stream = connection->stream;
+  awaitable<void> reject_connection(caller_connection& connection) {
+    auto& stream = connection.stream;
     request_parser parser;
-    parser.body_limit(self->m_options.max_body_size);
-    auto const error = co_await read_header(stream, connection->buffer, parser,
-                                            {.max_bytes = self->m_options.max_header_size,
+    parser.body_limit(m_options.max_body_size);
+    auto const error = co_await read_header(stream, connection.buffer, parser,
+                                            {.max_bytes = m_options.max_header_size,
                                              .idle_timeout = rejection_timeout,
                                              .timeout = rejection_timeout});
     if (error) {
@@ -191,7 +195,7 @@
     auto const response = make_closing_response(http::status::service_unavailable,
                                                 message_error::too_many_connections);
     co_await http::async_write(stream, response, completion);
-    co_await connection->drain(rejection_timeout);
+    co_await connection.drain(rejection_timeout);
   }
 
   awaitable<void> send_parse_error(caller_connection& connection, beast::error_code error) {
@@ -447,11 +451,10 @@
   tcp::acceptor m_acceptor;
   requests::request_number m_last_number = 0;
   std::map<requests::request_number, std::shared_ptr<reply_queue>> m_queues;
-  std::size_t m_connections = 0;
   /// Connections with a request that is being received or answered.
   std::size_t m_busy_connections = 0;
-  std::size_t m_rejected_connections = 0;
   std::shared_ptr<connections::open_connections> m_open;
+  std::shared_ptr<connections::places> m_places;
   connections::socket_buffers m_sockets;
   connections::turn_limiter m_turns;
   std::uint64_t m_cut_answers = 0;
--- a/services/daemon/connections/open_connections.cpp
+++ b/services/daemon/connections/open_connections.cpp
@@ -61,7 +61,7 @@
   m_unnoted_bytes = 0;
   if (m_place) {
     m_all->m_order.move(*m_place, phase, now());
-  } else if (!m_closing) {
+  } else if (!m_closing && m_has_place) {
     m_place = m_all->m_order.add(m_id, phase, now());
   }
   update_held();
@@ -71,6 +71,13 @@
   unlist();
 }
 
+void open_connections::entry::set_place(bool has_place) {
+  m_has_place = has_place;
+  if (!has_place) {
+    unlist();
+  }
+}
+
 void open_connections::entry::note_received(std::size_t bytes) {
   m_unnoted_bytes += bytes;
   if (m_unnoted_bytes >= min_progress_bytes) {
--- a/services/daemon/connections/open_connections.h
+++ b/services/daemon/connections/open_connections.h
@@ -41,6 +41,9 @@
 
     void begin(resources::connection_phase phase);
     void serve();
+    /// Tells whether it is one of the connections of which there may only be so many. One that is
+    /// not can't give way to another.
+    void set_place(bool has_place);
     /// Notes whether the next request came before the answer to the one before was read. Such a
     /// request leaves half of the memory to others.
     void set_pipelined(bool is_pipelined) { m_is_pipelined = is_pipelined; }
@@ -81,6 +84,7 @@
     std::size_t m_buffer_bytes = 0;
     std::size_t m_body_bytes = 0;
     std::size_t m_unnoted_bytes = 0;
+    bool m_has_place = true;
     bool m_is_pipelined = false;
     std::optional<closing_reason> m_closing;
     std::optional<resources::closing_order::place> m_place;
--- a/services/proxy/entry_server.cpp
+++ b/services/proxy/entry_server.cpp
@@ -42,6 +42,8 @@
           context.io,
           daemon::connections::open_connections::options{.server = "entry",
                                                          .request_bytes = options.request_bytes})),
+      m_places(std::make_shared<daemon::connections::places>(context.io, m_open,
+                                                             options.max_connections)),
       m_sockets(options.socket_bytes), m_turns(context.io) {
   daemon::spawn(m_context.io, "entry",
                 daemon::connections::accept_all(
@@ -122,26 +124,26 @@
 }
 
 void entry_server::start(daemon::tcp_socket socket) {
-  bool const has_room = m_connections.size() < m_options.max_connections || m_open->close_one();
-  if (!has_room && m_rejected_connections >= resources::max_rejected_connections) {
+  bool const has_place = m_places->make_place();
+  if (!has_place && !m_places->may_wait()) {
     return;
   }
   boost::system::error_code ignored;
   socket.non_blocking(true, ignored);
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto socket_memory = m_sockets.bound(socket);
-  auto accepted = std::make_shared<connection>(std::move(socket), m_open, std::move(socket_memory));
-  accepted->is_rejected = !has_room;
+  auto accepted = std::make_shared<connection>(std::move(socket), m_open, m_places, has_place,
+                                               std::move(socket_memory));
   m_connections.insert(accepted);
   daemon::spawn(m_context.io, "entry", serve(std::move(accepted)));
 }
 
 awaitable<void> entry_server::serve(std::shared_ptr<connection> connection) {
   try {
-    if (connection->is_rejected) {
-      co_await reject_connection(*connection);
-    } else {
+    if (co_await connection->place.wait()) {
       co_await serve_requests(*connection);
+    } else {
+      co_await reject_connection(*connection);
     }
   } catch (std::exception const& exception) {
     spdlog::error("entry connection_failed error=\"{}\"", exception.what());
@@ -166,6 +168,8 @@
     is_open = co_await current_exchange->run();
     connection.entry.release_body();
     connection.has_been_served = true;
+    // Whoever waits for a place goes before the next request on a connection that has had one.
+    is_open = is_open && !connection.place.give_way();
     bool const is_next_here = is_open && connection.buffer.storage().size() > 0;
     connection.entry.set_pipelined(is_next_here);
     if (is_next_here) {
@@ -304,7 +308,6 @@
 }
 
 awaitable<void> entry_server::reject_connection(connection& connection) {
-  daemon::scoped_count const active(m_rejected_connections);
   request_parser parser;
   auto const error =
       co_await daemon::read_header(connection.stream, connection.buffer, parser,
--- a/services/proxy/entry_server.h
+++ b/services/proxy/entry_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <services/daemon/connections/open_connections.h>
+#include <services/daemon/connections/places.h>
 #include <services/daemon/connections/socket_buffers.h>
 #include <services/daemon/connections/turn_limiter.h>
 #include <services/proxy/exchange.h>
@@ -22,7 +23,7 @@
 public:
   struct options {
     /// Beyond these, a connection that makes no progress gives way to a new one. If there is none,
-    /// the new one is closed.
+    /// the new one waits a moment for a place, and is refused then. If many wait, it is closed.
     std::size_t max_connections = 0;
     /// Memory for the requests of all connections that are being read or served, beyond a few KiB
     /// for each. A request that finds none is rejected.
@@ -57,17 +58,18 @@
   struct connection {
     connection(daemon::tcp_socket socket,
                std::shared_ptr<daemon::connections::open_connections> all,
+               std::shared_ptr<daemon::connections::places> all_places, bool has_place,
                base::memory_share socket_share)
-        : stream(std::move(socket)), entry(std::move(all), stream), buffer(entry),
+        : stream(std::move(socket)), entry(std::move(all), stream),
+          place(std::move(all_places), entry, has_place), buffer(entry),
           socket_memory(std::move(socket_share)) {}
 
     daemon::tcp_stream stream;
     daemon::connections::open_connections::entry entry;
+    daemon::connections::places::holder place;
     daemon::request_buffer buffer;
     base::memory_share socket_memory;
     bool has_been_served = false;
-    /// Whether there were too many connections when it came, and none gave way.
-    bool is_rejected = false;
     bool is_awaiting_request = false;
     /// The request whose body is being read, and when its header was complete.
     request_parser const* parser = nullptr;
@@ -112,8 +114,8 @@
   /// When the next line about a rejected request may be logged, by reason.
   std::map<std::string_view, base::monotonic_time> m_next_lines;
   std::size_t m_active_exchanges = 0;
-  std::size_t m_rejected_connections = 0;
   std::shared_ptr<daemon::connections::open_connections> m_open;
+  std::shared_ptr<daemon::connections::places> m_places;
   daemon::connections::socket_buffers m_sockets;
   daemon::connections::turn_limiter m_turns;
 };
